Serve routed requests on the users' platform: the whole path, thin

Cause: the product had no path for requests that are routed by host and path, and no adapter for the platform. Before: nothing ran.

--- /dev/null
+++ b/internal/assembler/routing.go
@@ -0,0 +1,189 @@
+package assembler
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"snipedyke/internal/configurer"
+	"snipedyke/internal/director"
+	"snipedyke/internal/exporter"
+	"snipedyke/internal/follower"
+	"snipedyke/internal/forwarder"
+	"snipedyke/internal/logger"
+	"snipedyke/internal/reducer"
+)
+
+// RoutingOptions are what a node that routes requests by host and path is
+// built from.
+type RoutingOptions struct {
+	Settings configurer.Routing
+	// Output takes the log; nil discards it.
+	Output   io.Writer
+	Source   follower.Source
+	Protocol forwarder.Protocol
+	// Clock is the clock of all decisions.
+	Clock func() time.Time
+	// Build is the version of the program.
+	Build string
+}
+
+const (
+	// leaseShare is the part of the time to withdraw a key for which a view
+	// serves. The rest covers changes that a watch does not show at once.
+	leaseShare = 0.76
+	// freshView is the age of the view up to which what is missing in it is
+	// refused for good. Two watches in a row renew a view within this time.
+	freshView = 3500 * time.Millisecond
+	// maxNodes is the number of nodes for which the shares of the fleet's
+	// bounds are worked out.
+	maxNodes = 10
+	// reservedDescriptors are left for files, endpoints and the shared view.
+	reservedDescriptors = 1024
+	// memoryShare is the part of the process's memory from which the collector
+	// works harder.
+	memoryShare = 0.6
+	// maxRequestBody and maxRequestHeader bound requests in bytes.
+	maxRequestBody   = 4 << 20
+	maxRequestHeader = 16 << 10
+	// probeTimeout bounds the reading of a call to the readiness address.
+	probeTimeout = 5 * time.Second
+)
+
+// Routing is a node that routes requests by host and path.
+type Routing struct {
+	opts      RoutingOptions
+	logger    *logger.Logger
+	exporter  *exporter.Exporter
+	forwarder *forwarder.Forwarder
+	follower  *follower.Follower
+	readiness net.Listener
+	metrics   net.Listener
+}
+
+// NewRouting builds a node that listens on its addresses. Run must follow.
+func NewRouting(opts RoutingOptions) (*Routing, error) {
+	s := opts.Settings
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory<<20)))
+	n := &Routing{
+		opts: opts, exporter: exporter.New(),
+		logger: logger.New(logger.Options{
+			Output: opts.Output, Format: logger.Format(s.Log.Format), Level: hclog.LevelFromString(s.Log.Level), Node: s.Name,
+		}),
+	}
+	var err error
+	if n.readiness, err = listen("readiness", s.Readiness); err != nil {
+		return nil, err
+	}
+	if s.Metrics.IsValid() {
+		if n.metrics, err = listen("metrics", s.Metrics); err != nil {
+			return nil, errors.Join(err, n.readiness.Close())
+		}
+	}
+	n.forwarder, err = forwarder.New(forwarder.Options{
+		Director: director.Options{
+			DataCentre: s.DataCentre, Regions: s.Regions,
+			KeyLease:  time.Duration(leaseShare * float64(s.Withdrawal)),
+			FreshView: freshView, Nodes: maxNodes,
+			ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack,
+			RetryWindow: s.RetryWindow, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
+		},
+		Protocol: opts.Protocol, Logger: n.logger, Meter: tally{n.exporter}, Callers: s.Callers, Clock: opts.Clock,
+		Body: maxRequestBody, Header: maxRequestHeader,
+		Connections: max(s.Descriptors-reservedDescriptors, minConnections), Grace: s.Grace,
+	})
+	if err != nil {
+		err = errors.Join(&Error{Op: "callers", Kind: KindListen, Err: err}, n.readiness.Close())
+		if n.metrics != nil {
+			err = errors.Join(err, n.metrics.Close())
+		}
+
+		return nil, err
+	}
+	n.follower = follower.New(follower.Options{
+		Source: opts.Source, Post: n.forwarder.Post, Logger: n.logger, Clock: opts.Clock,
+	})
+
+	return n, nil
+}
+
+// minConnections is the least number of callers' connections.
+const minConnections = 128
+
+// Callers returns the address for callers.
+func (n *Routing) Callers() netip.AddrPort { return n.forwarder.Addr() }
+
+// Run runs the node until a graceful shutdown that follows the end of ctx.
+func (n *Routing) Run(ctx context.Context) error {
+	n.logger.Event(logger.ForwarderStarted, "callers", n.Callers().String(), "version", n.opts.Build)
+	following, stop := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { n.follower.Run(following) })
+	wg.Go(func() { n.serve(n.readiness, n.answerReadiness) })
+	if n.metrics != nil {
+		wg.Go(func() { n.serve(n.metrics, n.answerMetrics) })
+	}
+	err := n.forwarder.Run(ctx)
+	stop()
+	_ = n.readiness.Close()
+	if n.metrics != nil {
+		_ = n.metrics.Close()
+	}
+	wg.Wait()
+	n.logger.Event(logger.ShutdownComplete)
+	if err != nil {
+		return &Error{Op: "serve callers", Kind: KindRun, Err: err}
+	}
+
+	return nil
+}
+
+// serve answers calls until the listener is closed.
+func (n *Routing) serve(l net.Listener, handler fasthttp.RequestHandler) {
+	server := fasthttp.Server{
+		Handler: handler, ReadTimeout: probeTimeout, NoDefaultServerHeader: true, Logger: hclog.NewNullLogger().StandardLogger(&hclog.StandardLoggerOptions{}),
+	}
+	// The end of the listener is the end of the node, which is logged.
+	_ = server.Serve(l)
+}
+
+func (n *Routing) answerReadiness(ctx *fasthttp.RequestCtx) {
+	if n.forwarder.Ready() {
+		ctx.SetStatusCode(http.StatusOK)
+	} else {
+		ctx.SetStatusCode(http.StatusServiceUnavailable)
+	}
+}
+
+func (n *Routing) answerMetrics(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain; version=0.0.4")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		var b bytes.Buffer
+		n.exporter.Write(&b)
+		_, _ = w.Write(b.Bytes())
+	})
+}
+
+// tally turns a director's counts into metrics.
+type tally struct{ exporter *exporter.Exporter }
+
+// Tally implements forwarder.Meter.
+func (t tally) Tally(c director.Count) {
+	t.exporter.Count(reducer.Count{Counter: reducer.Counter("routed_" + string(c.Counter)), Label: c.Label})
+}
+
+// Time implements forwarder.Meter.
+func (t tally) Time(o director.Observe) {
+	t.exporter.Observe(reducer.Observe{Histogram: "routed_total", Class: o.Kind.String(), Value: o.Value})
+}
--- /dev/null
+++ b/internal/chooser/engine.go
@@ -0,0 +1,230 @@
+// Package chooser places requests on endpoints.
+//
+// It answers the load pattern of long prompts beside streamed answers: an
+// engine reads a prompt in chunks between the tokens of its other requests, so
+// that each long prompt lengthens the pauses of all streams beside it, and a
+// prompt part that is read again on another engine costs as much as the part
+// itself. Long prompts and short ones therefore go to disjoint engines, whose
+// numbers follow the work of both, and prompts that share their parts go to the
+// same few engines.
+//
+// A node chooses by what it has placed itself. All nodes rank engines by the
+// same hashes, so that they agree without messages.
+package chooser
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Need is what a request needs of an engine.
+type Need struct {
+	// Prompt and Output are numbers of tokens; Output is the expected number.
+	Prompt, Output int
+	// Shared is the hash of the last part of the prompt that other requests
+	// share, or zero, and Reused the tokens of all parts up to it.
+	Shared uint64
+	Reused int
+}
+
+const (
+	// longPrompt is the number of prompt tokens from which a request counts as
+	// long: an engine takes several steps to read it.
+	longPrompt = 2048
+	// outputWork is the work of an output token in prompt tokens: a step yields
+	// one token to each request of a batch, in the time in which the engine
+	// reads about 200 tokens.
+	outputWork = 10
+	// shortDiscount is the part of the work of short requests that counts in
+	// the split: their batches are larger, and their first tokens need less
+	// reserve than those of long prompts.
+	shortDiscount = 0.6
+)
+
+// Long tells whether the request belongs to the group of long prompts.
+func (n Need) Long() bool { return n.Prompt >= longPrompt }
+
+// Work returns the work of the request in prompt tokens, if its shared parts
+// are cached.
+func (n Need) Work() float64 {
+	return float64(max(n.Prompt-n.Reused, 0)) + outputWork*float64(n.Output)
+}
+
+// Engine is what a node knows of the load of one engine. The zero value of
+// all but ID and Near is an idle engine.
+type Engine struct {
+	ID string
+	// Near tells that the engine is in the node's data centre.
+	Near bool
+	// Running is the number of the node's requests at the engine and Work their
+	// work.
+	Running int
+	Work    float64
+	// Penalty is at least 0; it multiplies the load of an endpoint that is slow
+	// or fails requests by 1 + Penalty.
+	Penalty float64
+
+	hash uint64
+}
+
+// NewEngine returns an idle engine.
+func NewEngine(id string, near bool) *Engine {
+	return &Engine{ID: id, Near: near, hash: xxhash.Sum64String(id)}
+}
+
+// load returns the load that the choice compares.
+func (e *Engine) load() float64 { return (float64(e.Running) + e.Work/meanWork) * (1 + e.Penalty) }
+
+// meanWork scales work to the same size as a number of requests.
+const meanWork = 3000
+
+const (
+	// splitMemory is the time over which the work of the two groups is
+	// averaged. It is shorter than a burst and longer than the gaps between the
+	// requests of a node.
+	splitMemory = 3 * time.Second
+	// splitInertia is the change of the split in engines that is ignored.
+	splitInertia = 0.6
+	// overload is the ratio of an engine's load to the mean of its group above
+	// which the next engine in rank is taken.
+	overload = 1.25
+	// overloadSlack is added to the bound, so that few requests do not move.
+	overloadSlack = 1.5
+	// homes is the number of engines that hold the parts of one prompt.
+	homes = 2
+)
+
+// Splitter deals the engines of a service to long and to short prompts. The
+// zero value has seen no requests.
+type Splitter struct {
+	long, short float64
+	updated     time.Time
+	// engines is the number of engines of long prompts in use.
+	engines float64
+}
+
+// Note adds a request to the work of its group.
+func (s *Splitter) Note(now time.Time, n Need) {
+	s.decay(now)
+	if n.Long() {
+		s.long += n.Work()
+	} else {
+		s.short += n.Work() * shortDiscount
+	}
+}
+
+func (s *Splitter) decay(now time.Time) {
+	if d := now.Sub(s.updated); d > 0 && !s.updated.IsZero() {
+		keep := 1 / (1 + d.Seconds()/splitMemory.Seconds())
+		s.long *= keep
+		s.short *= keep
+	}
+	s.updated = now
+}
+
+// longEngines returns the number of engines of long prompts out of n. Each
+// group that has work keeps an engine.
+func (s *Splitter) longEngines(n int) int {
+	if n < 2 || s.long == 0 || s.short == 0 {
+		return n
+	}
+	want := s.long / (s.long + s.short) * float64(n)
+	if d := want - s.engines; d > splitInertia || d < -splitInertia {
+		s.engines = want
+	}
+
+	return min(max(int(s.engines+0.5), 1), n-1)
+}
+
+// Choose returns the engine for a request, or nil if there is none. It may
+// reorder engines.
+func (s *Splitter) Choose(now time.Time, n Need, engines []*Engine) *Engine {
+	if len(engines) == 0 {
+		return nil
+	}
+	s.decay(now)
+	slices.SortFunc(engines, func(a, b *Engine) int {
+		switch {
+		case a.hash < b.hash:
+			return -1
+		case a.hash > b.hash:
+			return 1
+		default:
+			return 0
+		}
+	})
+	k := s.longEngines(len(engines))
+	group := engines
+	switch {
+	case k == len(engines):
+	case n.Long():
+		group = engines[:k]
+	default:
+		group = engines[k:]
+	}
+	if n.Long() && n.Shared != 0 {
+		return chooseShared(n, group)
+	}
+
+	return least(group)
+}
+
+// chooseShared returns the engine of highest rank for the shared parts whose
+// load is within the bound, else the one with the least load.
+func chooseShared(n Need, group []*Engine) *Engine {
+	sum := 0.0
+	for _, e := range group {
+		sum += e.load()
+	}
+	bound := overload*sum/float64(len(group)) + overloadSlack
+	var ranked [homes]*Engine
+	for _, e := range group {
+		candidate := e
+		for i := range ranked {
+			if ranked[i] == nil || mix(candidate.hash^n.Shared) > mix(ranked[i].hash^n.Shared) {
+				candidate, ranked[i] = ranked[i], candidate
+			}
+			if candidate == nil {
+				break
+			}
+		}
+	}
+	for _, e := range ranked {
+		if e != nil && e.load() <= bound {
+			return e
+		}
+	}
+
+	return least(group)
+}
+
+// nearBonus is the load that a request may add to stay in the data centre.
+const nearBonus = 1.5
+
+// least returns the engine with the least load.
+func least(engines []*Engine) *Engine {
+	var best *Engine
+	lowest := 0.0
+	for _, e := range engines {
+		l := e.load()
+		if !e.Near {
+			l += nearBonus * (1 + e.Penalty)
+		}
+		if best == nil || l < lowest {
+			best, lowest = e, l
+		}
+	}
+
+	return best
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/configurer/routing.go
@@ -0,0 +1,126 @@
+package configurer
+
+import (
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"snipedyke/internal/decoder"
+)
+
+// Routing are the settings of a node that routes requests by host and path.
+type Routing struct {
+	Name       string
+	DataCentre string
+	// Regions holds the region of each data centre.
+	Regions map[string]string
+	// Callers is the address for callers, Readiness the one that the balancer
+	// asks, and Metrics that of the metrics, or invalid.
+	Callers   netip.AddrPort
+	Readiness netip.AddrPort
+	Metrics   netip.AddrPort
+	// Store is the address of the shared view.
+	Store netip.AddrPort
+	// Withdrawal is the time in which a withdrawn key must no longer be
+	// accepted by any node.
+	Withdrawal time.Duration
+	// Grace is the time that a graceful shutdown may take.
+	Grace time.Duration
+	// ColdFactor and ColdSlack bound the requests of a cold endpoint in a
+	// second: its rate times the factor, plus the slack.
+	ColdFactor, ColdSlack float64
+	// RetryWindow, RetryRatio and RetrySlack bound the retries of the fleet.
+	RetryWindow time.Duration
+	RetryRatio  float64
+	RetrySlack  float64
+	// Memory is the limit of the process in megabytes.
+	Memory int
+	// Descriptors is the limit of the process.
+	Descriptors int
+	Log         Log
+}
+
+// The accepted ranges.
+const (
+	minWithdrawal  = time.Second
+	maxWithdrawal  = time.Hour
+	maxFactor      = 100
+	maxSlack       = 1e6
+	minMemory      = 32
+	maxMemory      = 1 << 20
+	minDescriptors = 256
+	maxDescriptors = 1 << 20
+	maxCentres     = 256
+)
+
+// LoadRouting reads the settings of a file.
+func LoadRouting(path string) (Routing, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return Routing{}, &Error{Op: "load settings", Kind: KindRead, Err: err}
+	}
+	defer func() { _ = f.Close() }()
+	// One byte more than accepted lets ParseRouting see that the file is too long.
+	data, err := io.ReadAll(io.LimitReader(f, MaxFile+1))
+	if err != nil {
+		return Routing{}, &Error{Op: "load settings", Kind: KindRead, Err: err}
+	}
+
+	return ParseRouting(path, data)
+}
+
+// ParseRouting reads settings; name is the file's name for error messages.
+func ParseRouting(name string, data []byte) (Routing, error) {
+	var list decoder.List
+	var s Routing
+	if n, ok := decoder.Parse(&list, name, data, MaxFile); ok {
+		s = readRouting(n.Object())
+	}
+	if err := list.Err(); err != nil {
+		return Routing{}, &Error{Op: "parse settings", Kind: KindInvalid, Err: err}
+	}
+
+	return s, nil
+}
+
+func readRouting(o *decoder.Object) Routing {
+	s := Routing{
+		Name:        o.Name("name"),
+		DataCentre:  o.Name("centre"),
+		Regions:     map[string]string{},
+		Callers:     o.Address("callers", true),
+		Readiness:   o.Address("readiness", true),
+		Store:       o.Address("store", false),
+		Withdrawal:  o.Duration("withdrawal", minWithdrawal, maxWithdrawal),
+		Grace:       o.Duration("grace", minDrain, maxDrain),
+		Memory:      int(o.Int("memory", minMemory, maxMemory)),
+		Descriptors: int(o.Int("descriptors", minDescriptors, maxDescriptors)),
+		Log:         Log{Level: "info", Format: "json"},
+	}
+	if o.Has("metrics") {
+		s.Metrics = o.Address("metrics", true)
+	}
+	o.Each("regions", 1, maxCentres, func(n *decoder.Node) {
+		r := n.Object()
+		s.Regions[r.Name("centre")] = r.Name("region")
+		r.End()
+	})
+	if n := o.Field("cold"); n != nil {
+		c := n.Object()
+		s.ColdFactor, s.ColdSlack = c.Float("factor", 0, maxFactor), c.Float("slack", 0, maxSlack)
+		c.End()
+	}
+	if n := o.Field("retries"); n != nil {
+		r := n.Object()
+		s.RetryWindow = r.Duration("window", time.Second, time.Hour)
+		s.RetryRatio, s.RetrySlack = r.Float("ratio", 0, maxFactor), r.Float("slack", 0, maxSlack)
+		r.End()
+	}
+	if n := o.Field("log"); n != nil {
+		readLog(n.Object(), &s.Log)
+	}
+	o.End()
+
+	return s
+}
--- /dev/null
+++ b/internal/director/request.go
@@ -0,0 +1,422 @@
+package director
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"snipedyke/internal/chooser"
+	"snipedyke/internal/logger"
+	"snipedyke/internal/router"
+)
+
+const (
+	// maxUnreached bounds the endpoints that a request tries without reaching
+	// one.
+	maxUnreached = 4
+	// waitShare is the part of its target that a request waits for an endpoint
+	// before it is refused.
+	waitShare = 8
+	// leastLeft is the time that an attempt needs to be worth its while.
+	leastLeft = 20 * time.Millisecond
+	// silenceFactor times the target is how long a repeatable request waits for
+	// the first byte of an answer, but at least leastSilence.
+	silenceFactor = 2
+	leastSilence  = 250 * time.Millisecond
+	// retryDelay is the least delay that refused callers are told, and
+	// retrySpread the range over which they are spread.
+	retryDelay  = 150 * time.Millisecond
+	retrySpread = 350 * time.Millisecond
+)
+
+// request is a request in progress.
+type request struct {
+	Request
+	route   *router.Route
+	account *router.Account
+	service *service
+	arrived time.Time
+	// until is when the answer must be there.
+	until time.Time
+	// tried holds the endpoints that may have run it or have declined it.
+	tried []string
+	// unreached counts the endpoints that could not be reached.
+	unreached int
+	// at is the endpoint of the attempt in progress, or nil.
+	at *endpoint
+	// ran tells that an attempt may have run.
+	ran bool
+	// relayed tells that a byte of the answer has reached the caller.
+	relayed bool
+	// gone tells that the caller has left.
+	gone bool
+	// waits tells that the request is among the waiting.
+	waits bool
+}
+
+// arrive takes a request in or refuses it.
+func (d *Director) arrive(now time.Time, q Request) {
+	req := &request{Request: q, arrived: now}
+	d.requests[q.ID] = req
+	if d.table == nil || !d.listed {
+		d.refuse(now, req, http.StatusServiceUnavailable, ReasonNotReady)
+
+		return
+	}
+	fresh := !d.confirmed.IsZero() && now.Sub(d.confirmed) <= d.opts.FreshView
+	req.route = d.table.Route(q.Host, q.Path)
+	if req.route == nil {
+		d.refuseUnknown(now, req, fresh, http.StatusNotFound, ReasonNoRoute)
+
+		return
+	}
+	if !req.route.Public {
+		if !d.keysValid(now) {
+			d.refuse(now, req, http.StatusServiceUnavailable, ReasonStaleView)
+
+			return
+		}
+		if req.account = d.table.Account(q.Key); req.account == nil {
+			d.refuseUnknown(now, req, fresh, http.StatusUnauthorized, ReasonNoKey)
+
+			return
+		}
+	}
+	req.until = now.Add(req.route.Timeout)
+	if q.Deadline > 0 && q.Deadline < req.route.Timeout {
+		req.until = now.Add(q.Deadline)
+	}
+	req.service = d.service(req.route.Service(q.Name))
+	req.service.retries.Request(now)
+	if d.engine(req) != nil {
+		req.service.splitter.Note(now, req.Need)
+	}
+	d.place(now, req)
+}
+
+// refuseUnknown refuses a request whose route or key is unknown. A view that is
+// not fresh may lack what was added of late.
+func (d *Director) refuseUnknown(now time.Time, req *request, fresh bool, status int, reason Reason) {
+	if !fresh {
+		status, reason = http.StatusServiceUnavailable, ReasonStaleView
+	}
+	d.refuse(now, req, status, reason)
+}
+
+func (d *Director) engine(req *request) *router.Engine {
+	if s := d.table.Service(req.service.name); s != nil {
+		return s.Engine
+	}
+
+	return nil
+}
+
+// place sends a request to an endpoint, or lets it wait for one.
+func (d *Director) place(now time.Time, req *request) {
+	if req.until.Sub(now) < leastLeft {
+		d.giveUp(now, req, ReasonTimeout)
+
+		return
+	}
+	e := d.choose(now, req)
+	if e == nil {
+		d.wait(now, req)
+
+		return
+	}
+	d.dispatch(now, req, e)
+}
+
+// choose returns the endpoint for a request, or nil.
+func (d *Director) choose(now time.Time, req *request) *endpoint {
+	var space [16]*chooser.Engine
+	candidates := space[:0]
+	for _, e := range req.service.endpoints {
+		if d.usable(now, e) && !contains(req.tried, e.entry.ID) && d.allowed(req, e) {
+			candidates = append(candidates, e.load)
+		}
+	}
+	var chosen *chooser.Engine
+	if d.engine(req) != nil {
+		chosen = req.service.splitter.Choose(now, req.Need, candidates)
+	} else {
+		chosen = chooser.Plain(candidates)
+	}
+	if chosen == nil {
+		return nil
+	}
+
+	return d.endpoints[chosen.ID]
+}
+
+// allowed tells whether a request may be run in an endpoint's region.
+func (d *Director) allowed(req *request, e *endpoint) bool {
+	region := d.opts.Regions[e.entry.DataCentre]
+	if len(req.route.Regions) > 0 && !contains(req.route.Regions, region) {
+		return false
+	}
+
+	return req.account == nil || len(req.account.Regions) == 0 || contains(req.account.Regions, region)
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (d *Director) dispatch(now time.Time, req *request, e *endpoint) {
+	if now.Before(e.cold) {
+		e.pace.Pass(now)
+	}
+	req.at = e
+	e.load.Running++
+	e.load.Work += req.Need.Work()
+	urgency := req.route.Priority
+	account := ""
+	if req.account != nil {
+		account = req.account.Name
+		if req.account.Priority != nil {
+			urgency = *req.account.Priority
+		}
+	}
+	connections := 0
+	if s := d.table.Service(req.service.name); s != nil {
+		connections = s.Connections
+	}
+	dispatch := Dispatch{
+		ID: req.ID, Endpoint: e.entry.ID, Address: e.entry.Address, Account: account,
+		Urgency: min(max(urgency, 0), 9), Route: req.route, Until: req.until,
+		Resume: req.relayed, Connections: connections,
+	}
+	if req.route.Repeatable() && len(req.tried)+1 < req.route.Attempts {
+		if first := now.Add(max(silenceFactor*req.route.Target, leastSilence)); first.Before(req.until) {
+			dispatch.First = first
+		}
+	}
+	d.emit(dispatch)
+}
+
+// release ends the use of the endpoint of the attempt.
+func (req *request) release() *endpoint {
+	e := req.at
+	if e == nil {
+		return nil
+	}
+	req.at = nil
+	e.load.Running--
+	e.load.Work -= req.Need.Work()
+
+	return e
+}
+
+// wait keeps a request until an endpoint can take it, for a small part of its
+// target.
+func (d *Director) wait(now time.Time, req *request) {
+	patience := req.arrived.Add(req.route.Target / waitShare)
+	if now.After(patience) || len(req.service.endpoints) == 0 {
+		d.giveUp(now, req, ReasonNoEndpoint)
+
+		return
+	}
+	if !req.waits {
+		req.waits = true
+		d.waiting = append(d.waiting, req)
+	}
+}
+
+// retryWaiting places the requests that wait.
+func (d *Director) retryWaiting(now time.Time) {
+	waiting := d.waiting
+	d.waiting = nil
+	for _, req := range waiting {
+		req.waits = false
+		if d.requests[req.ID] == req {
+			d.place(now, req)
+		}
+	}
+}
+
+// began notes that an endpoint answers.
+func (d *Director) began(now time.Time, e Began) {
+	req := d.requests[e.ID]
+	if req == nil || req.at == nil {
+		return
+	}
+	req.at.failures = 0
+	if now.Before(req.at.suspended) {
+		req.at.suspended = now
+	}
+}
+
+// finished takes the end of an attempt.
+func (d *Director) finished(now time.Time, f Finished) {
+	req := d.requests[f.ID]
+	if req == nil {
+		return
+	}
+	e := req.release()
+	req.relayed = req.relayed || f.Relayed
+	d.emit(Count{Counter: CounterAttempts, Label: f.Result.String()})
+	d.notice(now, e, f)
+	if req.gone {
+		d.end(req, ReasonGone)
+
+		return
+	}
+	switch f.Result {
+	case Answered:
+		d.answered(now, req, e, f)
+	case Declined:
+		req.tried = append(req.tried, e.entry.ID)
+		d.again(now, req, f, ReasonDeclined)
+	case Misdirected, Unreached:
+		req.unreached++
+		if req.unreached >= maxUnreached {
+			d.giveUp(now, req, ReasonNoEndpoint)
+
+			return
+		}
+		d.place(now, req)
+	case Broken, Silent:
+		req.ran = true
+		req.tried = append(req.tried, e.entry.ID)
+		if !req.route.Repeatable() {
+			d.giveUp(now, req, failureReason(f.Result))
+
+			return
+		}
+		d.again(now, req, f, failureReason(f.Result))
+	case Cancelled:
+		d.end(req, ReasonGone)
+	}
+	d.retryWaiting(now)
+}
+
+func failureReason(r Result) Reason {
+	if r == Silent {
+		return ReasonTimeout
+	}
+
+	return ReasonBroken
+}
+
+// notice learns from the end of an attempt about its endpoint.
+func (d *Director) notice(now time.Time, e *endpoint, f Finished) {
+	if e == nil {
+		return
+	}
+	switch f.Result {
+	case Answered:
+		e.judge(f.Status >= http.StatusInternalServerError)
+	case Declined:
+		e.judge(false)
+	case Misdirected, Unreached:
+		d.suspend(now, e, f.Result)
+	case Broken, Silent:
+		e.judge(true)
+	case Cancelled:
+	}
+	if f.Cold > 0 {
+		d.chill(now, e, f.Cold)
+	}
+}
+
+// answered passes a whole answer on, or tries a safe request again that has
+// failed at the endpoint.
+func (d *Director) answered(now time.Time, req *request, e *endpoint, f Finished) {
+	if f.Status >= http.StatusInternalServerError && req.route.Kind == router.Safe && !req.relayed {
+		req.ran = true
+		req.tried = append(req.tried, e.entry.ID)
+		if len(req.tried) < req.route.Attempts && req.until.Sub(now) >= leastLeft && req.service.retries.Retry(now) {
+			if next := d.choose(now, req); next != nil {
+				d.emit(Count{Counter: CounterRetries, Label: "status"})
+				d.dispatch(now, req, next)
+
+				return
+			}
+		}
+	}
+	d.emit(Relay{ID: req.ID})
+	d.emit(Observe{Kind: req.route.Kind, Value: now.Sub(req.arrived)})
+	delete(d.requests, req.ID)
+}
+
+// again sends a request to another endpoint if attempts and budget allow.
+func (d *Director) again(now time.Time, req *request, f Finished, reason Reason) {
+	if len(req.tried) >= req.route.Attempts || !req.service.retries.Retry(now) {
+		d.giveUp(now, req, reason)
+
+		return
+	}
+	d.emit(Count{Counter: CounterRetries, Label: f.Result.String()})
+	d.log(logger.RequestRetried, "request", req.Name, "route", req.route.Name, "endpoint", req.tried[len(req.tried)-1],
+		"result", f.Result.String(), "took", f.Took.String(), "relayed", req.relayed)
+	d.place(now, req)
+}
+
+// giveUp ends a request without an answer of an endpoint. What has not run is
+// refused with a status that says so.
+func (d *Director) giveUp(now time.Time, req *request, reason Reason) {
+	status := http.StatusServiceUnavailable
+	switch {
+	case req.ran && reason == ReasonTimeout:
+		status = http.StatusGatewayTimeout
+	case req.ran:
+		status = http.StatusBadGateway
+	}
+	d.refuse(now, req, status, reason)
+}
+
+// refuse ends a request with an error of the node's own.
+func (d *Director) refuse(now time.Time, req *request, status int, reason Reason) {
+	if req.relayed {
+		d.emit(Abort{ID: req.ID, Reason: reason})
+	} else {
+		var after time.Duration
+		if status == http.StatusServiceUnavailable {
+			after = retryDelay + time.Duration(xxhash.Sum64String(req.Name)%uint64(retrySpread))
+		}
+		d.emit(Refuse{ID: req.ID, Status: status, Reason: reason, RetryAfter: after})
+	}
+	d.emit(Count{Counter: CounterRefusals, Label: string(reason)})
+	route, service := "", ""
+	if req.route != nil {
+		route = req.route.Name
+	}
+	if req.service != nil {
+		service = req.service.name
+	}
+	d.log(logger.RequestFailed, "request", req.Name, "route", route, "service", service, "status", status,
+		"reason", string(reason), "waited", now.Sub(req.arrived).String(), "tried", req.tried,
+		"unreached", req.unreached, "relayed", req.relayed, "age", d.Age(now).String())
+	delete(d.requests, req.ID)
+}
+
+// end forgets a request whose caller needs no answer.
+func (d *Director) end(req *request, reason Reason) {
+	d.emit(Count{Counter: CounterRefusals, Label: string(reason)})
+	d.emit(Abort{ID: req.ID, Reason: reason})
+	delete(d.requests, req.ID)
+}
+
+// gone cancels the work of a caller that has disconnected. What runs at most
+// once goes on, as its effect may still be wanted.
+func (d *Director) gone(id uint64) {
+	req := d.requests[id]
+	if req == nil || req.gone {
+		return
+	}
+	req.gone = true
+	switch {
+	case req.at == nil:
+		d.end(req, ReasonGone)
+	case req.route.Kind != router.Unsafe:
+		d.emit(Cancel{ID: id})
+	}
+}
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,250 @@
+// Package follower keeps a node's shared view up to date. It reads everything
+// once, waits for changes, and reads everything again when the history of the
+// changes is gone.
+package follower
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"snipedyke/internal/director"
+	"snipedyke/internal/logger"
+	"snipedyke/internal/registrar"
+	"snipedyke/internal/router"
+)
+
+// ErrHistory tells that the changes after a revision are no longer to be had.
+var ErrHistory = errors.New("follower: history is gone")
+
+// Source reads the shared view.
+type Source interface {
+	// List returns everything, as it was at Revision or later.
+	List(ctx context.Context) (View, error)
+	// Watch returns the changes after a revision as soon as there are any, or
+	// none after a time. It returns ErrHistory if they are no longer to be had.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (View, error)
+}
+
+// View is a list or the changes of one.
+type View struct {
+	// Revision is where to continue.
+	Revision uint64
+	Changes  []Change
+}
+
+// Change is one item of the shared view. Key and Revision order the changes of
+// an item.
+type Change struct {
+	Key      string
+	Revision uint64
+	Value    Value
+}
+
+// Value is what an item holds. Only the types of this package implement it.
+type Value interface{ value() }
+
+// Endpoint is the entry of an endpoint.
+type Endpoint struct{ Entry registrar.Entry }
+
+// EndpointGone is the end of an endpoint's entry.
+type EndpointGone struct{ ID string }
+
+// Table is a table of routes.
+type Table struct{ Table *router.Table }
+
+// Centre tells whether a data centre is taken out.
+type Centre struct {
+	Name string
+	Out  bool
+}
+
+// Ignored is an item that cannot be used. ID is the endpoint that it would
+// have described, or empty.
+type Ignored struct {
+	ID  string
+	Err error
+}
+
+func (Endpoint) value()     {}
+func (EndpointGone) value() {}
+func (Table) value()        {}
+func (Centre) value()       {}
+func (Ignored) value()      {}
+
+// Logger writes numbered log events.
+type Logger interface {
+	// Event writes an event; args alternates keys and values.
+	Event(number int, args ...any)
+}
+
+// Options are what a follower is made of.
+type Options struct {
+	Source Source
+	// Post takes the events of a director.
+	Post   func(director.Event)
+	Logger Logger
+	// Clock is the clock of the director.
+	Clock func() time.Time
+}
+
+const (
+	// watchWait is how long a watch waits for changes. Twice this time, plus
+	// watchMargin, must be less than the lease of keys.
+	watchWait = 1500 * time.Millisecond
+	// watchMargin is how much later than promised an answer may come.
+	watchMargin = 500 * time.Millisecond
+	// listTimeout bounds the time to read everything.
+	listTimeout = 2 * time.Second
+	// retryLeast and retryMost bound the pause between two failed calls.
+	retryLeast = 100 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+)
+
+// Follower follows the shared view.
+type Follower struct {
+	opts     Options
+	revision uint64
+	// listed tells that everything has been read.
+	listed bool
+	// items holds the revision of each item.
+	items map[string]uint64
+	// out holds the data centres that are taken out.
+	out map[string]bool
+	// failures counts failed calls in a row.
+	failures int
+}
+
+// New returns a follower. Run must follow.
+func New(opts Options) *Follower {
+	return &Follower{opts: opts, items: map[string]uint64{}, out: map[string]bool{}}
+}
+
+// Run follows the shared view until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
+			f.failures = 0
+		case errors.Is(err, ErrHistory):
+			f.opts.Logger.Event(logger.HistoryLost, "revision", f.revision)
+			f.listed = false
+		default:
+			f.fail(ctx)
+		}
+	}
+}
+
+// fail pauses after a failed call. The first failure may be a connection that
+// has gone silent, so that the next call follows at once.
+func (f *Follower) fail(ctx context.Context) {
+	f.failures++
+	if f.failures < 2 {
+		return
+	}
+	f.opts.Post(director.Lost{})
+	select {
+	case <-ctx.Done():
+	case <-time.After(min(retryLeast*time.Duration(f.failures-1), retryMost)):
+	}
+}
+
+// step makes one call.
+func (f *Follower) step(ctx context.Context) error {
+	sent := f.opts.Clock()
+	if !f.listed {
+		ctx, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		view, err := f.opts.Source.List(ctx)
+		if err != nil {
+			return err
+		}
+		f.list(view)
+		f.opts.Post(director.Confirmed{At: sent})
+
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
+	defer cancel()
+	view, err := f.opts.Source.Watch(ctx, f.revision, watchWait)
+	if err != nil {
+		return err
+	}
+	// The contact comes first: what vanished during an outage may come back.
+	if len(view.Changes) == 0 && f.opts.Clock().Sub(sent) >= watchWait {
+		sent = sent.Add(watchWait)
+	}
+	f.opts.Post(director.Confirmed{At: sent})
+	f.apply(view)
+
+	return nil
+}
+
+// list takes everything.
+func (f *Follower) list(view View) {
+	f.revision, f.listed = view.Revision, true
+	clear(f.items)
+	clear(f.out)
+	var entries []registrar.Entry
+	for _, c := range view.Changes {
+		f.items[c.Key] = c.Revision
+		switch v := c.Value.(type) {
+		case Endpoint:
+			entries = append(entries, v.Entry)
+		case Table:
+			f.opts.Post(director.TableLoaded{Table: v.Table})
+		case Centre:
+			f.out[v.Name] = v.Out
+		case Ignored:
+			f.ignore(c, v)
+		case EndpointGone:
+		}
+	}
+	f.postCentres()
+	f.opts.Post(director.EntriesListed{Entries: entries})
+}
+
+// apply takes changes.
+func (f *Follower) apply(view View) {
+	f.revision = max(f.revision, view.Revision)
+	for _, c := range view.Changes {
+		if c.Revision <= f.items[c.Key] {
+			continue
+		}
+		f.items[c.Key] = c.Revision
+		switch v := c.Value.(type) {
+		case Endpoint:
+			f.opts.Post(director.EntryPut{Entry: v.Entry})
+		case EndpointGone:
+			delete(f.items, c.Key)
+			f.opts.Post(director.EntryRemoved{ID: v.ID})
+		case Table:
+			f.opts.Post(director.TableLoaded{Table: v.Table})
+		case Centre:
+			f.out[v.Name] = v.Out
+			f.postCentres()
+		case Ignored:
+			f.ignore(c, v)
+			if v.ID != "" {
+				f.opts.Post(director.EntryRemoved{ID: v.ID})
+			}
+		}
+	}
+}
+
+func (f *Follower) ignore(c Change, v Ignored) {
+	f.opts.Logger.Event(logger.EntryIgnored, "key", c.Key, "revision", c.Revision, "error", v.Err.Error())
+}
+
+func (f *Follower) postCentres() {
+	names := make([]string, 0, len(f.out))
+	for name, out := range f.out {
+		if out {
+			names = append(names, name)
+		}
+	}
+	f.opts.Post(director.CentresOut{Names: names})
+}
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -46,6 +46,23 @@
 	NodeStarted      = 606
 	AdminRefused     = 607
 	TraceIncomplete  = 608
+
+	TableInForce      = 701
+	ViewLost          = 702
+	ViewRegained      = 703
+	CentreOut         = 704
+	CentreBack        = 705
+	EndpointAdded     = 706
+	EndpointDraining  = 707
+	EndpointRemoved   = 708
+	EndpointSuspended = 709
+	EntryIgnored      = 710
+	RequestRetried    = 711
+	RequestFailed     = 712
+	EventsLeftOut     = 713
+	ForwarderStarted  = 714
+	HistoryLost       = 715
+	SettingsReloaded  = 716
 )
 
 // Definition describes an event.
@@ -100,6 +117,23 @@
 	{NodeStarted, hclog.Info, "node started", []string{"node", "incarnation", "version", "peers", "callers", "administration"}},
 	{AdminRefused, hclog.Warn, "administration call refused", []string{"address", "path", "reason"}},
 	{TraceIncomplete, hclog.Debug, "recording no longer holds its first event", []string{"bytes"}},
+
+	{TableInForce, hclog.Info, "route table in force", []string{"version", "former", "routes"}},
+	{ViewLost, hclog.Warn, "shared view cannot be read", []string{"age"}},
+	{ViewRegained, hclog.Info, "shared view is read again", nil},
+	{CentreOut, hclog.Info, "data centre is taken out", []string{"centre"}},
+	{CentreBack, hclog.Info, "data centre is back", []string{"centre"}},
+	{EndpointAdded, hclog.Info, "endpoint added", []string{"endpoint", "service", "centre", "draining", "cold"}},
+	{EndpointDraining, hclog.Info, "endpoint is draining", []string{"endpoint", "service"}},
+	{EndpointRemoved, hclog.Info, "endpoint removed", []string{"endpoint", "service"}},
+	{EndpointSuspended, hclog.Warn, "endpoint gets nothing new for a time", []string{"endpoint", "service", "result", "failures", "length"}},
+	{EntryIgnored, hclog.Warn, "entry of the shared view ignored", []string{"key", "revision", "error"}},
+	{RequestRetried, hclog.Info, "request is sent to another endpoint", []string{"request", "route", "endpoint", "result", "took", "relayed"}},
+	{RequestFailed, hclog.Warn, "request ended without an answer of an endpoint", []string{"request", "route", "service", "status", "reason", "waited", "tried", "unreached", "relayed", "age"}},
+	{EventsLeftOut, hclog.Warn, "log lines left out", []string{"lines"}},
+	{ForwarderStarted, hclog.Info, "forwarder started", []string{"callers", "version"}},
+	{HistoryLost, hclog.Info, "history of the shared view is gone, reading all of it", []string{"revision"}},
+	{SettingsReloaded, hclog.Info, "settings read again", []string{"changed"}},
 }
 
 // Catalogue returns the definitions of all events by number.
