--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -138,11 +138,19 @@
 	return min(max(int(s.engines+0.5), 1), n-1)
 }
 
-// Choose returns the engine for a request, or nil if there is none. It may
-// reorder engines.
-func (s *Splitter) Choose(now time.Time, n Need, engines []*Engine) *Engine {
+// Choice is where a request goes.
+type Choice struct {
+	// Engine is nil if there is none.
+	Engine *Engine
+	// Holder, if it is not nil, is another engine that probably keeps the parts
+	// of the prompt that requests share.
+	Holder *Engine
+}
+
+// Choose returns the engine for a request. It may reorder engines.
+func (s *Splitter) Choose(now time.Time, n Need, engines []*Engine) Choice {
 	if len(engines) == 0 {
-		return nil
+		return Choice{}
 	}
 	s.decay(now)
 	slices.SortFunc(engines, func(a, b *Engine) int {
@@ -168,12 +176,12 @@
 		return chooseShared(n, group)
 	}
 
-	return least(group)
+	return Choice{Engine: least(group)}
 }
 
 // chooseShared returns the engine of highest rank for the shared parts whose
 // load is within the bound, else the one with the least load.
-func chooseShared(n Need, group []*Engine) *Engine {
+func chooseShared(n Need, group []*Engine) Choice {
 	sum := 0.0
 	for _, e := range group {
 		sum += e.load()
@@ -191,13 +199,22 @@
 			}
 		}
 	}
+	c := Choice{Holder: ranked[0]}
 	for _, e := range ranked {
 		if e != nil && e.load() <= bound {
-			return e
+			c.Engine = e
+
+			break
 		}
 	}
+	if c.Engine == nil {
+		c.Engine = least(group)
+	}
+	if c.Engine == c.Holder {
+		c.Holder = nil
+	}
 
-	return least(group)
+	return c
 }
 
 // nearBonus is the load that a request may add to stay in the data centre.
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -163,6 +163,9 @@
 	First time.Time
 	// Resume tells that a stream goes on after what the caller has.
 	Resume bool
+	// Holder, if it is valid, is an endpoint from which the shared parts of the
+	// prompt can be fetched.
+	Holder netip.AddrPort
 	// Connections bounds the idle connections to keep to the endpoint.
 	Connections int
 }
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -119,17 +119,18 @@
 
 		return
 	}
-	e := d.choose(now, req)
+	e, holder := d.choose(now, req)
 	if e == nil {
 		d.wait(now, req)
 
 		return
 	}
-	d.dispatch(now, req, e)
+	d.dispatch(now, req, e, holder)
 }
 
-// choose returns the endpoint for a request, or nil.
-func (d *Director) choose(now time.Time, req *request) *endpoint {
+// choose returns the endpoint for a request, or nil, and the endpoint that
+// probably keeps the shared parts of its prompt, or nil.
+func (d *Director) choose(now time.Time, req *request) (chosen, holder *endpoint) {
 	var space [16]*chooser.Engine
 	candidates := space[:0]
 	for _, e := range req.service.endpoints {
@@ -137,17 +138,20 @@
 			candidates = append(candidates, e.load)
 		}
 	}
-	var chosen *chooser.Engine
+	var choice chooser.Choice
 	if d.engine(req) != nil {
-		chosen = req.service.splitter.Choose(now, req.Need, candidates)
+		choice = req.service.splitter.Choose(now, req.Need, candidates)
 	} else {
-		chosen = chooser.Plain(candidates)
+		choice.Engine = chooser.Plain(candidates)
 	}
-	if chosen == nil {
-		return nil
+	if choice.Engine == nil {
+		return nil, nil
+	}
+	if choice.Holder != nil {
+		holder = d.endpoints[choice.Holder.ID]
 	}
 
-	return d.endpoints[chosen.ID]
+	return d.endpoints[choice.Engine.ID], holder
 }
 
 // allowed tells whether a request may be run in an endpoint's region.
@@ -170,7 +174,7 @@
 	return false
 }
 
-func (d *Director) dispatch(now time.Time, req *request, e *endpoint) {
+func (d *Director) dispatch(now time.Time, req *request, e, holder *endpoint) {
 	if now.Before(e.cold) {
 		e.pace.Pass(now)
 	}
@@ -194,6 +198,9 @@
 		Urgency: min(max(urgency, 0), 9), Route: req.route, Until: req.until,
 		Resume: req.relayed, Connections: connections,
 	}
+	if holder != nil {
+		dispatch.Holder = holder.entry.Address
+	}
 	if req.route.Repeatable() && len(req.tried)+1 < req.route.Attempts {
 		if first := now.Add(max(silenceFactor*req.route.Target, leastSilence)); first.Before(req.until) {
 			dispatch.First = first
@@ -334,9 +341,9 @@
 		req.ran = true
 		req.tried = append(req.tried, e.entry.ID)
 		if len(req.tried) < req.route.Attempts && req.until.Sub(now) >= leastLeft && req.service.retries.Retry(now) {
-			if next := d.choose(now, req); next != nil {
+			if next, holder := d.choose(now, req); next != nil {
 				d.emit(Count{Counter: CounterRetries, Label: "status"})
-				d.dispatch(now, req, next)
+				d.dispatch(now, req, next, holder)
 
 				return
 			}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -120,6 +120,7 @@
 	a.call.f.opts.Protocol.Address(&req.Header, Sending{
 		Instance: a.order.Endpoint, Account: a.order.Account, Urgency: a.order.Urgency,
 		Engine: a.order.Route.Kind == router.Stream, Left: left, Event: string(a.call.event),
+		Holder: a.order.Holder,
 	})
 	bw := writers.Get().(*bufio.Writer)
 	bw.Reset(a.link)
--- a/internal/forwarder/protocol.go
+++ b/internal/forwarder/protocol.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -46,6 +47,9 @@
 	Left time.Duration
 	// Event is the last event that the caller has, or empty.
 	Event string
+	// Holder, if it is valid, is where the endpoint can fetch the parts of the
+	// prompt that requests share.
+	Holder netip.AddrPort
 }
 
 // Interpretation is what an endpoint says of an answer.
