Name the engine that was used last as the holder of shared parts

Cause: the holder was the first in rank within the group of long prompts, which changes with the split, and nothing was named when that engine was chosen itself.

--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -103,6 +103,8 @@
 	updated     time.Time
 	// engines is the number of engines of long prompts in use.
 	engines float64
+	// sights holds the last use of each shared part.
+	sights map[uint64]sight
 }
 
 // Note adds a request to the work of its group.
@@ -173,15 +175,77 @@
 		group = engines[k:]
 	}
 	if n.Long() && n.Shared != 0 {
-		return chooseShared(n, group)
+		e := chooseShared(n, group)
+
+		return Choice{Engine: e, Holder: s.holder(now, n, e, engines)}
 	}
 
 	return Choice{Engine: least(group)}
 }
 
+const (
+	// sightMemory is how long an engine is expected to keep a part that a
+	// request has used, and maxSights bounds the parts that are remembered.
+	sightMemory = 10 * time.Second
+	maxSights   = 4096
+)
+
+// sight is the last use of a part by the node.
+type sight struct {
+	engine string
+	at     time.Time
+}
+
+// holder returns the engine other than e that most probably keeps the shared
+// parts: the one that the node used last, else the first in rank, which other
+// nodes use, and notes the use of e.
+func (s *Splitter) holder(now time.Time, n Need, e *Engine, engines []*Engine) *Engine {
+	var seen, first *Engine
+	last, known := s.sights[n.Shared]
+	known = known && now.Sub(last.at) < sightMemory
+	for _, o := range engines {
+		if o == e {
+			continue
+		}
+		if known && o.ID == last.engine {
+			seen = o
+		}
+		if first == nil || o.rank(n) > first.rank(n) {
+			first = o
+		}
+	}
+	s.see(now, n.Shared, e)
+	if seen != nil {
+		return seen
+	}
+
+	return first
+}
+
+// see notes the use of a part at an engine.
+func (s *Splitter) see(now time.Time, part uint64, e *Engine) {
+	if s.sights == nil {
+		s.sights = map[uint64]sight{}
+	}
+	if len(s.sights) >= maxSights {
+		for p, v := range s.sights {
+			if now.Sub(v.at) >= sightMemory {
+				delete(s.sights, p)
+			}
+		}
+		if len(s.sights) >= maxSights {
+			clear(s.sights)
+		}
+	}
+	s.sights[part] = sight{engine: e.ID, at: now}
+}
+
+// rank orders engines for the shared parts of a request.
+func (e *Engine) rank(n Need) uint64 { return mix(e.hash ^ n.Shared) }
+
 // chooseShared returns the engine of highest rank for the shared parts whose
 // load is within the bound, else the one with the least load.
-func chooseShared(n Need, group []*Engine) Choice {
+func chooseShared(n Need, group []*Engine) *Engine {
 	sum := 0.0
 	for _, e := range group {
 		sum += e.load()
@@ -191,7 +255,7 @@
 	for _, e := range group {
 		candidate := e
 		for i := range ranked {
-			if ranked[i] == nil || mix(candidate.hash^n.Shared) > mix(ranked[i].hash^n.Shared) {
+			if ranked[i] == nil || candidate.rank(n) > ranked[i].rank(n) {
 				candidate, ranked[i] = ranked[i], candidate
 			}
 			if candidate == nil {
@@ -199,22 +263,13 @@
 			}
 		}
 	}
-	c := Choice{Holder: ranked[0]}
 	for _, e := range ranked {
 		if e != nil && e.load() <= bound {
-			c.Engine = e
-
-			break
+			return e
 		}
 	}
-	if c.Engine == nil {
-		c.Engine = least(group)
-	}
-	if c.Engine == c.Holder {
-		c.Holder = nil
-	}
 
-	return c
+	return least(group)
 }
 
 // nearBonus is the load that a request may add to stay in the data centre.
