--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"snipedyke/internal/admitter"
 	"snipedyke/internal/chooser"
 	"snipedyke/internal/logger"
 	"snipedyke/internal/pacer"
@@ -68,6 +69,8 @@
 	endpoints []*endpoint
 	splitter  chooser.Splitter
 	retries   pacer.Budget
+	// groups admit short requests and long prompts.
+	groups [2]admitter.Group
 }
 
 // New returns a director that knows no routes.
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"snipedyke/internal/admitter"
 	"snipedyke/internal/chooser"
 	"snipedyke/internal/logger"
 	"snipedyke/internal/router"
@@ -36,6 +37,10 @@
 	route   *router.Route
 	account *router.Account
 	service *service
+	// group is the admission of the request's group, or nil.
+	group *admitter.Group
+	// pending tells that the group waits for the first byte.
+	pending bool
 	arrived time.Time
 	// until is when the answer must be there.
 	until time.Time
@@ -91,6 +96,15 @@
 	req.service.retries.Request(now)
 	if d.engine(req) != nil {
 		req.service.splitter.Note(now, req.Need)
+		req.group = &req.service.groups[0]
+		if req.Need.Long() {
+			req.group = &req.service.groups[1]
+		}
+		if !req.group.Admit(now, req.route.Target, len(req.service.endpoints)) {
+			d.refuse(now, req, http.StatusServiceUnavailable, ReasonOverload)
+
+			return
+		}
 	}
 	d.place(now, req)
 }
@@ -179,6 +193,10 @@
 		e.pace.Pass(now)
 	}
 	req.at = e
+	if req.group != nil && !req.relayed {
+		req.pending = true
+		req.group.Send()
+	}
 	e.load.Running++
 	e.load.Work += req.Need.Work()
 	urgency := req.route.Priority
@@ -216,6 +234,10 @@
 		return nil
 	}
 	req.at = nil
+	if req.pending {
+		req.pending = false
+		req.group.Drop()
+	}
 	e.load.Running--
 	e.load.Work -= req.Need.Work()
 
@@ -255,6 +277,10 @@
 	if req == nil || req.at == nil {
 		return
 	}
+	if req.pending {
+		req.pending = false
+		req.group.Begin(now)
+	}
 	req.at.failures = 0
 	if now.Before(req.at.suspended) {
 		req.at.suspended = now
