Log each answer with what decided its time, and weigh short requests less

Cause: nothing told why an answer was late. Change: event 717; short requests count 0.4 of their work in the split, and a request may add two requests of load to stay in its data centre.

--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -40,7 +40,7 @@
 	// shortDiscount is the part of the work of short requests that counts in
 	// the split: their batches are larger, and their first tokens need less
 	// reserve than those of long prompts.
-	shortDiscount = 0.6
+	shortDiscount = 0.4
 )
 
 // Long tells whether the request belongs to the group of long prompts.
@@ -84,7 +84,7 @@
 	// splitMemory is the time over which the work of the two groups is
 	// averaged. It is shorter than a burst and longer than the gaps between the
 	// requests of a node.
-	splitMemory = 3 * time.Second
+	splitMemory = 4 * time.Second
 	// splitInertia is the change of the split in engines that is ignored.
 	splitInertia = 0.6
 	// overload is the ratio of an engine's load to the mean of its group above
@@ -103,6 +103,8 @@
 	updated     time.Time
 	// engines is the number of engines of long prompts in use.
 	engines float64
+	// used is the number of engines of long prompts in the last choice.
+	used int
 	// sights holds the last use of each shared part.
 	sights map[uint64]sight
 }
@@ -126,6 +128,9 @@
 	s.updated = now
 }
 
+// Long returns the number of engines that long prompts had in the last choice.
+func (s *Splitter) Long() int { return s.used }
+
 // longEngines returns the number of engines of long prompts out of n. Each
 // group that has work keeps an engine.
 func (s *Splitter) longEngines(n int) int {
@@ -166,6 +171,7 @@
 		}
 	})
 	k := s.longEngines(len(engines))
+	s.used = k
 	group := engines
 	switch {
 	case k == len(engines):
@@ -273,7 +279,7 @@
 }
 
 // nearBonus is the load that a request may add to stay in the data centre.
-const nearBonus = 1.5
+const nearBonus = 2
 
 // least returns the engine with the least load.
 func least(engines []*Engine) *Engine {
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -52,6 +52,9 @@
 	at *endpoint
 	// ran tells that an attempt may have run.
 	ran bool
+	// first is the time to the first byte of the answer, and pause the longest
+	// pause between events.
+	first, pause time.Duration
 	// relayed tells that a byte of the answer has reached the caller.
 	relayed bool
 	// gone tells that the caller has left.
@@ -277,6 +280,9 @@
 	if req == nil || req.at == nil {
 		return
 	}
+	if req.first == 0 {
+		req.first = now.Sub(req.arrived)
+	}
 	if req.pending {
 		req.pending = false
 		req.group.Begin(now)
@@ -295,6 +301,7 @@
 	}
 	e := req.release()
 	req.relayed = req.relayed || f.Relayed
+	req.pause = max(req.pause, f.Pause)
 	d.emit(Count{Counter: CounterAttempts, Label: f.Result.String()})
 	d.notice(now, e, f)
 	if req.gone {
@@ -377,9 +384,23 @@
 	}
 	d.emit(Relay{ID: req.ID})
 	d.emit(Observe{Kind: req.route.Kind, Value: now.Sub(req.arrived)})
+	d.logAnswered(now, req, e, f)
 	delete(d.requests, req.ID)
 }
 
+// logAnswered writes how a request was answered and what decided its time.
+func (d *Director) logAnswered(now time.Time, req *request, e *endpoint, f Finished) {
+	took := now.Sub(req.arrived)
+	first := req.first
+	if first == 0 {
+		first = took
+	}
+	late := first > req.route.Target || req.route.Gap > 0 && req.pause > req.route.Gap
+	d.log(logger.RequestAnswered, "request", req.Name, "route", req.route.Name, "endpoint", e.entry.ID, "status", f.Status,
+		"took", took.String(), "first", first.String(), "pause", req.pause.String(), "attempts", len(req.tried)+1,
+		"late", late, "engines", req.service.splitter.Long())
+}
+
 // again sends a request to another endpoint if attempts and budget allow.
 func (d *Director) again(now time.Time, req *request, f Finished, reason Reason) {
 	if len(req.tried) >= req.route.Attempts || !req.service.retries.Retry(now) {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -44,6 +44,8 @@
 	stream *eventReader
 	// first holds the first events.
 	first []byte
+	// heard is when the last events came.
+	heard time.Time
 }
 
 // attempt sends the request to an endpoint and reads the answer, or the first
@@ -230,7 +232,7 @@
 	if a.call.f.opts.Clock().After(a.order.Until) || a.link.SetDeadline(end) != nil {
 		return director.Silent
 	}
-	a.stream, a.first = stream, events
+	a.stream, a.first, a.heard = stream, events, time.Now()
 	a.call.f.Post(director.Began{ID: a.call.id, Wait: time.Since(a.start)})
 
 	return director.Answered
@@ -296,6 +298,8 @@
 	}
 	events, err := a.stream.next()
 	if err == nil {
+		now := time.Now()
+		a.finished.Pause, a.heard = max(a.finished.Pause, now.Sub(a.heard)), now
 		b.take(events)
 
 		return
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -63,6 +63,7 @@
 	ForwarderStarted  = 714
 	HistoryLost       = 715
 	SettingsReloaded  = 716
+	RequestAnswered   = 717
 )
 
 // Definition describes an event.
@@ -134,6 +135,7 @@
 	{ForwarderStarted, hclog.Info, "forwarder started", []string{"callers", "version"}},
 	{HistoryLost, hclog.Info, "history of the shared view is gone, reading all of it", []string{"revision"}},
 	{SettingsReloaded, hclog.Info, "settings read again", []string{"changed"}},
+	{RequestAnswered, hclog.Info, "request answered", []string{"request", "route", "endpoint", "status", "took", "first", "pause", "attempts", "late", "engines"}},
 }
 
 // Catalogue returns the definitions of all events by number.
