Let nodes exchange their load by way of speakers

Cause: each node split the engines by the sixth of the traffic that it saw (2 to 8 of 9 engines at the same time), and placed without knowing what the others had placed.

--- /dev/null
+++ b/internal/aggregator/aggregator.go
@@ -0,0 +1,413 @@
+// Package aggregator sums up the load that the nodes of a fleet place on
+// endpoints, so that each node can decide by the load of all.
+//
+// The nodes of a data centre report to the one with the lowest address, their
+// speaker. Speakers exchange the sums of their data centres and hand each node
+// the load of all others. So the messages of a node do not grow with the fleet,
+// and those between data centres only with the number of data centres. Nodes
+// find each other through seeds, which remember who has said hello.
+//
+// The Aggregator has no clock and no connections: time arrives with its calls.
+package aggregator
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"time"
+
+	"snipedyke/pkg/encoder"
+)
+
+const (
+	// Interval is the time between two ticks. It is below the time in which an
+	// engine reads a long prompt.
+	Interval = 200 * time.Millisecond
+	// lifetime is how long a node counts as alive after its last message.
+	lifetime = 1200 * time.Millisecond
+	// helloInterval is the time between two greetings to the seeds, and
+	// firstHello that before the node knows another one.
+	helloInterval = 2 * time.Second
+	firstHello    = 300 * time.Millisecond
+	// strangerLife is how long a node of another data centre is remembered.
+	strangerLife = 5 * time.Second
+	// maxKnown bounds the nodes that are remembered.
+	maxKnown = 4096
+)
+
+// Output is a message to a node.
+type Output struct {
+	To      netip.Addr
+	Message encoder.Message
+}
+
+// Options are what an aggregator is made of.
+type Options struct {
+	// Self is the node's own IPv4 address and Centre its data centre.
+	Self   netip.Addr
+	Centre string
+	// Seeds are nodes that may know others. Some may be gone.
+	Seeds []netip.Addr
+}
+
+// member is another node of the own data centre.
+type member struct {
+	// heard is the last message from the node, and vouched the last digest of
+	// the speaker that lists it.
+	heard, vouched time.Time
+	sum            encoder.Sum
+}
+
+func (m *member) alive(now time.Time) bool {
+	return now.Sub(m.heard) < lifetime || now.Sub(m.vouched) < lifetime
+}
+
+// centre is what is known of another data centre.
+type centre struct {
+	// speaker is the address that last spoke for it.
+	speaker netip.Addr
+	named   time.Time
+	sum     encoder.Sum
+	summed  time.Time
+}
+
+// stranger is a node of another data centre that has said hello.
+type stranger struct {
+	centre string
+	heard  time.Time
+}
+
+// Aggregator holds what a node knows of the others. It is not safe for
+// concurrent use.
+type Aggregator struct {
+	opts      Options
+	members   map[netip.Addr]*member
+	centres   map[string]*centre
+	strangers map[netip.Addr]stranger
+	// own is the load of the other nodes of the data centre, as the speaker
+	// told it.
+	own      encoder.Sum
+	ownHeard time.Time
+	greeted  time.Time
+}
+
+// New returns an aggregator that knows its seeds only.
+func New(opts Options) *Aggregator {
+	return &Aggregator{
+		opts: opts, members: map[netip.Addr]*member{}, centres: map[string]*centre{},
+		strangers: map[netip.Addr]stranger{},
+	}
+}
+
+// speaker returns the speaker of the own data centre.
+func (a *Aggregator) speaker(now time.Time) netip.Addr {
+	lowest := a.opts.Self
+	for addr, m := range a.members {
+		if m.alive(now) && addr.Less(lowest) {
+			lowest = addr
+		}
+	}
+
+	return lowest
+}
+
+// Tick forgets what is too old and returns the messages of the node. own is its
+// load.
+func (a *Aggregator) Tick(now time.Time, own encoder.Sum) []Output {
+	a.expire(now)
+	out := a.greet(now)
+	speaker := a.speaker(now)
+	if speaker != a.opts.Self {
+		own.Centre, own.Nodes, own.Age = a.opts.Centre, 1, 0
+
+		return append(out, Output{speaker, &encoder.Report{Sum: own}})
+	}
+
+	return append(out, a.speak(now, own)...)
+}
+
+func (a *Aggregator) expire(now time.Time) {
+	for addr, m := range a.members {
+		if !m.alive(now) {
+			delete(a.members, addr)
+		}
+	}
+	for addr, s := range a.strangers {
+		if now.Sub(s.heard) >= strangerLife {
+			delete(a.strangers, addr)
+		}
+	}
+	for name, c := range a.centres {
+		if now.Sub(c.named) >= strangerLife {
+			delete(a.centres, name)
+		}
+	}
+}
+
+// greet says hello to the seeds.
+func (a *Aggregator) greet(now time.Time) []Output {
+	pause := helloInterval
+	if len(a.members)+len(a.centres) == 0 {
+		pause = firstHello
+	}
+	if now.Sub(a.greeted) < pause {
+		return nil
+	}
+	a.greeted = now
+	var out []Output
+	for _, seed := range a.opts.Seeds {
+		if seed != a.opts.Self {
+			out = append(out, Output{seed, &encoder.Hello{Centre: a.opts.Centre}})
+		}
+	}
+
+	return out
+}
+
+// speak returns the messages of a speaker.
+func (a *Aggregator) speak(now time.Time, own encoder.Sum) []Output {
+	total := encoder.Sum{Centre: a.opts.Centre, Nodes: 1, Long: own.Long, Short: own.Short, Loads: slices.Clone(own.Loads)}
+	var live []netip.Addr
+	for addr, m := range a.members {
+		if now.Sub(m.heard) < lifetime {
+			live = append(live, addr)
+			total = Merge(total, m.sum)
+		}
+	}
+	slices.SortFunc(live, netip.Addr.Compare)
+	var out []Output
+	for _, name := range a.names() {
+		c := a.centres[name]
+		out = append(out, Output{c.speaker, &encoder.Digest{
+			Centre: a.opts.Centre, Speaker: number(a.opts.Self), Sums: []encoder.Sum{total},
+		}})
+	}
+	members := numbers(append([]netip.Addr{a.opts.Self}, live...))
+	others, sums := a.speakers(), a.foreign(now)
+	for _, addr := range live {
+		rest := subtract(total, a.members[addr].sum)
+		out = append(out, Output{addr, &encoder.Digest{
+			Centre: a.opts.Centre, Speaker: number(a.opts.Self), Members: members, Others: others,
+			Sums: append([]encoder.Sum{rest}, sums...),
+		}})
+	}
+	a.own, a.ownHeard = subtract(total, encoder.Sum{Nodes: 1, Long: own.Long, Short: own.Short, Loads: own.Loads}), now
+
+	return out
+}
+
+// names returns the sorted names of the other data centres.
+func (a *Aggregator) names() []string {
+	names := make([]string, 0, len(a.centres))
+	for name := range a.centres {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+
+	return names
+}
+
+func (a *Aggregator) speakers() []encoder.Speaker {
+	var list []encoder.Speaker
+	for _, name := range a.names() {
+		list = append(list, encoder.Speaker{Centre: name, Address: number(a.centres[name].speaker)})
+	}
+
+	return list
+}
+
+// foreign returns the load of the other data centres.
+func (a *Aggregator) foreign(now time.Time) []encoder.Sum {
+	var sums []encoder.Sum
+	for _, name := range a.names() {
+		if c := a.centres[name]; now.Sub(c.summed) < lifetime {
+			sum := c.sum
+			sum.Age = uint16(min(now.Sub(c.summed).Milliseconds(), 1<<16-1))
+			sums = append(sums, sum)
+		}
+	}
+
+	return sums
+}
+
+// Receive takes a message from a node and returns the answers.
+func (a *Aggregator) Receive(now time.Time, from netip.Addr, m encoder.Message) []Output {
+	if from == a.opts.Self {
+		return nil
+	}
+	switch m := m.(type) {
+	case *encoder.Hello:
+		return a.hello(now, from, m)
+	case *encoder.Report:
+		if m.Sum.Centre != a.opts.Centre {
+			return nil
+		}
+		if known := a.member(from); known != nil {
+			known.heard, known.sum = now, m.Sum
+		}
+		if a.speaker(now) != a.opts.Self {
+			// The sender does not know the speaker yet.
+			return []Output{{from, a.introduction(now, a.opts.Centre)}}
+		}
+	case *encoder.Digest:
+		return a.digest(now, from, m)
+	}
+
+	return nil
+}
+
+// member returns the record of a node of the own data centre, or nil if too
+// many are known.
+func (a *Aggregator) member(addr netip.Addr) *member {
+	m := a.members[addr]
+	if m == nil && len(a.members) < maxKnown {
+		m = &member{}
+		a.members[addr] = m
+	}
+
+	return m
+}
+
+func (a *Aggregator) hello(now time.Time, from netip.Addr, m *encoder.Hello) []Output {
+	if m.Centre == a.opts.Centre {
+		if known := a.member(from); known != nil {
+			known.heard = now
+		}
+	} else if len(a.strangers) < maxKnown {
+		a.strangers[from] = stranger{m.Centre, now}
+		if c := a.centres[m.Centre]; c == nil {
+			a.centres[m.Centre] = &centre{speaker: from, named: now}
+		}
+	}
+
+	return []Output{{from, a.introduction(now, m.Centre)}}
+}
+
+// introduction tells a node of a data centre who is there.
+func (a *Aggregator) introduction(now time.Time, name string) *encoder.Digest {
+	d := &encoder.Digest{Centre: a.opts.Centre, Speaker: number(a.speaker(now)), Others: a.speakers()}
+	if name == a.opts.Centre {
+		for addr, m := range a.members {
+			if m.alive(now) {
+				d.Members = append(d.Members, number(addr))
+			}
+		}
+	} else {
+		for addr, s := range a.strangers {
+			if s.centre == name {
+				d.Members = append(d.Members, number(addr))
+			}
+		}
+	}
+	slices.Sort(d.Members)
+
+	return d
+}
+
+func (a *Aggregator) digest(now time.Time, from netip.Addr, d *encoder.Digest) []Output {
+	var out []Output
+	for _, s := range d.Others {
+		if s.Centre != a.opts.Centre && a.centres[s.Centre] == nil && len(a.centres) < maxKnown {
+			a.centres[s.Centre] = &centre{speaker: address(s.Address), named: now}
+		}
+	}
+	if d.Centre != a.opts.Centre {
+		return append(out, a.foreignDigest(now, from, d)...)
+	}
+	if m := a.member(from); m != nil {
+		m.heard = now
+	}
+	spoken := len(d.Sums) > 0
+	for _, n := range d.Members {
+		addr := address(n)
+		if addr == a.opts.Self {
+			continue
+		}
+		known := a.members[addr]
+		if known == nil {
+			// What others know of a node is checked once.
+			out = append(out, Output{addr, &encoder.Hello{Centre: a.opts.Centre}})
+		}
+		if spoken {
+			if known = a.member(addr); known != nil {
+				known.vouched = now
+			}
+		}
+	}
+	for _, sum := range d.Sums {
+		if sum.Centre == a.opts.Centre {
+			a.own, a.ownHeard = sum, now
+		} else if c := a.centres[sum.Centre]; c != nil {
+			c.sum, c.summed, c.named = sum, now.Add(-time.Duration(sum.Age)*time.Millisecond), now
+		}
+	}
+
+	return out
+}
+
+// foreignDigest takes a digest of a node of another data centre.
+func (a *Aggregator) foreignDigest(now time.Time, from netip.Addr, d *encoder.Digest) []Output {
+	c := a.centres[d.Centre]
+	if c == nil {
+		if len(a.centres) >= maxKnown {
+			return nil
+		}
+		c = &centre{}
+		a.centres[d.Centre] = c
+	}
+	c.speaker, c.named = address(d.Speaker), now
+	for _, sum := range d.Sums {
+		if sum.Centre == d.Centre {
+			c.sum, c.summed = sum, now
+		}
+	}
+	var out []Output
+	for _, n := range d.Members {
+		if addr := address(n); addr != a.opts.Self && a.members[addr] == nil {
+			out = append(out, Output{addr, &encoder.Hello{Centre: a.opts.Centre}})
+		}
+	}
+	if len(d.Sums) > 0 && a.speaker(now) != a.opts.Self {
+		// The speaker of the other data centre does not know the own one.
+		out = append(out, Output{from, &encoder.Digest{Centre: a.opts.Centre, Speaker: number(a.speaker(now))}})
+	}
+
+	return out
+}
+
+// Others returns the load of all other nodes that is known and not too old.
+func (a *Aggregator) Others(now time.Time) encoder.Sum {
+	var total encoder.Sum
+	if now.Sub(a.ownHeard) < lifetime {
+		total = Merge(total, a.own)
+	}
+	for _, sum := range a.foreign(now) {
+		total = Merge(total, sum)
+	}
+
+	return total
+}
+
+// number returns an IPv4 address as a number.
+func number(addr netip.Addr) uint32 {
+	b := addr.Unmap().As4()
+
+	return binary.BigEndian.Uint32(b[:])
+}
+
+func numbers(addrs []netip.Addr) []uint32 {
+	list := make([]uint32, 0, len(addrs))
+	for _, addr := range addrs {
+		list = append(list, number(addr))
+	}
+
+	return list
+}
+
+// address returns the IPv4 address of a number.
+func address(n uint32) netip.Addr {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], n)
+
+	return netip.AddrFrom4(b)
+}
--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -18,11 +18,13 @@
 
 	"snipedyke/internal/configurer"
 	"snipedyke/internal/director"
+	"snipedyke/internal/exchanger"
 	"snipedyke/internal/exporter"
 	"snipedyke/internal/follower"
 	"snipedyke/internal/forwarder"
 	"snipedyke/internal/logger"
 	"snipedyke/internal/reducer"
+	"snipedyke/pkg/encoder"
 )
 
 // RoutingOptions are what a node that routes requests by host and path is
@@ -46,9 +48,9 @@
 	// freshView is the age of the view up to which what is missing in it is
 	// refused for good. Two watches in a row renew a view within this time.
 	freshView = 3500 * time.Millisecond
-	// maxNodes is the number of nodes for which the shares of the fleet's
-	// bounds are worked out.
-	maxNodes = 10
+	// maxNodes is the number of nodes by which a node divides the bounds of the
+	// fleet before it knows others.
+	maxNodes = 100
 	// reservedDescriptors are left for files, endpoints and the shared view.
 	reservedDescriptors = 1024
 	// memoryShare is the part of the process's memory from which the collector
@@ -68,6 +70,7 @@
 	exporter  *exporter.Exporter
 	forwarder *forwarder.Forwarder
 	follower  *follower.Follower
+	exchanger *exchanger.Exchanger
 	readiness net.Listener
 	metrics   net.Listener
 }
@@ -93,7 +96,7 @@
 	}
 	n.forwarder, err = forwarder.New(forwarder.Options{
 		Director: director.Options{
-			DataCentre: s.DataCentre, Regions: s.Regions,
+			Name: s.Name, DataCentre: s.DataCentre, Regions: s.Regions,
 			KeyLease:  time.Duration(leaseShare * float64(s.Withdrawal)),
 			FreshView: freshView, Nodes: maxNodes,
 			ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack,
@@ -111,6 +114,14 @@
 
 		return nil, err
 	}
+	n.exchanger, err = exchanger.New(exchanger.Options{
+		Address: s.Peers, Centre: s.DataCentre, Seeds: s.Seeds, Logger: n.logger, Clock: opts.Clock,
+		Own:   n.forwarder.Load,
+		Heard: func(others encoder.Sum) { n.forwarder.Post(director.Heard{Others: others}) },
+	})
+	if err != nil {
+		return nil, errors.Join(&Error{Op: "nodes", Kind: KindListen, Err: err}, n.readiness.Close())
+	}
 	n.follower = follower.New(follower.Options{
 		Source: opts.Source, Post: n.forwarder.Post, Logger: n.logger, Clock: opts.Clock,
 	})
@@ -130,6 +141,7 @@
 	following, stop := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	wg.Go(func() { n.follower.Run(following) })
+	wg.Go(func() { n.exchanger.Run(following) })
 	wg.Go(func() { n.serve(n.readiness, n.answerReadiness) })
 	if n.metrics != nil {
 		wg.Go(func() { n.serve(n.metrics, n.answerMetrics) })
--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -48,9 +48,11 @@
 
 // Work returns the work of the request in prompt tokens, if its shared parts
 // are cached.
-func (n Need) Work() float64 {
-	return float64(max(n.Prompt-n.Reused, 0)) + outputWork*float64(n.Output)
-}
+func (n Need) Work() float64 { return n.Unread() + outputWork*float64(n.Output) }
+
+// Unread returns the prompt tokens that are read if the shared parts are
+// cached.
+func (n Need) Unread() float64 { return float64(max(n.Prompt-n.Reused, 0)) }
 
 // Engine is what a node knows of the load of one engine. The zero value of
 // all but ID and Near is an idle engine.
@@ -58,10 +60,9 @@
 	ID string
 	// Near tells that the engine is in the node's data centre.
 	Near bool
-	// Running is the number of the node's requests at the engine and Work their
-	// work.
-	Running int
-	Work    float64
+	// Own is the load of the node's own requests, and Others that of the other
+	// nodes' as far as it is known.
+	Own, Others Load
 	// Penalty is at least 0; it multiplies the load of an endpoint that is slow
 	// or fails requests by 1 + Penalty.
 	Penalty float64
@@ -74,8 +75,37 @@
 	return &Engine{ID: id, Near: near, hash: xxhash.Sum64String(id)}
 }
 
+// Load is the load of some requests at an engine.
+type Load struct {
+	// Running is the number of requests and Work their work.
+	Running int
+	Work    float64
+	// Pending is the number of requests without a first token, and Unread the
+	// tokens of their prompts that are not cached.
+	Pending int
+	Unread  float64
+}
+
+// Add adds a request, or takes it away if sign is -1.
+func (l *Load) Add(n Need, sign int) {
+	l.Running += sign
+	l.Work += float64(sign) * n.Work()
+}
+
+// AddPending adds a request without a first token, or takes it away if sign
+// is -1.
+func (l *Load) AddPending(n Need, sign int) {
+	l.Pending += sign
+	l.Unread += float64(sign) * n.Unread()
+}
+
 // load returns the load that the choice compares.
-func (e *Engine) load() float64 { return (float64(e.Running) + e.Work/meanWork) * (1 + e.Penalty) }
+func (e *Engine) load() float64 {
+	running := e.Own.Running + e.Others.Running
+	work := e.Own.Work + e.Others.Work
+
+	return (float64(running) + work/meanWork) * (1 + e.Penalty)
+}
 
 // meanWork scales work to the same size as a number of requests.
 const meanWork = 3000
@@ -101,6 +131,8 @@
 type Splitter struct {
 	long, short float64
 	updated     time.Time
+	// othersLong and othersShort are the work that other nodes have seen.
+	othersLong, othersShort float64
 	// engines is the number of engines of long prompts in use.
 	engines float64
 	// used is the number of engines of long prompts in the last choice.
@@ -119,6 +151,17 @@
 	}
 }
 
+// Work returns the work of long prompts and of other requests that the node has
+// seen of late.
+func (s *Splitter) Work(now time.Time) (long, short float64) {
+	s.decay(now)
+
+	return s.long, s.short
+}
+
+// Hear takes the work that other nodes have seen.
+func (s *Splitter) Hear(long, short float64) { s.othersLong, s.othersShort = long, short }
+
 func (s *Splitter) decay(now time.Time) {
 	if d := now.Sub(s.updated); d > 0 && !s.updated.IsZero() {
 		keep := 1 / (1 + d.Seconds()/splitMemory.Seconds())
@@ -134,10 +177,11 @@
 // longEngines returns the number of engines of long prompts out of n. Each
 // group that has work keeps an engine.
 func (s *Splitter) longEngines(n int) int {
-	if n < 2 || s.long == 0 || s.short == 0 {
+	if n < 2 || s.long+s.othersLong == 0 || s.short+s.othersShort == 0 {
 		return n
 	}
-	want := s.long / (s.long + s.short) * float64(n)
+	long, short := s.long+s.othersLong, s.short+s.othersShort
+	want := long / (long + short) * float64(n)
 	if d := want - s.engines; d > splitInertia || d < -splitInertia {
 		s.engines = want
 	}
--- a/internal/configurer/routing.go
+++ b/internal/configurer/routing.go
@@ -20,6 +20,10 @@
 	Callers   netip.AddrPort
 	Readiness netip.AddrPort
 	Metrics   netip.AddrPort
+	// Peers is the address for other nodes, which use the same port, and Seeds
+	// the addresses of nodes that may know others.
+	Peers netip.AddrPort
+	Seeds []netip.Addr
 	// Store is the address of the shared view.
 	Store netip.AddrPort
 	// Withdrawal is the time in which a withdrawn key must no longer be
@@ -52,6 +56,8 @@
 	minDescriptors = 256
 	maxDescriptors = 1 << 20
 	maxCentres     = 256
+	maxSeeds       = 16
+	maxAddress     = 64
 )
 
 // LoadRouting reads the settings of a file.
@@ -91,6 +97,7 @@
 		Regions:     map[string]string{},
 		Callers:     o.Address("callers", true),
 		Readiness:   o.Address("readiness", true),
+		Peers:       o.Address("peers", false),
 		Store:       o.Address("store", false),
 		Withdrawal:  o.Duration("withdrawal", minWithdrawal, maxWithdrawal),
 		Grace:       o.Duration("grace", minDrain, maxDrain),
@@ -98,6 +105,15 @@
 		Descriptors: int(o.Int("descriptors", minDescriptors, maxDescriptors)),
 		Log:         Log{Level: "info", Format: "json"},
 	}
+	for _, text := range o.Names("seeds", 0, maxSeeds, maxAddress) {
+		seed, err := netip.ParseAddrPort(text)
+		if err != nil {
+			o.Fail("seeds", text, "addresses with ports")
+
+			continue
+		}
+		s.Seeds = append(s.Seeds, seed.Addr())
+	}
 	if o.Has("metrics") {
 		s.Metrics = o.Address("metrics", true)
 	}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -24,8 +24,10 @@
 	// FreshView is the age of the view up to which an unknown route or key is
 	// refused for good.
 	FreshView time.Duration
-	// Nodes is the number of nodes that share the bounds of the fleet. It is at
-	// least the true number.
+	// Name is the node's name.
+	Name string
+	// Nodes is the number of nodes that is assumed to share the bounds of the
+	// fleet until others are known. It is at least the true number.
 	Nodes int
 	// ColdFactor and ColdSlack bound the requests of a cold endpoint in a
 	// second: its rate times the factor, plus the slack.
@@ -56,6 +58,8 @@
 	leaving bool
 	ready   bool
 
+	fleet fleet
+
 	requests map[uint64]*request
 	// waiting holds the requests that wait for an endpoint, oldest first.
 	waiting []*request
@@ -78,7 +82,7 @@
 	return &Director{
 		opts: opts, registrar: registrar.New(),
 		endpoints: map[string]*endpoint{}, services: map[string]*service{},
-		requests: map[uint64]*request{},
+		requests: map[uint64]*request{}, fleet: fleet{assumed: opts.Nodes},
 	}
 }
 
@@ -111,6 +115,8 @@
 		d.takeOut(now, e.Names)
 	case Confirmed:
 		d.confirm(now, e.At)
+	case Heard:
+		d.hear(now, e.Others)
 	case Lost:
 		d.lose(now)
 	case Leaving:
@@ -261,7 +267,6 @@
 	if s == nil {
 		s = &service{name: name, retries: pacer.Budget{
 			Window: d.opts.RetryWindow, Ratio: d.opts.RetryRatio,
-			Slack: d.opts.RetrySlack / float64(d.opts.Nodes),
 		}}
 		d.services[name] = s
 	}
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"snipedyke/internal/chooser"
 	"snipedyke/internal/logger"
 	"snipedyke/internal/pacer"
@@ -24,14 +26,19 @@
 	coldWindow = 1100 * time.Millisecond
 	// outcomeWeight is the weight of a new outcome in the moving share of
 	// failures, and failurePenalty the penalty of an endpoint that fails all.
-	outcomeWeight  = 0.1
+	outcomeWeight = 0.1
+	// meetShare is the part of its share that a node uses of a cold endpoint
+	// whose share is below one request.
+	meetShare      = 0.5
 	failurePenalty = 8.0
 )
 
 // endpoint is the state of one incarnation of an endpoint.
 type endpoint struct {
 	entry registrar.Entry
-	load  *chooser.Engine
+	// number names the endpoint among nodes.
+	number uint32
+	load   *chooser.Engine
 	// failures is the number of attempts in a row that did not reach it.
 	failures int
 	// suspended is until when it gets nothing new.
@@ -45,8 +52,9 @@
 
 func (d *Director) add(now time.Time, entry registrar.Entry) {
 	e := &endpoint{
-		entry: entry,
-		load:  chooser.NewEngine(entry.ID, entry.DataCentre == d.opts.DataCentre),
+		entry:  entry,
+		number: endpointNumber(entry.ID),
+		load:   chooser.NewEngine(entry.ID, entry.DataCentre == d.opts.DataCentre),
 	}
 	d.endpoints[entry.ID] = e
 	s := d.service(entry.Service)
@@ -102,8 +110,20 @@
 	if until := now.Add(left); until.After(e.cold) {
 		e.cold = until
 	}
-	e.pace.Window = coldWindow
-	e.pace.Limit = max(int((rate*d.opts.ColdFactor+d.opts.ColdSlack)/float64(d.opts.Nodes)), 1)
+	share := (rate*d.opts.ColdFactor + d.opts.ColdSlack) / float64(d.fleet.size(now))
+	if share >= 1 {
+		e.pace.Limit, e.pace.Window = int(share), coldWindow
+
+		return
+	}
+	// Nodes that send less than one request in a window start at different
+	// times, and stay below their share as they may still meet.
+	window := time.Duration(float64(coldWindow) / (share * meetShare))
+	if e.pace.Window != window {
+		e.pace.Limit, e.pace.Window = 1, window
+		phase := xxhash.Sum64String(d.opts.Name+e.entry.ID) % uint64(window)
+		e.pace.Pass(now.Add(time.Duration(phase) - window))
+	}
 }
 
 // usable tells whether an endpoint may get a request now.
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -15,6 +15,7 @@
 	"snipedyke/internal/chooser"
 	"snipedyke/internal/registrar"
 	"snipedyke/internal/router"
+	"snipedyke/pkg/encoder"
 )
 
 // Event is something that happened. Only the types of this package implement
@@ -124,6 +125,9 @@
 // Confirmed tells that the view was complete at a time.
 type Confirmed struct{ At time.Time }
 
+// Heard brings the load of the other nodes.
+type Heard struct{ Others encoder.Sum }
+
 // Lost tells that the shared view cannot be read.
 type Lost struct{}
 
@@ -142,6 +146,7 @@
 func (CentresOut) event()    {}
 func (Confirmed) event()     {}
 func (Lost) event()          {}
+func (Heard) event()         {}
 func (Leaving) event()       {}
 
 // Effect is something that the node must do. Only the types of this package
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -199,9 +199,9 @@
 	if req.group != nil && !req.relayed {
 		req.pending = true
 		req.group.Send()
+		e.load.Own.AddPending(req.Need, 1)
 	}
-	e.load.Running++
-	e.load.Work += req.Need.Work()
+	e.load.Own.Add(req.Need, 1)
 	urgency := req.route.Priority
 	account := ""
 	if req.account != nil {
@@ -240,9 +240,9 @@
 	if req.pending {
 		req.pending = false
 		req.group.Drop()
+		e.load.Own.AddPending(req.Need, -1)
 	}
-	e.load.Running--
-	e.load.Work -= req.Need.Work()
+	e.load.Own.Add(req.Need, -1)
 
 	return e
 }
@@ -286,6 +286,7 @@
 	if req.pending {
 		req.pending = false
 		req.group.Begin(now)
+		req.at.load.Own.AddPending(req.Need, -1)
 	}
 	req.at.failures = 0
 	if now.Before(req.at.suspended) {
@@ -373,7 +374,7 @@
 	if f.Status >= http.StatusInternalServerError && req.route.Kind == router.Safe && !req.relayed {
 		req.ran = true
 		req.tried = append(req.tried, e.entry.ID)
-		if len(req.tried) < req.route.Attempts && req.until.Sub(now) >= leastLeft && req.service.retries.Retry(now) {
+		if len(req.tried) < req.route.Attempts && req.until.Sub(now) >= leastLeft && d.mayRetry(now, req.service) {
 			if next, holder := d.choose(now, req); next != nil {
 				d.emit(Count{Counter: CounterRetries, Label: "status"})
 				d.dispatch(now, req, next, holder)
@@ -401,9 +402,17 @@
 		"late", late, "engines", req.service.splitter.Long())
 }
 
+// mayRetry tells whether the node's part of the retry budget allows another
+// attempt, and notes it if so.
+func (d *Director) mayRetry(now time.Time, s *service) bool {
+	s.retries.Slack = d.opts.RetrySlack / float64(d.fleet.size(now))
+
+	return s.retries.Retry(now)
+}
+
 // again sends a request to another endpoint if attempts and budget allow.
 func (d *Director) again(now time.Time, req *request, f Finished, reason Reason) {
-	if len(req.tried) >= req.route.Attempts || !req.service.retries.Retry(now) {
+	if len(req.tried) >= req.route.Attempts || !d.mayRetry(now, req.service) {
 		d.giveUp(now, req, reason)
 
 		return
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"snipedyke/internal/director"
+	"snipedyke/pkg/encoder"
 )
 
 // Logger writes numbered log events and does not block.
@@ -225,6 +226,14 @@
 	return f.director.Ready()
 }
 
+// Load returns the load that the node has placed.
+func (f *Forwarder) Load() encoder.Sum {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.director.Load(f.opts.Clock())
+}
+
 // Addr returns the address for callers.
 func (f *Forwarder) Addr() netip.AddrPort {
 	return f.listener.Addr().(*net.TCPAddr).AddrPort()
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -64,6 +64,9 @@
 	HistoryLost       = 715
 	SettingsReloaded  = 716
 	RequestAnswered   = 717
+	FleetChanged      = 718
+	MessageRefused    = 719
+	MessageUnsent     = 720
 )
 
 // Definition describes an event.
@@ -136,6 +139,9 @@
 	{HistoryLost, hclog.Info, "history of the shared view is gone, reading all of it", []string{"revision"}},
 	{SettingsReloaded, hclog.Info, "settings read again", []string{"changed"}},
 	{RequestAnswered, hclog.Info, "request answered", []string{"request", "route", "endpoint", "status", "took", "first", "pause", "attempts", "late", "engines"}},
+	{FleetChanged, hclog.Info, "number of known nodes changed", []string{"nodes", "former"}},
+	{MessageRefused, hclog.Warn, "message of another node refused", []string{"from", "error"}},
+	{MessageUnsent, hclog.Warn, "message to another node not sent", []string{"to", "error"}},
 }
 
 // Catalogue returns the definitions of all events by number.
--- /dev/null
+++ b/pkg/encoder/load.go
@@ -0,0 +1,64 @@
+package encoder
+
+//msgp:tuple Load Sum Report Speaker Digest Hello
+
+//go:generate go tool msgp -file load.go -o load_gen.go -tests=false
+
+// Load is the work that nodes have at one endpoint.
+type Load struct {
+	// Endpoint is a hash of the endpoint's identifier.
+	Endpoint uint32 `msg:"e"`
+	// Running is the number of requests, Pending those without a first token,
+	// and Unread the prompt tokens of these.
+	Running uint16 `msg:"r"`
+	Pending uint16 `msg:"p"`
+	Unread  uint32 `msg:"u"`
+	// Work is the work of all requests in prompt tokens.
+	Work uint32 `msg:"w"`
+}
+
+// Sum is the load of the nodes of a data centre.
+type Sum struct {
+	Centre string `msg:"c"`
+	// Nodes is the number of nodes.
+	Nodes uint16 `msg:"n"`
+	// Age is how old the youngest part is, in milliseconds.
+	Age uint16 `msg:"a"`
+	// Long and Short are the work by second of long prompts and of other
+	// requests, in prompt tokens.
+	Long  float32 `msg:"l"`
+	Short float32 `msg:"s"`
+	Loads []Load  `msg:"o"`
+}
+
+// Hello asks a node for the nodes that it knows. It is the first message to a
+// node and repeated now and then.
+type Hello struct {
+	Centre string `msg:"c"`
+}
+
+// Report tells the speaker of a data centre what a node does.
+type Report struct {
+	Sum Sum `msg:"s"`
+}
+
+// Speaker names the node that speaks for a data centre.
+type Speaker struct {
+	Centre string `msg:"c"`
+	// Address is an IPv4 address in network order.
+	Address uint32 `msg:"a"`
+}
+
+// Digest tells what a node knows of others.
+type Digest struct {
+	// Centre is the sender's data centre, and Speaker the address of its
+	// speaker.
+	Centre  string `msg:"c"`
+	Speaker uint32 `msg:"p"`
+	// Members are the addresses of the nodes of the receiver's data centre.
+	Members []uint32 `msg:"m"`
+	// Others are the speakers of other data centres.
+	Others []Speaker `msg:"s"`
+	// Sums holds the load by data centre without the receiver's own load.
+	Sums []Sum `msg:"o"`
+}
--- a/pkg/encoder/message.go
+++ b/pkg/encoder/message.go
@@ -39,6 +39,9 @@
 func (*Forward) kind() byte      { return 22 }
 func (*ForwardReply) kind() byte { return 23 }
 func (*PoolLoad) kind() byte     { return 24 }
+func (*Hello) kind() byte        { return 25 }
+func (*Report) kind() byte       { return 26 }
+func (*Digest) kind() byte       { return 27 }
 
 // newMessage returns an empty message of the kind, or nil.
 func newMessage(kind byte) Message {
@@ -91,6 +94,12 @@
 		return new(ForwardReply)
 	case 24:
 		return new(PoolLoad)
+	case 25:
+		return new(Hello)
+	case 26:
+		return new(Report)
+	case 27:
+		return new(Digest)
 	default:
 		return nil
 	}
