Split engines by the running requests of all nodes

Ruled out: other constants; none fits both engines. Change: the split follows the running requests of both groups on all nodes, averaged over 1.5 s. A group that gets slower gets more engines.

--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -13,6 +13,7 @@
 package chooser
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -37,10 +38,6 @@
 	// one token to each request of a batch, in the time in which the engine
 	// reads about 200 tokens.
 	outputWork = 10
-	// shortDiscount is the part of the work of short requests that counts in
-	// the split: their batches are larger, and their first tokens need less
-	// reserve than those of long prompts.
-	shortDiscount = 0.4
 )
 
 // Long tells whether the request belongs to the group of long prompts.
@@ -111,10 +108,16 @@
 const meanWork = 3000
 
 const (
-	// splitMemory is the time over which the work of the two groups is
-	// averaged. It is shorter than a burst and longer than the gaps between the
-	// requests of a node.
-	splitMemory = 4 * time.Second
+	// splitMemory is the time over which running requests are averaged. It
+	// is shorter than a burst.
+	splitMemory = 1500 * time.Millisecond
+	// longWeight is the number of short requests that need as much of an engine
+	// as one long prompt: streams share their steps, while prompts are read one
+	// after another.
+	longWeight = 6.0
+	// leastMean is the mean number of running requests up to which a group
+	// counts as idle.
+	leastMean = 0.05
 	// splitInertia is the change of the split in engines that is ignored.
 	splitInertia = 0.6
 	// overload is the ratio of an engine's load to the mean of its group above
@@ -126,13 +129,17 @@
 	homes = 2
 )
 
-// Splitter deals the engines of a service to long and to short prompts. The
-// zero value has seen no requests.
+// Splitter deals the engines of a service to long and to short prompts, by the
+// requests that all nodes have running: a group that gets slower has more of
+// them, and so gets more engines. The zero value has seen no requests.
 type Splitter struct {
-	long, short float64
-	updated     time.Time
-	// othersLong and othersShort are the work that other nodes have seen.
-	othersLong, othersShort float64
+	// long and short are the node's running requests, othersLong and
+	// othersShort those of the other nodes.
+	long, short             int
+	othersLong, othersShort int
+	// meanLong and meanShort are the moving averages of all running requests.
+	meanLong, meanShort float64
+	updated             time.Time
 	// engines is the number of engines of long prompts in use.
 	engines float64
 	// used is the number of engines of long prompts in the last choice.
@@ -141,34 +148,30 @@
 	sights map[uint64]sight
 }
 
-// Note adds a request to the work of its group.
-func (s *Splitter) Note(now time.Time, n Need) {
-	s.decay(now)
+// Add adds a running request, or takes it away if sign is -1.
+func (s *Splitter) Add(n Need, sign int) {
 	if n.Long() {
-		s.long += n.Work()
+		s.long += sign
 	} else {
-		s.short += n.Work() * shortDiscount
+		s.short += sign
 	}
 }
 
-// Work returns the work of long prompts and of other requests that the node has
-// seen of late.
-func (s *Splitter) Work(now time.Time) (long, short float64) {
-	s.decay(now)
+// Running returns the node's running requests.
+func (s *Splitter) Running() (long, short int) { return s.long, s.short }
 
-	return s.long, s.short
-}
-
-// Hear takes the work that other nodes have seen.
-func (s *Splitter) Hear(long, short float64) { s.othersLong, s.othersShort = long, short }
+// Hear takes the running requests of the other nodes.
+func (s *Splitter) Hear(long, short int) { s.othersLong, s.othersShort = long, short }
 
-func (s *Splitter) decay(now time.Time) {
-	if d := now.Sub(s.updated); d > 0 && !s.updated.IsZero() {
-		keep := 1 / (1 + d.Seconds()/splitMemory.Seconds())
-		s.long *= keep
-		s.short *= keep
+// average updates the moving averages.
+func (s *Splitter) average(now time.Time) {
+	keep := 0.0
+	if !s.updated.IsZero() {
+		keep = math.Exp(-now.Sub(s.updated).Seconds() / splitMemory.Seconds())
 	}
 	s.updated = now
+	s.meanLong = keep*s.meanLong + (1-keep)*float64(s.long+s.othersLong)
+	s.meanShort = keep*s.meanShort + (1-keep)*float64(s.short+s.othersShort)
 }
 
 // Long returns the number of engines that long prompts had in the last choice.
@@ -177,10 +180,10 @@
 // longEngines returns the number of engines of long prompts out of n. Each
 // group that has work keeps an engine.
 func (s *Splitter) longEngines(n int) int {
-	if n < 2 || s.long+s.othersLong == 0 || s.short+s.othersShort == 0 {
+	long, short := s.meanLong*longWeight, s.meanShort
+	if n < 2 || long < leastMean || short < leastMean {
 		return n
 	}
-	long, short := s.long+s.othersLong, s.short+s.othersShort
 	want := long / (long + short) * float64(n)
 	if d := want - s.engines; d > splitInertia || d < -splitInertia {
 		s.engines = want
@@ -203,7 +206,7 @@
 	if len(engines) == 0 {
 		return Choice{}
 	}
-	s.decay(now)
+	s.average(now)
 	slices.SortFunc(engines, func(a, b *Engine) int {
 		switch {
 		case a.hash < b.hash:
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -49,10 +49,10 @@
 }
 
 // Load returns the load that the node has placed.
-func (d *Director) Load(now time.Time) encoder.Sum {
+func (d *Director) Load() encoder.Sum {
 	var sum encoder.Sum
 	for _, s := range d.services {
-		long, short := s.splitter.Work(now)
+		long, short := s.splitter.Running()
 		sum.Long += float32(long)
 		sum.Short += float32(short)
 	}
@@ -93,9 +93,9 @@
 		}
 	}
 	for _, s := range d.services {
-		// Nodes sum up the work of all services; only services of engines use
-		// it, and a deployment has one for each model.
-		s.splitter.Hear(float64(others.Long), float64(others.Short))
+		// Nodes sum up the requests of all services; only services of engines
+		// use them, and a deployment has one for each model.
+		s.splitter.Hear(int(others.Long), int(others.Short))
 	}
 }
 
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -98,7 +98,6 @@
 	req.service = d.service(req.route.Service(q.Name))
 	req.service.retries.Request(now)
 	if d.engine(req) != nil {
-		req.service.splitter.Note(now, req.Need)
 		req.group = &req.service.groups[0]
 		if req.Need.Long() {
 			req.group = &req.service.groups[1]
@@ -202,6 +201,9 @@
 		e.load.Own.AddPending(req.Need, 1)
 	}
 	e.load.Own.Add(req.Need, 1)
+	if req.group != nil {
+		req.service.splitter.Add(req.Need, 1)
+	}
 	urgency := req.route.Priority
 	account := ""
 	if req.account != nil {
@@ -243,6 +245,9 @@
 		e.load.Own.AddPending(req.Need, -1)
 	}
 	e.load.Own.Add(req.Need, -1)
+	if req.group != nil {
+		req.service.splitter.Add(req.Need, -1)
+	}
 
 	return e
 }
