Place by the prompt tokens that an engine has yet to read

Cause: the load of an engine was its requests and their whole work, most of which is output that streams share; what delays a first token is the prompts that are not read yet. Change: load is half a point a request and a point for 2,000 unread tokens.

--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -99,13 +99,17 @@
 // load returns the load that the choice compares.
 func (e *Engine) load() float64 {
 	running := e.Own.Running + e.Others.Running
-	work := e.Own.Work + e.Others.Work
+	unread := e.Own.Unread + e.Others.Unread
 
-	return (float64(running) + work/meanWork) * (1 + e.Penalty)
+	return (runningLoad*float64(running) + unread/unreadScale) * (1 + e.Penalty)
 }
 
-// meanWork scales work to the same size as a number of requests.
-const meanWork = 3000
+const (
+	// runningLoad is the load of a running request.
+	runningLoad = 0.5
+	// unreadScale is the number of prompt tokens to read that are a load of 1.
+	unreadScale = 2000
+)
 
 const (
 	// splitMemory is the time over which running requests are averaged. It
