--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -357,15 +357,20 @@
 	if e == nil {
 		return
 	}
+	s := d.service(e.entry.Service)
 	switch f.Result {
 	case Answered:
-		e.judge(f.Status >= http.StatusInternalServerError)
+		took := f.Took
+		if f.Gap > 0 {
+			took = f.Gap
+		}
+		s.judge(e, f.Status >= http.StatusInternalServerError, took)
 	case Declined:
-		e.judge(false)
+		s.judge(e, false, 0)
 	case Misdirected, Unreached:
 		d.suspend(now, e, f.Result)
 	case Broken, Silent:
-		e.judge(true)
+		s.judge(e, true, 0)
 	case Cancelled:
 	}
 	if f.Cold > 0 {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -44,8 +44,10 @@
 	stream *eventReader
 	// first holds the first events.
 	first []byte
-	// heard is when the last events came.
-	heard time.Time
+	// heard is when the last events came, began when the first came, and reads
+	// the number of times that events came after the first.
+	heard, began time.Time
+	reads        int
 }
 
 // attempt sends the request to an endpoint and reads the answer, or the first
@@ -63,6 +65,9 @@
 // close ends the use of the connection, unless its answer was whole.
 func (a *attempt) close() {
 	a.finished.Took = time.Since(a.start)
+	if a.reads > 0 {
+		a.finished.Gap = a.heard.Sub(a.began) / time.Duration(a.reads)
+	}
 	if a.link != nil {
 		a.call.attach(nil)
 		_ = a.link.Close()
@@ -233,6 +238,7 @@
 		return director.Silent
 	}
 	a.stream, a.first, a.heard = stream, events, time.Now()
+	a.began = a.heard
 	a.call.f.Post(director.Began{ID: a.call.id, Wait: time.Since(a.start)})
 
 	return director.Answered
@@ -300,6 +306,7 @@
 	if err == nil {
 		now := time.Now()
 		a.finished.Pause, a.heard = max(a.finished.Pause, now.Sub(a.heard)), now
+		a.reads++
 		b.take(events)
 
 		return
