--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -27,12 +27,6 @@
 	// outcomeWeight is the weight of a new outcome in the moving share of
 	// failures, and failurePenalty the penalty of an endpoint that fails all.
 	outcomeWeight = 0.1
-	// timeWeight is the weight of a new time in the moving average,
-	// slowTolerance the slowness that load explains, and slowPenalty the penalty
-	// of an endpoint that takes twice the mean time beyond it.
-	timeWeight    = 0.2
-	slowTolerance = 1.0
-	slowPenalty   = 1.0
 	// meetShare is the part of its share that a node uses of a cold endpoint
 	// whose share is below one request.
 	meetShare      = 0.5
@@ -54,9 +48,6 @@
 	pace pacer.Pacer
 	// failed is the moving share of failed attempts.
 	failed float64
-	// time is the moving average of the time of an answer, or of the time
-	// between the events of a stream; zero if none was seen.
-	time time.Duration
 }
 
 func (d *Director) add(now time.Time, entry registrar.Entry) {
@@ -158,35 +149,12 @@
 }
 
 // judge notes the outcome of an attempt.
-func (s *service) judge(e *endpoint, failed bool, took time.Duration) {
+func (e *endpoint) judge(failed bool) {
 	e.failed -= e.failed * outcomeWeight
 	if failed {
 		e.failed += outcomeWeight
 	} else {
 		e.failures = 0
 	}
-	if took > 0 {
-		if e.time == 0 {
-			e.time = took
-		}
-		e.time += time.Duration(timeWeight * float64(took-e.time))
-	}
-	e.load.Penalty = failurePenalty*e.failed + slowPenalty*max(s.slowness(e)-slowTolerance, 0)
-}
-
-// slowness returns how much longer an endpoint takes than the mean of the
-// service's others, as a share of that mean.
-func (s *service) slowness(e *endpoint) float64 {
-	sum, n := time.Duration(0), 0
-	for _, o := range s.endpoints {
-		if o != e && o.time > 0 {
-			sum += o.time
-			n++
-		}
-	}
-	if n == 0 || sum == 0 || e.time == 0 {
-		return 0
-	}
-
-	return float64(e.time)*float64(n)/float64(sum) - 1
+	e.load.Penalty = failurePenalty * e.failed
 }
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -60,9 +60,8 @@
 	Relayed bool
 	// Took is the time since the request was sent.
 	Took time.Duration
-	// Pause is the longest pause between the events of a stream and Gap the
-	// mean one.
-	Pause, Gap time.Duration
+	// Pause is the longest pause between the events of a stream.
+	Pause time.Duration
 	// Cold, if it is not zero, is how much longer the endpoint says it is cold.
 	Cold time.Duration
 }
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -357,20 +357,15 @@
 	if e == nil {
 		return
 	}
-	s := d.service(e.entry.Service)
 	switch f.Result {
 	case Answered:
-		took := f.Took
-		if f.Gap > 0 {
-			took = f.Gap
-		}
-		s.judge(e, f.Status >= http.StatusInternalServerError, took)
+		e.judge(f.Status >= http.StatusInternalServerError)
 	case Declined:
-		s.judge(e, false, 0)
+		e.judge(false)
 	case Misdirected, Unreached:
 		d.suspend(now, e, f.Result)
 	case Broken, Silent:
-		s.judge(e, true, 0)
+		e.judge(true)
 	case Cancelled:
 	}
 	if f.Cold > 0 {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -44,10 +44,8 @@
 	stream *eventReader
 	// first holds the first events.
 	first []byte
-	// heard is when the last events came, began when the first came, and reads
-	// the number of times that events came after the first.
-	heard, began time.Time
-	reads        int
+	// heard is when the last events came.
+	heard time.Time
 }
 
 // attempt sends the request to an endpoint and reads the answer, or the first
@@ -65,9 +63,6 @@
 // close ends the use of the connection, unless its answer was whole.
 func (a *attempt) close() {
 	a.finished.Took = time.Since(a.start)
-	if a.reads > 0 {
-		a.finished.Gap = a.heard.Sub(a.began) / time.Duration(a.reads)
-	}
 	if a.link != nil {
 		a.call.attach(nil)
 		_ = a.link.Close()
@@ -238,7 +233,6 @@
 		return director.Silent
 	}
 	a.stream, a.first, a.heard = stream, events, time.Now()
-	a.began = a.heard
 	a.call.f.Post(director.Began{ID: a.call.id, Wait: time.Since(a.start)})
 
 	return director.Answered
@@ -306,7 +300,6 @@
 	if err == nil {
 		now := time.Now()
 		a.finished.Pause, a.heard = max(a.finished.Pause, now.Sub(a.heard)), now
-		a.reads++
 		b.take(events)
 
 		return
