Admit by what the chosen engine has yet to read

Change: the admitter learns how fast engines read and bounds the unread tokens of the chosen engine, as all nodes know them, by target and pause.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -1,80 +1,68 @@
-// Package admitter decides which requests a group of engines takes on.
+// Package admitter decides which requests an engine takes on.
 //
 // It answers the load pattern of a burst above capacity: without a bound, the
-// queues of the engines grow until every first token is late, and the work
-// spent on requests that their callers have left takes the place of those that
-// could be on time. The admitter keeps the wait for the first token below a
-// part of the target and has the rest refused at once.
-//
-// A node knows its own requests only. It takes the rate at which they get
-// their first tokens as its part of the capacity, so that nodes need not tell
-// each other anything.
+// queues of the engines grow until every first token is late, and an engine
+// that reads one prompt after another makes the pauses of all its streams too
+// long. The admitter keeps what an engine has yet to read so small that first
+// tokens and pauses stay in time, and has the rest refused at once.
 package admitter
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
-	// rateMemory is the time over which the rate of first tokens is averaged.
-	rateMemory = 1500 * time.Millisecond
-	// waitShare is the part of the target that the expected wait may take. The
-	// rest covers the reading of the prompt itself.
-	waitShare = 0.8
-	// leastPending is the number of requests for each engine of the group that
-	// may always wait for their first token, as a share among the nodes.
-	leastPending = 0.5
+	// targetShare is the part of the target that reading may take. The rest
+	// covers the way and the steps of the requests that run.
+	targetShare = 0.8
+	// gapShare is the part of the longest pause that reading without a rest may
+	// take.
+	gapShare = 1.2
+	// leastSample is the number of prompt tokens from which the time to the
+	// first token shows the speed of reading.
+	leastSample = 1500
+	// decline is the part by which a slower sample lowers the speed. Samples
+	// are slow for many reasons and fast for one.
+	decline = 0.05
 )
 
-// Group is the state of one group of engines at a node. The zero value has
-// seen no requests.
-type Group struct {
-	// pending is the number of requests that have not got their first token.
-	pending int
-	// rate is the moving rate of first tokens by second.
-	rate    float64
-	updated time.Time
+// Reader estimates how fast the engines of a service read prompts. The zero
+// value knows nothing and takes everything on.
+type Reader struct {
+	// speed is in tokens by second.
+	speed float64
 }
 
-// Admit tells whether a request is taken on: whether it may get its first token
-// within the target. engines is the number of engines of the group.
-func (g *Group) Admit(now time.Time, target time.Duration, engines int) bool {
-	least := max(leastPending*float64(engines), 1)
-	if float64(g.pending) < least {
-		return true
+// Note takes the time to the first token of a request that found nothing unread
+// at its engine.
+func (r *Reader) Note(unread float64, wait time.Duration) {
+	if unread < leastSample || wait <= 0 {
+		return
 	}
-
-	return g.Wait(now) <= time.Duration(waitShare*float64(target))
-}
-
-// Wait returns the expected wait for the first token of another request.
-func (g *Group) Wait(now time.Time) time.Duration {
-	g.decay(now)
-	if g.rate == 0 {
-		return time.Hour
+	sample := unread / wait.Seconds()
+	if sample > r.speed {
+		r.speed = sample
+	} else {
+		r.speed += decline * (sample - r.speed)
 	}
-
-	return time.Duration(float64(g.pending) / g.rate * float64(time.Second))
 }
 
-// Send notes a request that is sent to an engine.
-func (g *Group) Send() { g.pending++ }
+// Wait returns how long an engine needs to read tokens, or zero if the speed is
+// not known.
+func (r *Reader) Wait(unread float64) time.Duration {
+	if r.speed == 0 {
+		return 0
+	}
 
-// Begin notes the first token of a request.
-func (g *Group) Begin(now time.Time) {
-	g.pending--
-	g.decay(now)
-	g.rate += 1 / rateMemory.Seconds()
+	return time.Duration(unread / r.speed * float64(time.Second))
 }
 
-// Drop notes a request that ends without a first token.
-func (g *Group) Drop() { g.pending-- }
-
-func (g *Group) decay(now time.Time) {
-	if d := now.Sub(g.updated); d > 0 && !g.updated.IsZero() {
-		keep := math.Exp(-d.Seconds() / rateMemory.Seconds())
-		g.rate *= keep
+// Admit tells whether an engine with unread tokens takes another request on,
+// so that it gets its first token within the target. gap, if it is not zero, is
+// the longest pause that the streams of the engine bear.
+func (r *Reader) Admit(unread float64, target, gap time.Duration) bool {
+	bound := time.Duration(targetShare * float64(target))
+	if gap > 0 {
+		bound = min(bound, time.Duration(gapShare*float64(gap)))
 	}
-	g.updated = now
+
+	return r.Wait(unread) <= bound
 }
--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -96,12 +96,14 @@
 	l.Unread += float64(sign) * n.Unread()
 }
 
+// Unread returns the prompt tokens that the engine has yet to read.
+func (e *Engine) Unread() float64 { return e.Own.Unread + e.Others.Unread }
+
 // load returns the load that the choice compares.
 func (e *Engine) load() float64 {
 	running := e.Own.Running + e.Others.Running
-	unread := e.Own.Unread + e.Others.Unread
 
-	return (runningLoad*float64(running) + unread/unreadScale) * (1 + e.Penalty)
+	return (runningLoad*float64(running) + e.Unread()/unreadScale) * (1 + e.Penalty)
 }
 
 const (
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -73,8 +73,7 @@
 	endpoints []*endpoint
 	splitter  chooser.Splitter
 	retries   pacer.Budget
-	// groups admit short requests and long prompts.
-	groups [2]admitter.Group
+	reader    admitter.Reader
 }
 
 // New returns a director that knows no routes.
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"snipedyke/internal/admitter"
 	"snipedyke/internal/chooser"
 	"snipedyke/internal/logger"
 	"snipedyke/internal/router"
@@ -37,11 +36,12 @@
 	route   *router.Route
 	account *router.Account
 	service *service
-	// group is the admission of the request's group, or nil.
-	group *admitter.Group
-	// pending tells that the group waits for the first byte.
-	pending bool
-	arrived time.Time
+	// generates tells that the service has model engines.
+	generates bool
+	// pending tells that the first byte is awaited, and alone that the engine
+	// had nothing else to read when it was sent.
+	pending, alone bool
+	arrived        time.Time
 	// until is when the answer must be there.
 	until time.Time
 	// tried holds the endpoints that may have run it or have declined it.
@@ -98,15 +98,7 @@
 	req.service = d.service(req.route.Service(q.Name))
 	req.service.retries.Request(now)
 	if d.engine(req) != nil {
-		req.group = &req.service.groups[0]
-		if req.Need.Long() {
-			req.group = &req.service.groups[1]
-		}
-		if !req.group.Admit(now, req.route.Target, len(req.service.endpoints)) {
-			d.refuse(now, req, http.StatusServiceUnavailable, ReasonOverload)
-
-			return
-		}
+		req.generates = true
 	}
 	d.place(now, req)
 }
@@ -137,13 +129,29 @@
 	}
 	e, holder := d.choose(now, req)
 	if e == nil {
-		d.wait(now, req)
+		d.wait(now, req, ReasonNoEndpoint)
+
+		return
+	}
+	if req.generates && !req.relayed && !d.admits(req, e) {
+		d.wait(now, req, ReasonOverload)
 
 		return
 	}
 	d.dispatch(now, req, e, holder)
 }
 
+// admits tells whether an engine takes a request on.
+func (d *Director) admits(req *request, e *endpoint) bool {
+	gap := req.route.Gap
+	if req.Need.Long() {
+		// Reading a long prompt takes longer than any pause by itself.
+		gap = 0
+	}
+
+	return req.service.reader.Admit(e.load.Unread(), req.route.Target, gap)
+}
+
 // choose returns the endpoint for a request, or nil, and the endpoint that
 // probably keeps the shared parts of its prompt, or nil.
 func (d *Director) choose(now time.Time, req *request) (chosen, holder *endpoint) {
@@ -195,13 +203,12 @@
 		e.pace.Pass(now)
 	}
 	req.at = e
-	if req.group != nil && !req.relayed {
-		req.pending = true
-		req.group.Send()
+	if req.generates && !req.relayed {
+		req.pending, req.alone = true, e.load.Own.Pending+e.load.Others.Pending == 0
 		e.load.Own.AddPending(req.Need, 1)
 	}
 	e.load.Own.Add(req.Need, 1)
-	if req.group != nil {
+	if req.generates {
 		req.service.splitter.Add(req.Need, 1)
 	}
 	urgency := req.route.Priority
@@ -241,11 +248,10 @@
 	req.at = nil
 	if req.pending {
 		req.pending = false
-		req.group.Drop()
 		e.load.Own.AddPending(req.Need, -1)
 	}
 	e.load.Own.Add(req.Need, -1)
-	if req.group != nil {
+	if req.generates {
 		req.service.splitter.Add(req.Need, -1)
 	}
 
@@ -254,10 +260,10 @@
 
 // wait keeps a request until an endpoint can take it, for a small part of its
 // target.
-func (d *Director) wait(now time.Time, req *request) {
+func (d *Director) wait(now time.Time, req *request, reason Reason) {
 	patience := req.arrived.Add(req.route.Target / waitShare)
 	if now.After(patience) || len(req.service.endpoints) == 0 {
-		d.giveUp(now, req, ReasonNoEndpoint)
+		d.giveUp(now, req, reason)
 
 		return
 	}
@@ -290,13 +296,16 @@
 	}
 	if req.pending {
 		req.pending = false
-		req.group.Begin(now)
+		if req.alone {
+			req.service.reader.Note(req.Need.Unread(), e.Wait)
+		}
 		req.at.load.Own.AddPending(req.Need, -1)
 	}
 	req.at.failures = 0
 	if now.Before(req.at.suspended) {
 		req.at.suspended = now
 	}
+	d.retryWaiting(now)
 }
 
 // finished takes the end of an attempt.
