Bound the wait for a slot, draw engines, and count refusals of urgent requests

Half of the calls to the store were single changes. Change: the admitter bounds the wait for a slot; a request compares three drawn engines; the weight of a long prompt follows the slots; refused requests of the more urgent group count as running; changes are gathered for 200 ms.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -16,6 +16,10 @@
 	// gapShare is the part of the longest pause that reading without a rest may
 	// take.
 	gapShare = 1.2
+	// slotShare is the part of the target that the wait for a slot may take.
+	slotShare = 0.5
+	// stayWeight is the weight of a new time in the mean.
+	stayWeight = 0.05
 	// leastSample is the number of prompt tokens from which the time to the
 	// first token shows the speed of reading.
 	leastSample = 1500
@@ -29,6 +33,8 @@
 type Reader struct {
 	// speed is in tokens by second.
 	speed float64
+	// stay is the moving mean of the time that a request runs.
+	stay time.Duration
 }
 
 // Note takes the time to the first token of a request that found nothing unread
@@ -45,6 +51,26 @@
 	}
 }
 
+// Stay notes how long a request has run.
+func (r *Reader) Stay(took time.Duration) {
+	if r.stay == 0 {
+		r.stay = took
+	}
+	r.stay += time.Duration(stayWeight * float64(took-r.stay))
+}
+
+// HasSlot tells whether an engine with a number of running requests has a slot
+// for another one in time. An engine starts no more than slots requests; the
+// next ones wait for the end of one.
+func (r *Reader) HasSlot(running, slots int, target time.Duration) bool {
+	if slots <= 0 || running < slots {
+		return true
+	}
+	free := r.stay / time.Duration(slots)
+
+	return time.Duration(running-slots+1)*free <= time.Duration(slotShare*float64(target))
+}
+
 // Wait returns how long an engine needs to read tokens, or zero if the speed is
 // not known.
 func (r *Reader) Wait(unread float64) time.Duration {
--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -28,6 +28,11 @@
 	// share, or zero, and Reused the tokens of all parts up to it.
 	Shared uint64
 	Reused int
+	// Seed differs between requests; it deals the requests of all nodes to
+	// different engines.
+	Seed uint64
+	// Urgency is the rank of the request, 0 first.
+	Urgency int
 }
 
 const (
@@ -47,6 +52,9 @@
 // are cached.
 func (n Need) Work() float64 { return n.Unread() + outputWork*float64(n.Output) }
 
+// Running returns the requests of all nodes at the engine.
+func (e *Engine) Running() int { return e.Own.Running + e.Others.Running }
+
 // Unread returns the prompt tokens that are read if the shared parts are
 // cached.
 func (n Need) Unread() float64 { return float64(max(n.Prompt-n.Reused, 0)) }
@@ -101,9 +109,7 @@
 
 // load returns the load that the choice compares.
 func (e *Engine) load() float64 {
-	running := e.Own.Running + e.Others.Running
-
-	return (runningLoad*float64(running) + e.Unread()/unreadScale) * (1 + e.Penalty)
+	return (runningLoad*float64(e.Running()) + e.Unread()/unreadScale) * (1 + e.Penalty)
 }
 
 const (
@@ -121,6 +127,11 @@
 	// as one long prompt: streams share their steps, while prompts are read one
 	// after another.
 	longWeight = 6.0
+	// slotUse is the part of an engine's slots that short requests fill before
+	// they count as much of an engine as in a large batch, and largeBatch that
+	// batch.
+	slotUse    = 0.5
+	largeBatch = 16
 	// leastMean is the mean number of running requests up to which a group
 	// counts as idle.
 	leastMean = 0.05
@@ -143,6 +154,13 @@
 	// othersShort those of the other nodes.
 	long, short             int
 	othersLong, othersShort int
+	// refused is the moving number of refused requests of the more urgent group,
+	// which would run if the group had more engines, and refusedLong tells that
+	// it is the one of long prompts.
+	refused     float64
+	refusedLong bool
+	// urgencyLong and urgencyShort are the ranks of the last requests.
+	urgencyLong, urgencyShort int
 	// meanLong and meanShort are the moving averages of all running requests.
 	meanLong, meanShort float64
 	updated             time.Time
@@ -158,13 +176,35 @@
 func (s *Splitter) Add(n Need, sign int) {
 	if n.Long() {
 		s.long += sign
+		s.urgencyLong = n.Urgency
 	} else {
 		s.short += sign
+		s.urgencyShort = n.Urgency
 	}
 }
 
-// Running returns the node's running requests.
-func (s *Splitter) Running() (long, short int) { return s.long, s.short }
+// Refuse notes a request that no engine of its group has taken on. Those of the
+// less urgent group do not count: it gets what the other one leaves.
+func (s *Splitter) Refuse(now time.Time, n Need) {
+	s.average(now)
+	long := n.Long()
+	if long && s.urgencyLong > s.urgencyShort || !long && s.urgencyShort > s.urgencyLong {
+		return
+	}
+	if long != s.refusedLong {
+		s.refused, s.refusedLong = 0, long
+	}
+	s.refused++
+}
+
+// Running returns the node's running requests, with those that would run.
+func (s *Splitter) Running() (long, short int) {
+	if s.refusedLong {
+		return s.long + int(s.refused), s.short
+	}
+
+	return s.long, s.short + int(s.refused)
+}
 
 // Hear takes the running requests of the other nodes.
 func (s *Splitter) Hear(long, short int) { s.othersLong, s.othersShort = long, short }
@@ -176,8 +216,10 @@
 		keep = math.Exp(-now.Sub(s.updated).Seconds() / splitMemory.Seconds())
 	}
 	s.updated = now
-	s.meanLong = keep*s.meanLong + (1-keep)*float64(s.long+s.othersLong)
-	s.meanShort = keep*s.meanShort + (1-keep)*float64(s.short+s.othersShort)
+	s.refused *= keep
+	long, short := s.Running()
+	s.meanLong = keep*s.meanLong + (1-keep)*float64(long+s.othersLong)
+	s.meanShort = keep*s.meanShort + (1-keep)*float64(short+s.othersShort)
 }
 
 // Long returns the number of engines that long prompts had in the last choice.
@@ -185,8 +227,12 @@
 
 // longEngines returns the number of engines of long prompts out of n. Each
 // group that has work keeps an engine.
-func (s *Splitter) longEngines(n int) int {
-	long, short := s.meanLong*longWeight, s.meanShort
+func (s *Splitter) longEngines(n, slots int) int {
+	weight := longWeight
+	if slots > 0 {
+		weight *= min(slotUse*float64(slots)/largeBatch, 1)
+	}
+	long, short := s.meanLong*weight, s.meanShort
 	if n < 2 || long < leastMean || short < leastMean {
 		return n
 	}
@@ -208,7 +254,9 @@
 }
 
 // Choose returns the engine for a request. It may reorder engines.
-func (s *Splitter) Choose(now time.Time, n Need, engines []*Engine) Choice {
+//
+// slots is the number of requests that an engine runs at once, or zero.
+func (s *Splitter) Choose(now time.Time, n Need, slots int, engines []*Engine) Choice {
 	if len(engines) == 0 {
 		return Choice{}
 	}
@@ -223,7 +271,7 @@
 			return 0
 		}
 	})
-	k := s.longEngines(len(engines))
+	k := s.longEngines(len(engines), slots)
 	s.used = k
 	group := engines
 	switch {
@@ -239,7 +287,7 @@
 		return Choice{Engine: e, Holder: s.holder(now, n, e, engines)}
 	}
 
-	return Choice{Engine: least(group)}
+	return Choice{Engine: draw(n, group)}
 }
 
 const (
@@ -328,7 +376,7 @@
 		}
 	}
 
-	return least(group)
+	return draw(n, group)
 }
 
 // nearBonus is the load that a request may add to stay in the data centre.
@@ -351,6 +399,26 @@
 	return best
 }
 
+// draws is the number of engines that a request compares. Nodes know the load
+// of the others a few hundred milliseconds late: if all took the engine with the
+// least load, it would get the requests of that time at once.
+const draws = 3
+
+// draw returns the engine with the least load of a few.
+func draw(n Need, engines []*Engine) *Engine {
+	if len(engines) <= draws {
+		return least(engines)
+	}
+	var some [draws]*Engine
+	for i := range some {
+		at := mix(n.Seed+uint64(i)) % uint64(len(engines)-i)
+		engines[i], engines[i+int(at)] = engines[i+int(at)], engines[i]
+		some[i] = engines[i]
+	}
+
+	return least(some[:])
+}
+
 // mix is the finalizer of splitmix64.
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -59,8 +59,9 @@
 	relayed bool
 	// gone tells that the caller has left.
 	gone bool
-	// waits tells that the request is among the waiting.
-	waits bool
+	// waits tells that the request is among the waiting, and waited that it has
+	// been.
+	waits, waited bool
 }
 
 // arrive takes a request in or refuses it.
@@ -96,6 +97,7 @@
 		req.until = now.Add(q.Deadline)
 	}
 	req.service = d.service(req.route.Service(q.Name))
+	req.Need.Seed, req.Need.Urgency = xxhash.Sum64String(q.Name), req.urgency()
 	req.service.retries.Request(now)
 	if d.engine(req) != nil {
 		req.generates = true
@@ -133,7 +135,10 @@
 
 		return
 	}
-	if req.generates && !req.relayed && !d.admits(req, e) {
+	if d.engine(req) != nil && !req.relayed && !d.admits(req, e) {
+		if !req.waits && !req.waited {
+			req.service.splitter.Refuse(now, req.Need)
+		}
 		d.wait(now, req, ReasonOverload)
 
 		return
@@ -149,7 +154,10 @@
 		gap = 0
 	}
 
-	return req.service.reader.Admit(e.load.Unread(), req.route.Target, gap)
+	reader := &req.service.reader
+
+	return reader.Admit(e.load.Unread(), req.route.Target, gap) &&
+		reader.HasSlot(e.load.Running(), d.engine(req).Slots, req.route.Target)
 }
 
 // choose returns the endpoint for a request, or nil, and the endpoint that
@@ -163,8 +171,8 @@
 		}
 	}
 	var choice chooser.Choice
-	if d.engine(req) != nil {
-		choice = req.service.splitter.Choose(now, req.Need, candidates)
+	if engine := d.engine(req); engine != nil {
+		choice = req.service.splitter.Choose(now, req.Need, engine.Slots, candidates)
 	} else {
 		choice.Engine = chooser.Plain(candidates)
 	}
@@ -211,13 +219,9 @@
 	if req.generates {
 		req.service.splitter.Add(req.Need, 1)
 	}
-	urgency := req.route.Priority
 	account := ""
 	if req.account != nil {
 		account = req.account.Name
-		if req.account.Priority != nil {
-			urgency = *req.account.Priority
-		}
 	}
 	connections := 0
 	if s := d.table.Service(req.service.name); s != nil {
@@ -225,7 +229,7 @@
 	}
 	dispatch := Dispatch{
 		ID: req.ID, Endpoint: e.entry.ID, Address: e.entry.Address, Account: account,
-		Urgency: min(max(urgency, 0), 9), Route: req.route, Until: req.until,
+		Urgency: min(max(req.urgency(), 0), 9), Route: req.route, Until: req.until,
 		Resume: req.relayed, Connections: connections,
 	}
 	if holder != nil {
@@ -239,6 +243,15 @@
 	d.emit(dispatch)
 }
 
+// urgency returns the rank of the request, 0 first.
+func (req *request) urgency() int {
+	if req.account != nil && req.account.Priority != nil {
+		return *req.account.Priority
+	}
+
+	return req.route.Priority
+}
+
 // release ends the use of the endpoint of the attempt.
 func (req *request) release() *endpoint {
 	e := req.at
@@ -268,7 +281,7 @@
 		return
 	}
 	if !req.waits {
-		req.waits = true
+		req.waits, req.waited = true, true
 		d.waiting = append(d.waiting, req)
 	}
 }
@@ -397,6 +410,9 @@
 			}
 		}
 	}
+	if req.generates && f.Status == http.StatusOK {
+		req.service.reader.Stay(f.Took)
+	}
 	d.emit(Relay{ID: req.ID})
 	d.emit(Observe{Kind: req.route.Kind, Value: now.Sub(req.arrived)})
 	d.logAnswered(now, req, e, f)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -96,6 +96,8 @@
 	watchMargin = 500 * time.Millisecond
 	// listTimeout bounds the time to read everything.
 	listTimeout = 2 * time.Second
+	// gatherTime is the pause after changes, in which others join the next ones.
+	gatherTime = 200 * time.Millisecond
 	// retryLeast and retryMost bound the pause between two failed calls.
 	retryLeast = 100 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
@@ -146,9 +148,14 @@
 		return
 	}
 	f.opts.Post(director.Lost{})
+	pause(ctx, min(retryLeast*time.Duration(f.failures-1), retryMost))
+}
+
+// pause waits for a time or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(min(retryLeast*time.Duration(f.failures-1), retryMost)):
+	case <-time.After(d):
 	}
 }
 
@@ -179,6 +186,10 @@
 	}
 	f.opts.Post(director.Confirmed{At: sent})
 	f.apply(view)
+	if len(view.Changes) > 0 {
+		// Changes come in groups, and each call is priced.
+		pause(ctx, gatherTime)
+	}
 
 	return nil
 }
