--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -29,6 +29,9 @@
 	// firstHello that before the node knows another one.
 	helloInterval = 2 * time.Second
 	firstHello    = 300 * time.Millisecond
+	// vouchLife is how long a node counts as alive that a speaker has heard. It
+	// outlasts the speaker, so that its members know each other at its end.
+	vouchLife = 3 * time.Second
 	// strangerLife is how long a node of another data centre is remembered.
 	strangerLife = 5 * time.Second
 	// maxKnown bounds the nodes that are remembered.
@@ -59,13 +62,14 @@
 }
 
 func (m *member) alive(now time.Time) bool {
-	return now.Sub(m.heard) < lifetime || now.Sub(m.vouched) < lifetime
+	return now.Sub(m.heard) < lifetime || now.Sub(m.vouched) < vouchLife
 }
 
 // centre is what is known of another data centre.
 type centre struct {
-	// speaker is the address that last spoke for it.
-	speaker netip.Addr
+	// speaker is the address that last spoke for it, and deputy the one that is
+	// tried when it is silent.
+	speaker, deputy netip.Addr
 	named   time.Time
 	sum     encoder.Sum
 	summed  time.Time
@@ -101,14 +105,26 @@
 
 // speaker returns the speaker of the own data centre.
 func (a *Aggregator) speaker(now time.Time) netip.Addr {
-	lowest := a.opts.Self
+	speaker, _ := a.lead(now)
+
+	return speaker
+}
+
+// lead returns the speaker of the own data centre and its deputy, which is
+// invalid if there is none.
+func (a *Aggregator) lead(now time.Time) (speaker, deputy netip.Addr) {
+	speaker = a.opts.Self
 	for addr, m := range a.members {
-		if m.alive(now) && addr.Less(lowest) {
-			lowest = addr
+		switch {
+		case !m.alive(now):
+		case addr.Less(speaker):
+			speaker, deputy = addr, speaker
+		case !deputy.IsValid() || addr.Less(deputy):
+			deputy = addr
 		}
 	}
 
-	return lowest
+	return speaker, deputy
 }
 
 // Tick forgets what is too old and returns the messages of the node. own is its
@@ -175,19 +191,25 @@
 		}
 	}
 	slices.SortFunc(live, netip.Addr.Compare)
+	_, deputy := a.lead(now)
 	var out []Output
 	for _, name := range a.names() {
 		c := a.centres[name]
-		out = append(out, Output{c.speaker, &encoder.Digest{
-			Centre: a.opts.Centre, Speaker: number(a.opts.Self), Sums: []encoder.Sum{total},
-		}})
+		digest := &encoder.Digest{
+			Centre: a.opts.Centre, Speaker: number(a.opts.Self), Deputy: number(deputy), Sums: []encoder.Sum{total},
+		}
+		out = append(out, Output{c.speaker, digest})
+		if now.Sub(c.summed) >= lifetime && c.deputy.IsValid() && c.deputy != c.speaker {
+			out = append(out, Output{c.deputy, digest})
+		}
 	}
 	members := numbers(append([]netip.Addr{a.opts.Self}, live...))
 	others, sums := a.speakers(), a.foreign(now)
 	for _, addr := range live {
 		rest := subtract(total, a.members[addr].sum)
 		out = append(out, Output{addr, &encoder.Digest{
-			Centre: a.opts.Centre, Speaker: number(a.opts.Self), Members: members, Others: others,
+			Centre: a.opts.Centre, Speaker: number(a.opts.Self), Deputy: number(deputy),
+			Members: members, Others: others,
 			Sums: append([]encoder.Sum{rest}, sums...),
 		}})
 	}
@@ -210,7 +232,8 @@
 func (a *Aggregator) speakers() []encoder.Speaker {
 	var list []encoder.Speaker
 	for _, name := range a.names() {
-		list = append(list, encoder.Speaker{Centre: name, Address: number(a.centres[name].speaker)})
+		c := a.centres[name]
+		list = append(list, encoder.Speaker{Centre: name, Address: number(c.speaker), Deputy: number(c.deputy)})
 	}
 
 	return list
@@ -285,7 +308,8 @@
 
 // introduction tells a node of a data centre who is there.
 func (a *Aggregator) introduction(now time.Time, name string) *encoder.Digest {
-	d := &encoder.Digest{Centre: a.opts.Centre, Speaker: number(a.speaker(now)), Others: a.speakers()}
+	speaker, deputy := a.lead(now)
+	d := &encoder.Digest{Centre: a.opts.Centre, Speaker: number(speaker), Deputy: number(deputy), Others: a.speakers()}
 	if name == a.opts.Centre {
 		for addr, m := range a.members {
 			if m.alive(now) {
@@ -310,6 +334,9 @@
 		if s.Centre != a.opts.Centre && a.centres[s.Centre] == nil && len(a.centres) < maxKnown {
 			a.centres[s.Centre] = &centre{speaker: address(s.Address), named: now}
 		}
+		if c := a.centres[s.Centre]; c != nil && s.Deputy != 0 {
+			c.deputy = address(s.Deputy)
+		}
 	}
 	if d.Centre != a.opts.Centre {
 		return append(out, a.foreignDigest(now, from, d)...)
@@ -320,7 +347,7 @@
 	spoken := len(d.Sums) > 0
 	for _, n := range d.Members {
 		addr := address(n)
-		if addr == a.opts.Self {
+		if addr == a.opts.Self || addr == from {
 			continue
 		}
 		known := a.members[addr]
@@ -356,6 +383,9 @@
 		a.centres[d.Centre] = c
 	}
 	c.speaker, c.named = address(d.Speaker), now
+	if d.Deputy != 0 {
+		c.deputy = address(d.Deputy)
+	}
 	for _, sum := range d.Sums {
 		if sum.Centre == d.Centre {
 			c.sum, c.summed = sum, now
@@ -369,7 +399,7 @@
 	}
 	if len(d.Sums) > 0 && a.speaker(now) != a.opts.Self {
 		// The speaker of the other data centre does not know the own one.
-		out = append(out, Output{from, &encoder.Digest{Centre: a.opts.Centre, Speaker: number(a.speaker(now))}})
+		out = append(out, Output{from, a.introduction(now, d.Centre)})
 	}
 
 	return out
@@ -388,8 +418,11 @@
 	return total
 }
 
-// number returns an IPv4 address as a number.
+// number returns an IPv4 address as a number, which is zero for an invalid one.
 func number(addr netip.Addr) uint32 {
+	if !addr.IsValid() {
+		return 0
+	}
 	b := addr.Unmap().As4()
 
 	return binary.BigEndian.Uint32(b[:])
--- /dev/null
+++ b/internal/aggregator/aggregator_test.go
@@ -0,0 +1,207 @@
+package aggregator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"snipedyke/pkg/encoder"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet runs aggregators whose messages arrive at once.
+type fleet struct {
+	nodes map[netip.Addr]*Aggregator
+	order []netip.Addr
+	now   time.Time
+	rng   *rand.Rand
+	// loss is the share of messages that are lost.
+	loss float64
+	// cut tells that no message passes between two nodes.
+	cut      func(a, b netip.Addr) bool
+	messages int
+	foreign  int
+	centre   map[netip.Addr]string
+}
+
+// newFleet returns a fleet of nodes that are dealt to data centres in turn. The
+// first three are the seeds.
+func newFleet(n, centres int) *fleet {
+	f := &fleet{
+		nodes: map[netip.Addr]*Aggregator{}, now: start, rng: rand.New(rand.NewPCG(1, 2)),
+		cut: func(netip.Addr, netip.Addr) bool { return false }, centre: map[netip.Addr]string{},
+	}
+	for i := range n {
+		addr := netip.AddrFrom4([4]byte{10, byte(1 + i%centres), byte(i / 250), byte(i % 250)})
+		f.order = append(f.order, addr)
+		f.centre[addr] = fmt.Sprint("centre-", i%centres)
+	}
+	for _, addr := range f.order {
+		f.boot(addr)
+	}
+
+	return f
+}
+
+func (f *fleet) boot(addr netip.Addr) {
+	f.nodes[addr] = New(Options{Self: addr, Centre: f.centre[addr], Seeds: f.order[:min(3, len(f.order))]})
+}
+
+func (f *fleet) deliver(from netip.Addr, out []Output) {
+	for _, o := range out {
+		f.messages++
+		if f.centre[from] != f.centre[o.To] {
+			f.foreign++
+		}
+		to := f.nodes[o.To]
+		if to == nil || f.cut(from, o.To) || f.rng.Float64() < f.loss {
+			continue
+		}
+		buf, err := encoder.Append(nil, o.Message)
+		if err != nil {
+			panic(err)
+		}
+		m, err := encoder.Decode(buf)
+		if err != nil {
+			panic(err)
+		}
+		f.deliver(o.To, to.Receive(f.now, from, m))
+	}
+}
+
+// run passes a time in which node i runs i+1 requests at endpoint 7.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(Interval)
+		for i, addr := range f.order {
+			if n := f.nodes[addr]; n != nil {
+				f.deliver(addr, n.Tick(f.now, encoder.Sum{Long: 1, Loads: []encoder.Load{{Endpoint: 7, Running: uint16(i + 1)}}}))
+			}
+		}
+	}
+}
+
+// check fails unless each node knows the load of all other live nodes.
+func (f *fleet) check(c *qt.C, comment string) {
+	total, live := 0, 0
+	for i, addr := range f.order {
+		if f.nodes[addr] != nil {
+			total += i + 1
+			live++
+		}
+	}
+	for i, addr := range f.order {
+		n := f.nodes[addr]
+		if n == nil {
+			continue
+		}
+		others := n.Others(f.now)
+		c.Assert(int(others.Nodes), qt.Equals, live-1, qt.Commentf("%s: node %d", comment, i))
+		c.Assert(others.Loads, qt.HasLen, 1, qt.Commentf("%s: node %d", comment, i))
+		c.Assert(int(others.Loads[0].Running), qt.Equals, total-i-1, qt.Commentf("%s: node %d", comment, i))
+	}
+}
+
+// Guards against nodes that do not find each other, or count a load twice or
+// not at all.
+func TestEachNodeKnowsTheLoadOfAllOthers(t *testing.T) {
+	c := qt.New(t)
+	for _, size := range []struct{ nodes, centres int }{{1, 1}, {2, 1}, {6, 4}, {8, 3}, {73, 4}} {
+		f := newFleet(size.nodes, size.centres)
+		f.run(4 * time.Second)
+		if size.nodes > 1 {
+			f.check(c, fmt.Sprint(size))
+		}
+	}
+}
+
+// Guards against a data centre that stays without a speaker after its end, and
+// against nodes that are counted after they have ended.
+func TestSpeakersAreReplaced(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(12, 3)
+	f.run(4 * time.Second)
+	for _, i := range []int{0, 1, 2} {
+		f.nodes[f.order[i]] = nil
+	}
+	f.run(4 * time.Second)
+	f.check(c, "all speakers and seeds ended")
+	for _, i := range []int{0, 1, 2} {
+		f.boot(f.order[i])
+	}
+	f.run(6 * time.Second)
+	f.check(c, "they are back")
+}
+
+// Guards against a fleet that does not find itself after all processes ended.
+func TestAllStartAnew(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(8, 3)
+	f.run(4 * time.Second)
+	for _, addr := range f.order {
+		f.boot(addr)
+	}
+	f.run(4 * time.Second)
+	f.check(c, "all restarted")
+}
+
+// Guards against parts of a fleet that do not join again after a cut.
+func TestCutHeals(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(9, 3)
+	f.run(4 * time.Second)
+	f.cut = func(a, b netip.Addr) bool { return (f.centre[a] == "centre-0") != (f.centre[b] == "centre-0") }
+	f.run(10 * time.Second)
+	c.Check(int(f.nodes[f.order[0]].Others(f.now).Nodes), qt.Equals, 2)
+	c.Check(int(f.nodes[f.order[1]].Others(f.now).Nodes), qt.Equals, 5)
+	f.cut = func(netip.Addr, netip.Addr) bool { return false }
+	f.run(6 * time.Second)
+	f.check(c, "healed")
+}
+
+// Guards against a view that breaks down when a datagram in twenty is lost.
+func TestLostMessages(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(12, 3)
+	f.loss = 0.05
+	f.run(20 * time.Second)
+	f.loss = 0
+	f.run(2 * time.Second)
+	f.check(c, "after losses")
+}
+
+// Guards against traffic that grows with the square of the fleet.
+func TestMessagesGrowWithTheFleet(t *testing.T) {
+	c := qt.New(t)
+	perNode := func(nodes, centres int) (all, foreign float64) {
+		f := newFleet(nodes, centres)
+		f.run(5 * time.Second)
+		f.messages, f.foreign = 0, 0
+		f.run(10 * time.Second)
+
+		return float64(f.messages) / float64(nodes) / 10, float64(f.foreign) / float64(nodes) / 10
+	}
+	small, _ := perNode(12, 4)
+	large, foreign := perNode(330, 9)
+	c.Check(large < 2*small, qt.IsTrue, qt.Commentf("%.1f and %.1f messages a node and second", small, large))
+	c.Check(foreign < 4, qt.IsTrue, qt.Commentf("%.1f between data centres", foreign))
+	t.Logf("messages a node and second: 12 nodes %.1f, 330 nodes %.1f, of these between data centres %.1f", small, large, foreign)
+}
+
+// Guards against a difference of loads that wraps around when a node's report
+// is younger than the sum.
+func TestSubtractDoesNotWrap(t *testing.T) {
+	c := qt.New(t)
+	rest := subtract(
+		encoder.Sum{Nodes: 1, Long: 1, Loads: []encoder.Load{{Endpoint: 1, Running: 2, Work: 5}, {Endpoint: 3, Running: 1}}},
+		encoder.Sum{Nodes: 2, Long: 2, Loads: []encoder.Load{{Endpoint: 1, Running: 1, Work: 9}, {Endpoint: 2, Running: 4}, {Endpoint: 3, Running: 1}}},
+	)
+	c.Check(rest.Nodes, qt.Equals, uint16(0))
+	c.Check(rest.Long, qt.Equals, float32(0))
+	c.Check(rest.Loads, qt.DeepEquals, []encoder.Load{{Endpoint: 1, Running: 1}})
+}
--- /dev/null
+++ b/internal/director/director_test.go
@@ -0,0 +1,381 @@
+package director
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"snipedyke/internal/chooser"
+	"snipedyke/internal/registrar"
+	"snipedyke/internal/router"
+	"snipedyke/pkg/encoder"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// node drives a director and keeps its effects.
+type node struct {
+	*Director
+	now     time.Time
+	effects []Effect
+}
+
+func options() Options {
+	return Options{
+		Name: "n1", DataCentre: "kochi", Regions: map[string]string{"kochi": "kerala", "kollam": "kerala"},
+		KeyLease: 3800 * time.Millisecond, FreshView: 3500 * time.Millisecond, Nodes: 6,
+		ColdFactor: 1.5, ColdSlack: 5, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 52,
+	}
+}
+
+func table(version uint64) *router.Table {
+	t, err := router.New(router.Definition{
+		Version: version,
+		Services: []router.Service{
+			{Name: "desk", Cold: 3 * time.Second, ColdRate: 10},
+			{Name: "model", Cold: 3 * time.Second, ColdRate: 10, Engine: &router.Engine{Slots: 4}},
+		},
+		Routes: []router.Route{
+			{Name: "pay", Host: "h", Prefix: "/pay/", Kind: router.Unsafe, Timeout: time.Second, Target: 100 * time.Millisecond, Attempts: 2, Shares: []router.Share{{Service: "desk", Weight: 1}}},
+			{Name: "look", Host: "h", Prefix: "/look/", Kind: router.Safe, Timeout: time.Second, Target: 100 * time.Millisecond, Attempts: 2, Shares: []router.Share{{Service: "desk", Weight: 1}}},
+			{Name: "chat", Host: "h", Prefix: "/chat/", Kind: router.Stream, Timeout: 15 * time.Second, Target: 600 * time.Millisecond, Gap: 150 * time.Millisecond, Attempts: 1, Shares: []router.Share{{Service: "model", Weight: 1}}},
+			{Name: "draft", Host: "h", Prefix: "/draft/", Kind: router.Stream, Resumable: true, Timeout: 6 * time.Second, Target: 600 * time.Millisecond, Gap: 250 * time.Millisecond, Attempts: 2, Priority: 1, Shares: []router.Share{{Service: "model", Weight: 1}}},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: router.Safe, Public: true, Timeout: time.Second, Target: 100 * time.Millisecond, Attempts: 1, Shares: []router.Share{{Service: "desk", Weight: 1}}},
+		},
+		Accounts: []router.Account{{Name: "club"}},
+		Keys:     map[string]string{"key": "club"},
+	})
+	if err != nil {
+		panic(err)
+	}
+
+	return t
+}
+
+func entry(service string, i int) registrar.Entry {
+	return registrar.Entry{
+		ID: fmt.Sprintf("%s-%d", service, i), Service: service, DataCentre: "kochi",
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(len(service)), byte(i)}), 80),
+	}
+}
+
+// newNode returns a node that is ready, with three endpoints of each service.
+func newNode() *node {
+	n := &node{Director: New(options()), now: start}
+	n.post(TableLoaded{table(1)})
+	var entries []registrar.Entry
+	for i := range 3 {
+		entries = append(entries, entry("desk", i), entry("model", i))
+	}
+	n.post(EntriesListed{entries})
+	n.post(Confirmed{n.now})
+	n.post(Heard{encoder.Sum{Nodes: 5}})
+	n.now = n.now.Add(learnTime)
+	n.post(Confirmed{n.now})
+
+	return n
+}
+
+func (n *node) post(e Event) []Effect {
+	n.effects = append([]Effect(nil), n.Reduce(n.now, e)...)
+
+	return n.effects
+}
+
+// find returns the first effect of a type.
+func find[T Effect](effects []Effect) (T, bool) {
+	for _, e := range effects {
+		if t, ok := e.(T); ok {
+			return t, true
+		}
+	}
+	var zero T
+
+	return zero, false
+}
+
+func (n *node) arrive(id uint64, path string) []Effect {
+	return n.post(Arrived{Request{ID: id, Name: fmt.Sprint("r", id), Host: "h", Path: path, Key: "key", Deadline: time.Second}})
+}
+
+// Guards against a second run of what may run once, and against a refusal that
+// claims that it has not run.
+func TestUnsafeRequestIsNotSentAgainAfterItMayHaveRun(t *testing.T) {
+	c := qt.New(t)
+	for _, result := range []Result{Broken, Silent} {
+		n := newNode()
+		_, sent := find[Dispatch](n.arrive(1, "/pay/1"))
+		c.Assert(sent, qt.IsTrue)
+		effects := n.post(Finished{ID: 1, Result: result})
+		_, again := find[Dispatch](effects)
+		c.Check(again, qt.IsFalse)
+		refuse, _ := find[Refuse](effects)
+		c.Check(refuse.Status == 502 || refuse.Status == 504, qt.IsTrue, qt.Commentf("%s: %d", result, refuse.Status))
+	}
+}
+
+// Guards against the loss of a request that an endpoint has certainly not run.
+func TestUnreachedAndDeclinedRequestsGoElsewhere(t *testing.T) {
+	c := qt.New(t)
+	for _, result := range []Result{Unreached, Misdirected, Declined} {
+		n := newNode()
+		first, _ := find[Dispatch](n.arrive(1, "/pay/1"))
+		second, again := find[Dispatch](n.post(Finished{ID: 1, Result: result}))
+		c.Assert(again, qt.IsTrue, qt.Commentf("%s", result))
+		c.Check(second.Endpoint, qt.Not(qt.Equals), first.Endpoint)
+	}
+}
+
+// Guards against keys that are accepted although they may have been withdrawn,
+// while what needs no key is served on.
+func TestKeysNeedAYoungView(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	n.now = n.now.Add(options().KeyLease)
+	_, sent := find[Dispatch](n.arrive(1, "/pay/1"))
+	c.Check(sent, qt.IsTrue)
+	n.now = n.now.Add(time.Millisecond)
+	refuse, _ := find[Refuse](n.arrive(2, "/pay/1"))
+	c.Check(refuse.Status, qt.Equals, 503)
+	c.Check(refuse.Reason, qt.Equals, ReasonStaleView)
+	c.Check(refuse.RetryAfter > 0, qt.IsTrue)
+	_, sent = find[Dispatch](n.arrive(3, "/open/1"))
+	c.Check(sent, qt.IsTrue)
+	c.Check(n.Ready(), qt.IsFalse)
+	n.post(Confirmed{n.now})
+	c.Check(n.Ready(), qt.IsTrue)
+}
+
+// Guards against a final refusal of what a newer view may allow.
+func TestUnknownRouteAndKeyAreFinalOnlyInAFreshView(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	refuse, _ := find[Refuse](n.arrive(1, "none"))
+	c.Check(refuse.Status, qt.Equals, 404)
+	refuse, _ = find[Refuse](n.post(Arrived{Request{ID: 2, Host: "h", Path: "/pay/", Key: "other"}}))
+	c.Check(refuse.Status, qt.Equals, 401)
+	n.now = n.now.Add(options().FreshView + time.Millisecond)
+	refuse, _ = find[Refuse](n.arrive(3, "none"))
+	c.Check(refuse.Status, qt.Equals, 503)
+}
+
+// Guards against a node without routes that refuses requests for good.
+func TestNodeWithoutRoutesSaysComeBack(t *testing.T) {
+	c := qt.New(t)
+	n := &node{Director: New(options()), now: start}
+	refuse, _ := find[Refuse](n.arrive(1, "/pay/1"))
+	c.Check(refuse.Status, qt.Equals, 503)
+	c.Check(n.Ready(), qt.IsFalse)
+}
+
+// Guards against a table that goes back to an older version.
+func TestVersionsOnlyGrow(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	n.post(TableLoaded{table(7)})
+	n.post(TableLoaded{table(6)})
+	c.Check(n.Table().Version(), qt.Equals, uint64(7))
+}
+
+// Guards against a stream that is started again at another endpoint while the
+// caller has events, where it cannot be resumed, and against one that is given
+// up where it can.
+func TestBrokenStreams(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	n.arrive(1, "/chat/1")
+	_, aborted := find[Abort](n.post(Finished{ID: 1, Result: Broken, Relayed: true}))
+	c.Check(aborted, qt.IsTrue)
+
+	n.arrive(2, "/draft/1")
+	d, again := find[Dispatch](n.post(Finished{ID: 2, Result: Broken, Relayed: true}))
+	c.Assert(again, qt.IsTrue)
+	c.Check(d.Resume, qt.IsTrue)
+	_, aborted = find[Abort](n.post(Finished{ID: 2, Result: Broken, Relayed: true}))
+	c.Check(aborted, qt.IsTrue, qt.Commentf("the route allows two endpoints"))
+}
+
+// Guards against work that goes on for callers that have left, and against the
+// end of work that must not be cut.
+func TestCallerLeaves(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	n.arrive(1, "/draft/1")
+	_, cancelled := find[Cancel](n.post(Gone{1}))
+	c.Check(cancelled, qt.IsTrue)
+	n.post(Finished{ID: 1, Result: Cancelled})
+	n.arrive(2, "/pay/1")
+	_, cancelled = find[Cancel](n.post(Gone{2}))
+	c.Check(cancelled, qt.IsFalse)
+	n.post(Finished{ID: 2, Result: Answered, Status: 200})
+	c.Check(n.Active(), qt.Equals, 0)
+}
+
+// Guards against a data centre that comes back cold and is met by all waiting
+// requests at once.
+func TestReturningDataCentreIsPaced(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	n.post(CentresOut{[]string{"kochi"}})
+	refuse, _ := find[Refuse](n.arrive(1, "/pay/1"))
+	if refuse.Status == 0 {
+		n.now = n.now.Add(50 * time.Millisecond)
+		refuse, _ = find[Refuse](n.post(Ticked{}))
+	}
+	c.Check(refuse.Status, qt.Equals, 503)
+	n.post(CentresOut{nil})
+	sent := map[string]int{}
+	for i := range 100 {
+		n.now = n.now.Add(5 * time.Millisecond)
+		if d, ok := find[Dispatch](n.arrive(uint64(10+i), "/pay/1")); ok {
+			sent[d.Endpoint]++
+		}
+	}
+	c.Check(sent, qt.HasLen, 3)
+	for id, count := range sent {
+		// Each of six nodes has a share of 20 requests a second.
+		c.Check(count <= 20/6, qt.IsTrue, qt.Commentf("%s: %d", id, count))
+	}
+}
+
+// Guards against nodes that together send a cold endpoint more than it bears,
+// where the share of each is below one request a second.
+func TestColdShareOfALargeFleet(t *testing.T) {
+	c := qt.New(t)
+	const nodes = 73
+	arrived := map[int]int{}
+	for k := range nodes {
+		o := options()
+		o.Name, o.Nodes = fmt.Sprint("node-", k), nodes
+		n := &node{Director: New(o), now: start}
+		n.post(TableLoaded{table(1)})
+		cold := entry("desk", 0)
+		cold.Cold = 10 * time.Second
+		n.post(EntriesListed{[]registrar.Entry{cold}})
+		for i := range 499 {
+			n.now = n.now.Add(20 * time.Millisecond)
+			n.post(Confirmed{n.now})
+			if _, ok := find[Dispatch](n.arrive(uint64(i), "/look/1")); ok {
+				arrived[int(n.now.Sub(start)/time.Second)]++
+				n.post(Finished{ID: uint64(i), Result: Answered, Status: 200})
+			}
+		}
+	}
+	for second, count := range arrived {
+		c.Check(count <= 20, qt.IsTrue, qt.Commentf("second %d: %d requests", second, count))
+	}
+	c.Check(len(arrived) >= 9, qt.IsTrue)
+}
+
+// Guards against a service whose failures are answered by as many retries.
+func TestRetriesKeepToTheirShare(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	retries := 0
+	for i := range 600 {
+		n.now = n.now.Add(10 * time.Millisecond)
+		n.post(Confirmed{n.now})
+		n.arrive(uint64(i), "/look/1")
+		if _, again := find[Dispatch](n.post(Finished{ID: uint64(i), Result: Answered, Status: 500})); again {
+			retries++
+			n.post(Finished{ID: uint64(i), Result: Answered, Status: 200})
+		}
+	}
+	c.Check(retries <= 600*2/10+52/6+1, qt.IsTrue, qt.Commentf("%d", retries))
+	c.Check(retries > 100, qt.IsTrue, qt.Commentf("%d", retries))
+}
+
+// Guards against more than one answer to a request, none, an attempt at an
+// endpoint that takes no work, more attempts than the route allows, and a
+// refusal of what may have run, in any order of events.
+func TestRandomEventsKeepThePromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNode()
+		type state struct {
+			path       string
+			running    string
+			ran, ended bool
+		}
+		requests := map[uint64]*state{}
+		usable := map[string]bool{}
+		for i := range 3 {
+			usable[entry("desk", i).ID], usable[entry("model", i).ID] = true, true
+		}
+		check := func(effects []Effect) {
+			for _, e := range effects {
+				switch e := e.(type) {
+				case Dispatch:
+					s := requests[e.ID]
+					if s.ended || s.running != "" {
+						t.Fatalf("request %d is sent to %s while %+v", e.ID, e.Endpoint, s)
+					}
+					if !usable[e.Endpoint] {
+						t.Fatalf("%s takes no work", e.Endpoint)
+					}
+					if s.ran && (s.path == "/pay/" || s.path == "/chat/") {
+						t.Fatalf("%s may run twice", s.path)
+					}
+					s.running = e.Endpoint
+				case Refuse:
+					s := requests[e.ID]
+					if s.ended || s.running != "" {
+						t.Fatalf("request %d is refused while %+v", e.ID, s)
+					}
+					if s.ran && e.Status == 503 {
+						t.Fatalf("request %d may have run", e.ID)
+					}
+					s.ended = true
+				case Relay:
+					requests[e.ID].ended = true
+				case Abort:
+					requests[e.ID].ended = true
+				}
+			}
+		}
+		id := uint64(0)
+		for range rapid.IntRange(1, 80).Draw(t, "events") {
+			n.now = n.now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * time.Millisecond)
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			case 0, 1:
+				id++
+				path := rapid.SampledFrom([]string{"/pay/", "/look/", "/chat/", "/draft/"}).Draw(t, "path")
+				requests[id] = &state{path: path}
+				need := chooser.Need{Prompt: rapid.IntRange(10, 9000).Draw(t, "prompt"), Output: 50}
+				check(n.post(Arrived{Request{ID: id, Name: fmt.Sprint(id), Host: "h", Path: path, Key: "key", Deadline: time.Second, Need: need}}))
+			case 2, 3:
+				for r := uint64(1); r <= id; r++ {
+					s := requests[r]
+					if s.running == "" || s.ended {
+						continue
+					}
+					result := Result(rapid.IntRange(int(Answered), int(Silent)).Draw(t, "result"))
+					s.running = ""
+					s.ran = s.ran || result == Broken || result == Silent
+					check(n.post(Finished{ID: r, Result: result, Status: rapid.SampledFrom([]int{200, 500}).Draw(t, "status")}))
+
+					break
+				}
+			case 4:
+				e := entry(rapid.SampledFrom([]string{"desk", "model"}).Draw(t, "service"), rapid.IntRange(0, 2).Draw(t, "endpoint"))
+				e.Draining = rapid.Bool().Draw(t, "draining")
+				usable[e.ID] = !e.Draining
+				check(n.post(EntryPut{e}))
+			case 5:
+				check(n.post(Ticked{}))
+			case 6:
+				check(n.post(Confirmed{n.now}))
+			}
+		}
+		n.now = n.now.Add(time.Second)
+		check(n.post(Ticked{}))
+		for r, s := range requests {
+			if !s.ended && s.running == "" {
+				t.Fatalf("request %d has no answer and waits for nothing: %+v", r, s)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,206 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"snipedyke/internal/director"
+	"snipedyke/internal/registrar"
+	"snipedyke/internal/router"
+)
+
+// answer is what a source answers to one call after a time.
+type answer struct {
+	after time.Duration
+	view  View
+	err   error
+}
+
+// source plays answers and then answers nothing any more.
+type source struct {
+	answers []answer
+	calls   []string
+}
+
+func (s *source) next(ctx context.Context, call string, wait time.Duration) (View, error) {
+	s.calls = append(s.calls, call)
+	if len(s.answers) == 0 {
+		<-ctx.Done()
+
+		return View{}, ctx.Err()
+	}
+	a := s.answers[0]
+	s.answers = s.answers[1:]
+	if a.after < 0 {
+		a.after = wait
+	}
+	select {
+	case <-ctx.Done():
+		return View{}, ctx.Err()
+	case <-time.After(a.after):
+		return a.view, a.err
+	}
+}
+
+func (s *source) List(ctx context.Context) (View, error) { return s.next(ctx, "list", 0) }
+
+func (s *source) Watch(ctx context.Context, after uint64, wait time.Duration) (View, error) {
+	return s.next(ctx, fmt.Sprint("watch ", after), wait)
+}
+
+type discard struct{}
+
+func (discard) Event(int, ...any) {}
+
+// follow runs a follower over answers for a time and returns its events.
+func follow(s *source, d time.Duration) []director.Event {
+	var events []director.Event
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	New(Options{
+		Source: s, Logger: discard{}, Clock: time.Now,
+		Post: func(e director.Event) { events = append(events, e) },
+	}).Run(ctx)
+
+	return events
+}
+
+func endpoint(id string, revision uint64) Change {
+	return Change{Key: "e/" + id, Revision: revision, Value: Endpoint{registrar.Entry{ID: id}}}
+}
+
+var errCall = errors.New("no answer")
+
+// Guards against a view that counts as complete for longer than the answer
+// shows: an empty watch vouches for the time that it has waited, one with
+// changes only for the time of its call.
+func TestConfirmedTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		begin := time.Now()
+		s := &source{answers: []answer{
+			{after: 10 * time.Millisecond, view: View{Revision: 5}},
+			{after: -1, view: View{Revision: 5}},
+			{after: 700 * time.Millisecond, view: View{Revision: 6, Changes: []Change{endpoint("a", 6)}}},
+		}}
+		var at []time.Duration
+		for _, e := range follow(s, 3*time.Second) {
+			if e, ok := e.(director.Confirmed); ok {
+				at = append(at, e.At.Sub(begin))
+			}
+		}
+		c.Check(at, qt.DeepEquals, []time.Duration{
+			0, 10*time.Millisecond + watchWait, 10*time.Millisecond + watchWait,
+		})
+		c.Check(s.calls[:4], qt.DeepEquals, []string{"list", "watch 5", "watch 5", "watch 6"})
+	})
+}
+
+// Guards against a lost history that leaves the view as it was.
+func TestLostHistoryReadsAllAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &source{answers: []answer{
+			{view: View{Revision: 5, Changes: []Change{endpoint("a", 1)}}},
+			{err: ErrHistory},
+			{view: View{Revision: 90, Changes: []Change{endpoint("b", 80)}}},
+		}}
+		var lists []string
+		for _, e := range follow(s, time.Second) {
+			if e, ok := e.(director.EntriesListed); ok {
+				for _, entry := range e.Entries {
+					lists = append(lists, entry.ID)
+				}
+			}
+		}
+		c.Check(lists, qt.DeepEquals, []string{"a", "b"})
+		c.Check(s.calls, qt.DeepEquals, []string{"list", "watch 5", "list", "watch 90"})
+	})
+}
+
+// Guards against one silent connection that counts as an outage, and against an
+// outage that is not noticed.
+func TestOutageIsTwoFailedCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		lost := func(answers ...answer) int {
+			n := 0
+			for _, e := range follow(&source{answers: answers}, time.Second) {
+				if _, ok := e.(director.Lost); ok {
+					n++
+				}
+			}
+
+			return n
+		}
+		list := answer{view: View{Revision: 1}}
+		c.Check(lost(list, answer{err: errCall}, answer{after: -1}), qt.Equals, 0)
+		c.Check(lost(list, answer{err: errCall}, answer{err: errCall}, answer{after: -1}), qt.Equals, 1)
+	})
+}
+
+// Guards against an older state of an item that replaces a younger one: a list
+// shows later states than its revision says.
+func TestOlderChangesAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		gone := Change{Key: "e/a", Revision: 4, Value: EndpointGone{"a"}}
+		s := &source{answers: []answer{
+			{view: View{Revision: 3, Changes: []Change{endpoint("a", 5)}}},
+			{view: View{Revision: 5, Changes: []Change{gone, endpoint("a", 5)}}},
+		}}
+		for _, e := range follow(s, time.Second) {
+			_, removed := e.(director.EntryRemoved)
+			c.Check(removed, qt.IsFalse)
+		}
+	})
+}
+
+// Guards against an entry that cannot be read and leaves the endpoint in use.
+func TestUnreadableEntryEndsTheEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &source{answers: []answer{
+			{view: View{Revision: 3, Changes: []Change{endpoint("a", 2), endpoint("b", 3)}}},
+			{view: View{Revision: 4, Changes: []Change{{Key: "e/a", Revision: 4, Value: Ignored{ID: "a", Err: errCall}}}}},
+		}}
+		var removed []string
+		for _, e := range follow(s, time.Second) {
+			if e, ok := e.(director.EntryRemoved); ok {
+				removed = append(removed, e.ID)
+			}
+		}
+		c.Check(removed, qt.DeepEquals, []string{"a"})
+	})
+}
+
+// Guards against data centres that stay out after their order has ended.
+func TestCentresAndTables(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table, err := router.New(router.Definition{Version: 2})
+		c.Assert(err, qt.IsNil)
+		s := &source{answers: []answer{
+			{view: View{Revision: 1, Changes: []Change{{"t", 1, Table{table}}, {"c", 1, Centre{"kochi", true}}}}},
+			{view: View{Revision: 2, Changes: []Change{{"c", 2, Centre{"kochi", false}}}}},
+		}}
+		var out [][]string
+		tables := 0
+		for _, e := range follow(s, time.Second) {
+			switch e := e.(type) {
+			case director.CentresOut:
+				out = append(out, e.Names)
+			case director.TableLoaded:
+				tables++
+			}
+		}
+		c.Check(out, qt.DeepEquals, [][]string{{"kochi"}, {}})
+		c.Check(tables, qt.Equals, 1)
+	})
+}
--- /dev/null
+++ b/internal/forwarder/harness_test.go
@@ -0,0 +1,218 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+
+	"snipedyke/internal/director"
+	"snipedyke/internal/registrar"
+	"snipedyke/internal/router"
+)
+
+// protocol is a plain one for tests: the fields are named by what they hold.
+type protocol struct{}
+
+func (protocol) Describe(h *fasthttp.RequestHeader) (Description, error) {
+	return Description{Name: string(h.Peek("Name")), Key: string(h.Peek("Key")), Deadline: 10 * time.Second}, nil
+}
+
+func (protocol) Clean(h *fasthttp.RequestHeader) {
+	h.Del("Key")
+	h.Del("Account")
+}
+
+func (protocol) Address(h *fasthttp.RequestHeader, s Sending) {
+	h.Set("Instance", s.Instance)
+	h.Set("Account", s.Account)
+	h.Set("Event", s.Event)
+}
+
+func (protocol) Interpret(h *fasthttp.ResponseHeader) Interpretation {
+	return Interpretation{
+		Name: string(h.Peek("Name")), Whole: len(h.Peek("Seal")) > 0, Declined: len(h.Peek("Declined")) > 0,
+	}
+}
+
+type sink struct{}
+
+func (sink) Event(int, ...any)     {}
+func (sink) Tally(director.Count)  {}
+func (sink) Time(director.Observe) {}
+
+// endpoint answers requests by a script: each call gets the connection and the
+// request, and returns whether the connection goes on.
+type endpoint struct {
+	addr netip.AddrPort
+	mu   sync.Mutex
+	got  []*http.Request
+	body []string
+}
+
+type handler func(conn net.Conn, r *http.Request) bool
+
+func newEndpoint(t *testing.T, h handler) *endpoint {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	e := &endpoint{addr: ln.Addr().(*net.TCPAddr).AddrPort()}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(conn, h)
+		}
+	}()
+
+	return e
+}
+
+func (e *endpoint) serve(conn net.Conn, h handler) {
+	defer func() { _ = conn.Close() }()
+	br := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.got = append(e.got, r)
+		e.body = append(e.body, string(body))
+		e.mu.Unlock()
+		if !h(conn, r) {
+			return
+		}
+	}
+}
+
+func (e *endpoint) requests() []*http.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return append([]*http.Request(nil), e.got...)
+}
+
+// reply writes a whole answer to a request.
+func reply(conn net.Conn, r *http.Request, status int, body string) bool {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nName: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", status, r.Header.Get("Name"), len(body), body)
+
+	return err == nil
+}
+
+// stream writes the header of a stream and events; the end is missing.
+func stream(conn net.Conn, r *http.Request, events ...string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nName: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Name"))
+	for _, e := range events {
+		chunk(conn, e)
+	}
+}
+
+func chunk(conn net.Conn, text string) { _, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text) }
+
+// events returns the events from one number to another.
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: d%d\n\n", i, i)
+	}
+
+	return b.String()
+}
+
+// system is a forwarder in front of endpoints of one service.
+type system struct {
+	*Forwarder
+	stop func()
+	done chan error
+}
+
+func start(t *testing.T, endpoints ...*endpoint) *system {
+	f, err := New(Options{
+		Director: director.Options{
+			Name: "n", KeyLease: time.Hour, FreshView: time.Hour, Nodes: 1, RetryWindow: time.Minute, RetrySlack: 1000,
+		},
+		Protocol: protocol{}, Logger: sink{}, Meter: sink{}, Callers: netip.MustParseAddrPort("127.0.0.1:0"),
+		Clock: time.Now, Body: 1 << 20, Header: 8 << 10, Connections: 100, Grace: 30 * time.Second,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	route := func(prefix string, kind router.Kind, resumable bool) router.Route {
+		return router.Route{
+			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Resumable: resumable, Timeout: 10 * time.Second,
+			Target: 5 * time.Second, Attempts: 3, Shares: []router.Share{{Service: "s", Weight: 1}},
+		}
+	}
+	table, err := router.New(router.Definition{
+		Version: 1, Services: []router.Service{{Name: "s"}},
+		Routes: []router.Route{
+			route("/safe/", router.Safe, false), route("/unsafe/", router.Unsafe, false),
+			route("/stream/", router.Stream, false), route("/resume/", router.Stream, true),
+		},
+		Accounts: []router.Account{{Name: "club"}}, Keys: map[string]string{"k": "club"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var entries []registrar.Entry
+	for i, e := range endpoints {
+		entries = append(entries, registrar.Entry{ID: fmt.Sprint("e", i), Service: "s", Address: e.addr})
+	}
+	f.Post(director.TableLoaded{Table: table})
+	f.Post(director.EntriesListed{Entries: entries})
+	f.Post(director.Confirmed{At: time.Now()})
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &system{Forwarder: f, stop: cancel, done: make(chan error, 1)}
+	go func() { s.done <- f.Run(ctx) }()
+
+	return s
+}
+
+// caller is a connection to the forwarder.
+type caller struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+func (s *system) dial(c *qt.C) *caller {
+	conn, err := net.Dial("tcp", s.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.SetDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+
+	return &caller{conn, bufio.NewReader(conn)}
+}
+
+func (c *caller) send(method, target, name, body string) {
+	_, _ = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\nName: %s\r\nKey: k\r\nAccount: forged\r\nConnection: X-Hop\r\nX-Hop: 1\r\nContent-Length: %d\r\n\r\n%s", method, target, name, len(body), body)
+}
+
+// receive reads an answer; err tells how its body ended.
+func (c *caller) receive() (resp *http.Response, body string, err error) {
+	resp, err = http.ReadResponse(c.br, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	b, err := io.ReadAll(resp.Body)
+
+	return resp, string(b), err
+}
--- /dev/null
+++ b/internal/pacer/pacer_test.go
@@ -0,0 +1,64 @@
+package pacer
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against more requests in a window than the limit, at any spacing of
+// the attempts.
+func TestWindowIsNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Pacer{Limit: rapid.IntRange(1, 5).Draw(t, "limit"), Window: time.Second}
+		now := start
+		var sent []time.Time
+		for range rapid.IntRange(1, 60).Draw(t, "attempts") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			if p.Ready(now) {
+				p.Pass(now)
+				sent = append(sent, now)
+			}
+		}
+		for i := range sent {
+			n := 0
+			for _, s := range sent[i:] {
+				if s.Sub(sent[i]) < p.Window {
+					n++
+				}
+			}
+			if n > p.Limit {
+				t.Fatalf("%d requests within %s; limit %d", n, p.Window, p.Limit)
+			}
+		}
+	})
+}
+
+// Guards against a pacer that was never set and lets everything pass.
+func TestZeroPacerLetsNothingPass(t *testing.T) {
+	qt.New(t).Check(new(Pacer).Ready(start), qt.IsFalse)
+}
+
+// Guards against retries that add up to a second load when a service fails all
+// requests.
+func TestBudgetBoundsRetries(t *testing.T) {
+	c := qt.New(t)
+	b := Budget{Window: 10 * time.Second, Ratio: 0.2, Slack: 3}
+	retries := 0
+	now := start
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		b.Request(now)
+		if b.Retry(now) {
+			retries++
+		}
+	}
+	c.Check(retries, qt.Equals, 203)
+	// The budget returns with time.
+	c.Check(b.Retry(now), qt.IsFalse)
+	c.Check(b.Retry(now.Add(11*time.Second)), qt.IsTrue)
+}
--- /dev/null
+++ b/internal/router/table_test.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func definition() Definition {
+	return Definition{
+		Version:  3,
+		Services: []Service{{Name: "old"}, {Name: "new"}},
+		Routes: []Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Attempts: 1, Shares: []Share{{"old", 1}}},
+			{Name: "deep", Host: "a.example", Prefix: "/x/y/", Attempts: 1, Shares: []Share{{"old", 9}, {"new", 1}}},
+			{Name: "flat", Host: "a.example", Prefix: "/x/", Attempts: 1, Shares: []Share{{"new", 1}}},
+		},
+		Accounts: []Account{{Name: "club"}},
+		Keys:     map[string]string{"k1": "club"},
+	}
+}
+
+// Guards against a shorter prefix that hides a longer one, and against matches
+// within a path segment.
+func TestLongestPrefixWins(t *testing.T) {
+	c := qt.New(t)
+	table, err := New(definition())
+	c.Assert(err, qt.IsNil)
+	for path, want := range map[string]string{
+		"/x/y/z": "deep", "/x/y": "flat", "/x/yy/z": "flat", "/x": "all", "/": "all", "/other/x/y/": "all",
+	} {
+		c.Check(table.Route("a.example", path).Name, qt.Equals, want, qt.Commentf("path %s", path))
+	}
+	c.Check(table.Route("A.EXAMPLE", "/x/").Name, qt.Equals, "flat")
+	c.Check(table.Route("b.example", "/x/"), qt.IsNil)
+	c.Check(table.Account("k1").Name, qt.Equals, "club")
+	c.Check(table.Account("k2"), qt.IsNil)
+}
+
+// Guards against a split that ignores its weights, and against a request that
+// is dealt to another service when it is asked for again.
+func TestSplitFollowsWeights(t *testing.T) {
+	c := qt.New(t)
+	table, err := New(definition())
+	c.Assert(err, qt.IsNil)
+	route := table.Route("a.example", "/x/y/")
+	fresh := 0
+	const requests = 10000
+	for i := range requests {
+		id := fmt.Sprint("request-", i)
+		service := route.Service(id)
+		c.Assert(route.Service(id), qt.Equals, service)
+		if service == "new" {
+			fresh++
+		}
+	}
+	c.Check(fresh > requests*8/100 && fresh < requests*12/100, qt.IsTrue, qt.Commentf("%d of %d", fresh, requests))
+}
+
+// Guards against tables that would fail on their first request.
+func TestContradictionsAreRefused(t *testing.T) {
+	c := qt.New(t)
+	for name, spoil := range map[string]func(*Definition){
+		"prefix":   func(d *Definition) { d.Routes[0].Prefix = "/x" },
+		"attempts": func(d *Definition) { d.Routes[0].Attempts = 0 },
+		"shares":   func(d *Definition) { d.Routes[0].Shares = nil },
+		"service":  func(d *Definition) { d.Routes[0].Shares = []Share{{"none", 1}} },
+		"account":  func(d *Definition) { d.Keys["k2"] = "none" },
+	} {
+		d := definition()
+		spoil(&d)
+		_, err := New(d)
+		var e *Error
+		c.Check(errors.As(err, &e), qt.IsTrue, qt.Commentf("%s: %v", name, err))
+	}
+}
+
+// Guards against repeats of what may run once.
+func TestRepeatable(t *testing.T) {
+	c := qt.New(t)
+	c.Check((&Route{Kind: Unsafe}).Repeatable(), qt.IsFalse)
+	c.Check((&Route{Kind: Safe}).Repeatable(), qt.IsTrue)
+	c.Check((&Route{Kind: Stream}).Repeatable(), qt.IsFalse)
+	c.Check((&Route{Kind: Stream, Resumable: true}).Repeatable(), qt.IsTrue)
+	c.Check((&Route{Kind: Unsafe, Resumable: true}).Repeatable(), qt.IsFalse)
+}
--- a/pkg/encoder/load.go
+++ b/pkg/encoder/load.go
@@ -47,14 +47,17 @@
 	Centre string `msg:"c"`
 	// Address is an IPv4 address in network order.
 	Address uint32 `msg:"a"`
+	// Deputy is the node that speaks after the speaker's end, or zero.
+	Deputy uint32 `msg:"d"`
 }
 
 // Digest tells what a node knows of others.
 type Digest struct {
-	// Centre is the sender's data centre, and Speaker the address of its
-	// speaker.
+	// Centre is the sender's data centre, Speaker the address of its speaker
+	// and Deputy that of the node that speaks after the speaker's end, or zero.
 	Centre  string `msg:"c"`
 	Speaker uint32 `msg:"p"`
+	Deputy  uint32 `msg:"d"`
 	// Members are the addresses of the nodes of the receiver's data centre.
 	Members []uint32 `msg:"m"`
 	// Others are the speakers of other data centres.
--- a/pkg/encoder/load_gen.go
+++ b/pkg/encoder/load_gen.go
@@ -14,8 +14,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Centre, err = dc.ReadString()
@@ -28,6 +28,11 @@
 		err = msgp.WrapError(err, "Speaker")
 		return
 	}
+	z.Deputy, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Deputy")
+		return
+	}
 	var zb0002 uint32
 	zb0002, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -64,8 +69,8 @@
 			err = msgp.WrapError(err, "Others", za0002)
 			return
 		}
-		if zb0004 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+		if zb0004 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0004}
 			return
 		}
 		z.Others[za0002].Centre, err = dc.ReadString()
@@ -78,6 +83,11 @@
 			err = msgp.WrapError(err, "Others", za0002, "Address")
 			return
 		}
+		z.Others[za0002].Deputy, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "Others", za0002, "Deputy")
+			return
+		}
 	}
 	var zb0005 uint32
 	zb0005, err = dc.ReadArrayHeader()
@@ -102,8 +112,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Digest) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 6
+	err = en.Append(0x96)
 	if err != nil {
 		return
 	}
@@ -117,6 +127,11 @@
 		err = msgp.WrapError(err, "Speaker")
 		return
 	}
+	err = en.WriteUint32(z.Deputy)
+	if err != nil {
+		err = msgp.WrapError(err, "Deputy")
+		return
+	}
 	err = en.WriteArrayHeader(uint32(len(z.Members)))
 	if err != nil {
 		err = msgp.WrapError(err, "Members")
@@ -135,8 +150,8 @@
 		return
 	}
 	for za0002 := range z.Others {
-		// array header, size 2
-		err = en.Append(0x92)
+		// array header, size 3
+		err = en.Append(0x93)
 		if err != nil {
 			return
 		}
@@ -150,6 +165,11 @@
 			err = msgp.WrapError(err, "Others", za0002, "Address")
 			return
 		}
+		err = en.WriteUint32(z.Others[za0002].Deputy)
+		if err != nil {
+			err = msgp.WrapError(err, "Others", za0002, "Deputy")
+			return
+		}
 	}
 	err = en.WriteArrayHeader(uint32(len(z.Sums)))
 	if err != nil {
@@ -169,20 +189,22 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Digest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendString(o, z.Centre)
 	o = msgp.AppendUint32(o, z.Speaker)
+	o = msgp.AppendUint32(o, z.Deputy)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
 	for za0001 := range z.Members {
 		o = msgp.AppendUint32(o, z.Members[za0001])
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Others)))
 	for za0002 := range z.Others {
-		// array header, size 2
-		o = append(o, 0x92)
+		// array header, size 3
+		o = append(o, 0x93)
 		o = msgp.AppendString(o, z.Others[za0002].Centre)
 		o = msgp.AppendUint32(o, z.Others[za0002].Address)
+		o = msgp.AppendUint32(o, z.Others[za0002].Deputy)
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Sums)))
 	for za0003 := range z.Sums {
@@ -203,8 +225,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Centre, bts, err = msgp.ReadStringBytes(bts)
@@ -217,6 +239,11 @@
 		err = msgp.WrapError(err, "Speaker")
 		return
 	}
+	z.Deputy, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Deputy")
+		return
+	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -253,8 +280,8 @@
 			err = msgp.WrapError(err, "Others", za0002)
 			return
 		}
-		if zb0004 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+		if zb0004 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0004}
 			return
 		}
 		z.Others[za0002].Centre, bts, err = msgp.ReadStringBytes(bts)
@@ -267,6 +294,11 @@
 			err = msgp.WrapError(err, "Others", za0002, "Address")
 			return
 		}
+		z.Others[za0002].Deputy, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Others", za0002, "Deputy")
+			return
+		}
 	}
 	var zb0005 uint32
 	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -292,9 +324,9 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Digest) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Centre) + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Members) * (msgp.Uint32Size)) + msgp.ArrayHeaderSize
+	s = 1 + msgp.StringPrefixSize + len(z.Centre) + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Members) * (msgp.Uint32Size)) + msgp.ArrayHeaderSize
 	for za0002 := range z.Others {
-		s += 1 + msgp.StringPrefixSize + len(z.Others[za0002].Centre) + msgp.Uint32Size
+		s += 1 + msgp.StringPrefixSize + len(z.Others[za0002].Centre) + msgp.Uint32Size + msgp.Uint32Size
 	}
 	s += msgp.ArrayHeaderSize
 	for za0003 := range z.Sums {
@@ -592,8 +624,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Centre, err = dc.ReadString()
@@ -606,13 +638,18 @@
 		err = msgp.WrapError(err, "Address")
 		return
 	}
+	z.Deputy, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Deputy")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z Speaker) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -626,16 +663,22 @@
 		err = msgp.WrapError(err, "Address")
 		return
 	}
+	err = en.WriteUint32(z.Deputy)
+	if err != nil {
+		err = msgp.WrapError(err, "Deputy")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Speaker) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.Centre)
 	o = msgp.AppendUint32(o, z.Address)
+	o = msgp.AppendUint32(o, z.Deputy)
 	return
 }
 
@@ -647,8 +690,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Centre, bts, err = msgp.ReadStringBytes(bts)
@@ -661,13 +704,18 @@
 		err = msgp.WrapError(err, "Address")
 		return
 	}
+	z.Deputy, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Deputy")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Speaker) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Centre) + msgp.Uint32Size
+	s = 1 + msgp.StringPrefixSize + len(z.Centre) + msgp.Uint32Size + msgp.Uint32Size
 	return
 }
 
