Rank requests by account, then by route

Cause: engines preempt the newest of the least urgent. Ruled out: stale tables (no change of accounts at that time) and missing urgency (all streams carry it). Change: the urgency ranks pairs of account and route priority.

--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -31,7 +31,7 @@
 	// Seed differs between requests; it deals the requests of all nodes to
 	// different engines.
 	Seed uint64
-	// Urgency is the rank of the request, 0 first.
+	// Urgency is the rank of the request's route, 0 first.
 	Urgency int
 }
 
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	// leastUrgent is the last rank that engines know.
+	leastUrgent = 9
 	// maxUnreached bounds the endpoints that a request tries without reaching
 	// one.
 	maxUnreached = 4
@@ -97,7 +99,7 @@
 		req.until = now.Add(q.Deadline)
 	}
 	req.service = d.service(req.route.Service(q.Name))
-	req.Need.Seed, req.Need.Urgency = xxhash.Sum64String(q.Name), req.urgency()
+	req.Need.Seed, req.Need.Urgency = xxhash.Sum64String(q.Name), req.route.Priority
 	req.service.retries.Request(now)
 	if d.engine(req) != nil {
 		req.generates = true
@@ -229,7 +231,7 @@
 	}
 	dispatch := Dispatch{
 		ID: req.ID, Endpoint: e.entry.ID, Address: e.entry.Address, Account: account,
-		Urgency: min(max(req.urgency(), 0), 9), Route: req.route, Until: req.until,
+		Urgency: min(d.table.Urgency(req.route, req.account), leastUrgent), Route: req.route, Until: req.until,
 		Resume: req.relayed, Connections: connections,
 	}
 	if holder != nil {
@@ -243,15 +245,6 @@
 	d.emit(dispatch)
 }
 
-// urgency returns the rank of the request, 0 first.
-func (req *request) urgency() int {
-	if req.account != nil && req.account.Priority != nil {
-		return *req.account.Priority
-	}
-
-	return req.route.Priority
-}
-
 // release ends the use of the endpoint of the attempt.
 func (req *request) release() *endpoint {
 	e := req.at
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -127,7 +127,7 @@
 // Account is a client account.
 type Account struct {
 	Name string
-	// Priority, if it is not nil, replaces the priority of routes.
+	// Priority, if it is not nil, goes before the priority of routes.
 	Priority *int
 	// Regions restricts the account like Route.Regions.
 	Regions []string
@@ -160,6 +160,8 @@
 	services map[string]*Service
 	keys     map[string]*Account
 	routes   int
+	// accountRanks and routeRanks are the sorted priorities in use.
+	accountRanks, routeRanks []int
 }
 
 // New builds a table. It returns an error of kind KindInvalid if a definition
@@ -188,7 +190,14 @@
 	accounts := make(map[string]*Account, len(d.Accounts))
 	for i := range d.Accounts {
 		accounts[d.Accounts[i].Name] = &d.Accounts[i]
+		if p := d.Accounts[i].Priority; p != nil {
+			t.accountRanks = append(t.accountRanks, *p)
+		}
+	}
+	for i := range d.Routes {
+		t.routeRanks = append(t.routeRanks, d.Routes[i].Priority)
 	}
+	t.accountRanks, t.routeRanks = distinct(t.accountRanks), distinct(t.routeRanks)
 	for key, name := range d.Keys {
 		account := accounts[name]
 		if account == nil {
@@ -200,6 +209,25 @@
 	return t, nil
 }
 
+// distinct sorts ranks and drops repeats.
+func distinct(ranks []int) []int {
+	slices.Sort(ranks)
+
+	return slices.Compact(ranks)
+}
+
+// Urgency returns the rank of a request, 0 first. The priority of the account
+// goes before that of the route; account may be nil.
+func (t *Table) Urgency(r *Route, account *Account) int {
+	byRoute, _ := slices.BinarySearch(t.routeRanks, r.Priority)
+	if account == nil || account.Priority == nil {
+		return byRoute
+	}
+	byAccount, _ := slices.BinarySearch(t.accountRanks, *account.Priority)
+
+	return byAccount*len(t.routeRanks) + byRoute
+}
+
 func (t *Table) check(r *Route) error {
 	switch {
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
--- a/internal/router/table_test.go
+++ b/internal/router/table_test.go
@@ -86,3 +86,27 @@
 	c.Check((&Route{Kind: Stream, Resumable: true}).Repeatable(), qt.IsTrue)
 	c.Check((&Route{Kind: Unsafe, Resumable: true}).Repeatable(), qt.IsFalse)
 }
+
+// Guards against a less urgent route that goes before a more urgent one within
+// the accounts of one priority: engines preempt the newest of the least urgent
+// (scale-2 of the grown prati-rota: 42 requests).
+func TestUrgencyRanksAccountsThenRoutes(t *testing.T) {
+	c := qt.New(t)
+	d := definition()
+	for i, p := range []int{4, 0, 2} {
+		d.Routes[i].Priority = p
+	}
+	high, low := 1, 7
+	d.Accounts = []Account{{Name: "club"}, {Name: "high", Priority: &high}, {Name: "low", Priority: &low}}
+	table, err := New(d)
+	c.Assert(err, qt.IsNil)
+	var ranks []int
+	for _, account := range []*Account{&d.Accounts[1], &d.Accounts[2]} {
+		for _, path := range []string{"/x/y/", "/x/", "/"} {
+			ranks = append(ranks, table.Urgency(table.Route("a.example", path), account))
+		}
+	}
+	c.Check(ranks, qt.DeepEquals, []int{0, 1, 2, 3, 4, 5})
+	c.Check(table.Urgency(table.Route("a.example", "/"), &d.Accounts[0]), qt.Equals, 2)
+	c.Check(table.Urgency(table.Route("a.example", "/"), nil), qt.Equals, 2)
+}
