Bound the log, never wait for it, and read changed settings again

Cause: the log of a node could grow with the load and block requests when standard output does not drain; settings that changed had no effect. Change: a queue and limits by event in front of the log, with a line about what was left out; SIGHUP and a changed file reload the bounds; serve picks the kind of node from the settings, and check knows both kinds. Before: no limit.

--- a/cmd/snipedyke/check.go
+++ b/cmd/snipedyke/check.go
@@ -24,12 +24,18 @@
 	if strings.HasSuffix(path, ".trace") || strings.HasSuffix(path, ".trace.gz") {
 		return checkTrace(path)
 	}
-	s, err := configurer.Load(path)
+	file, err := configurer.LoadFile(path)
 	if err != nil {
 		return "", err
 	}
-
-	return fmt.Sprintf("ok, settings of host %s in data centre %s", s.Name, s.DataCentre), nil
+	switch s := file.(type) {
+	case configurer.Settings:
+		return fmt.Sprintf("ok, settings of host %s in data centre %s", s.Name, s.DataCentre), nil
+	case configurer.Routing:
+		return fmt.Sprintf("ok, routing settings of host %s in data centre %s", s.Name, s.DataCentre), nil
+	default:
+		return "", fmt.Errorf("%s: unknown kind of settings", path)
+	}
 }
 
 // checkTrace checks that a trace can be replayed, not whether its outcomes are
--- a/cmd/snipedyke/main.go
+++ b/cmd/snipedyke/main.go
@@ -26,7 +26,6 @@
 // arguments is the command line.
 type arguments struct {
 	Serve     *serveCommand     `arg:"subcommand:serve" help:"run a node"`
-	Route     *routeCommand     `arg:"subcommand:route" help:"run a node on the users' platform, which routes requests by host and path"`
 	Check     *checkCommand     `arg:"subcommand:check" help:"check settings files, traces and directories with a catalogue"`
 	Status    *statusCommand    `arg:"subcommand:status" help:"show a node's state in short"`
 	Versions  *versionsCommand  `arg:"subcommand:versions" help:"show what is in force, here and at peers, and what was refused"`
--- a/cmd/snipedyke/serve.go
+++ b/cmd/snipedyke/serve.go
@@ -11,18 +11,39 @@
 
 	"snipedyke/internal/assembler"
 	"snipedyke/internal/configurer"
+	"snipedyke/platform"
 )
 
 type serveCommand struct {
-	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings file"`
+	Settings string `arg:"--settings" placeholder:"FILE" help:"settings file; by default the one that the users' platform names"`
 }
 
-// run runs a node. The log goes to standard error.
-func (c *serveCommand) run(ctx context.Context, _ io.Writer) error {
-	settings, err := configurer.Load(c.Settings)
+// run runs a node of the kind that its settings describe. A node that routes by
+// host and path logs to standard output, any other to standard error.
+func (c *serveCommand) run(ctx context.Context, out io.Writer) error {
+	path := c.Settings
+	if path == "" {
+		path = os.Getenv(platform.SettingsVariable)
+	}
+	if path == "" {
+		return usageError("--settings is required where %s is not set", platform.SettingsVariable)
+	}
+	file, err := configurer.LoadFile(path)
 	if err != nil {
 		return withExit(err, exitStart)
 	}
+	switch s := file.(type) {
+	case configurer.Routing:
+		return route(ctx, path, s, out)
+	case configurer.Settings:
+		return serveSettings(ctx, s)
+	default:
+		return withExit(fmt.Errorf("%s: unknown kind of settings", path), exitStart)
+	}
+}
+
+// serveSettings runs a node of the project's own interface.
+func serveSettings(ctx context.Context, settings configurer.Settings) error {
 	n, err := assembler.New(assembler.Options{Settings: settings, Output: os.Stderr, Build: buildVersion()})
 	if err != nil {
 		return withExit(err, exitStart)
--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -70,9 +70,9 @@
 	// speaker is the address that last spoke for it, and deputy the one that is
 	// tried when it is silent.
 	speaker, deputy netip.Addr
-	named   time.Time
-	sum     encoder.Sum
-	summed  time.Time
+	named           time.Time
+	sum             encoder.Sum
+	summed          time.Time
 }
 
 // stranger is a node of another data centre that has said hello.
@@ -103,6 +103,9 @@
 	}
 }
 
+// SetSeeds replaces the seeds.
+func (a *Aggregator) SetSeeds(seeds []netip.Addr) { a.opts.Seeds = seeds }
+
 // speaker returns the speaker of the own data centre.
 func (a *Aggregator) speaker(now time.Time) netip.Addr {
 	speaker, _ := a.lead(now)
--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -9,7 +9,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"reflect"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -59,14 +61,19 @@
 	// maxRequestBody and maxRequestHeader bound requests in bytes.
 	maxRequestBody   = 4 << 20
 	maxRequestHeader = 16 << 10
+	// closeTimeout bounds the writing of the last log lines.
+	closeTimeout = 200 * time.Millisecond
 	// probeTimeout bounds the reading of a call to the readiness address.
 	probeTimeout = 5 * time.Second
 )
 
 // Routing is a node that routes requests by host and path.
 type Routing struct {
+	// mu guards opts.Settings.
+	mu        sync.Mutex
 	opts      RoutingOptions
-	logger    *logger.Logger
+	queue     *logger.Queue
+	logger    *logger.Limited
 	exporter  *exporter.Exporter
 	forwarder *forwarder.Forwarder
 	follower  *follower.Follower
@@ -79,12 +86,14 @@
 func NewRouting(opts RoutingOptions) (*Routing, error) {
 	s := opts.Settings
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory<<20)))
-	n := &Routing{
-		opts: opts, exporter: exporter.New(),
-		logger: logger.New(logger.Options{
-			Output: opts.Output, Format: logger.Format(s.Log.Format), Level: hclog.LevelFromString(s.Log.Level), Node: s.Name,
-		}),
+	output := opts.Output
+	if output == nil {
+		output = io.Discard
 	}
+	n := &Routing{opts: opts, exporter: exporter.New(), queue: logger.NewQueue(output)}
+	n.logger = logger.NewLimited(logger.New(logger.Options{
+		Output: n.queue, Format: logger.Format(s.Log.Format), Level: hclog.LevelFromString(s.Log.Level), Node: s.Name,
+	}), n.queue)
 	var err error
 	if n.readiness, err = listen("readiness", s.Readiness); err != nil {
 		return nil, err
@@ -95,13 +104,7 @@
 		}
 	}
 	n.forwarder, err = forwarder.New(forwarder.Options{
-		Director: director.Options{
-			Name: s.Name, DataCentre: s.DataCentre, Regions: s.Regions,
-			KeyLease:  time.Duration(leaseShare * float64(s.Withdrawal)),
-			FreshView: freshView, Nodes: maxNodes,
-			ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack,
-			RetryWindow: s.RetryWindow, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
-		},
+		Director: directorOptions(s),
 		Protocol: opts.Protocol, Logger: n.logger, Meter: tally{n.exporter}, Callers: s.Callers, Clock: opts.Clock,
 		Body: maxRequestBody, Header: maxRequestHeader,
 		Connections: max(s.Descriptors-reservedDescriptors, minConnections), Grace: s.Grace,
@@ -129,6 +132,36 @@
 	return n, nil
 }
 
+// directorOptions returns the bounds that settings state.
+func directorOptions(s configurer.Routing) director.Options {
+	return director.Options{
+		Name: s.Name, DataCentre: s.DataCentre, Regions: s.Regions,
+		KeyLease:  time.Duration(leaseShare * float64(s.Withdrawal)),
+		FreshView: freshView, Nodes: maxNodes,
+		ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack,
+		RetryWindow: s.RetryWindow, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
+	}
+}
+
+// Reload takes settings that were read again. Addresses and limits of the
+// process stay as they are until the next start.
+func (n *Routing) Reload(s configurer.Routing) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	changed := !reflect.DeepEqual(n.opts.Settings, s)
+	n.logger.Event(logger.SettingsReloaded, "changed", changed)
+	if changed {
+		n.opts.Settings = s
+		n.forwarder.Post(director.Configured{Options: directorOptions(s)})
+		n.exchanger.SetSeeds(s.Seeds)
+	}
+}
+
+// RefuseSettings logs settings that cannot be used.
+func (n *Routing) RefuseSettings(err error) {
+	n.logger.Event(logger.SettingsRefused, "error", err.Error())
+}
+
 // minConnections is the least number of callers' connections.
 const minConnections = 128
 
@@ -154,6 +187,7 @@
 	}
 	wg.Wait()
 	n.logger.Event(logger.ShutdownComplete)
+	n.queue.Close(closeTimeout)
 	if err != nil {
 		return &Error{Op: "serve callers", Kind: KindRun, Err: err}
 	}
--- a/internal/configurer/routing.go
+++ b/internal/configurer/routing.go
@@ -1,9 +1,7 @@
 package configurer
 
 import (
-	"io"
 	"net/netip"
-	"os"
 	"time"
 
 	"snipedyke/internal/decoder"
@@ -60,34 +58,40 @@
 	maxAddress     = 64
 )
 
-// LoadRouting reads the settings of a file.
-func LoadRouting(path string) (Routing, error) {
-	f, err := os.Open(path)
-	if err != nil {
-		return Routing{}, &Error{Op: "load settings", Kind: KindRead, Err: err}
-	}
-	defer func() { _ = f.Close() }()
-	// One byte more than accepted lets ParseRouting see that the file is too long.
-	data, err := io.ReadAll(io.LimitReader(f, MaxFile+1))
+// File is what a settings file holds. Only Settings and Routing implement it.
+type File interface{ file() }
+
+func (Settings) file() {}
+func (Routing) file()  {}
+
+// LoadFile reads a settings file of either kind.
+func LoadFile(path string) (File, error) {
+	data, err := readFile(path)
 	if err != nil {
-		return Routing{}, &Error{Op: "load settings", Kind: KindRead, Err: err}
+		return nil, err
 	}
 
-	return ParseRouting(path, data)
+	return ParseFile(path, data)
 }
 
-// ParseRouting reads settings; name is the file's name for error messages.
-func ParseRouting(name string, data []byte) (Routing, error) {
+// ParseFile reads settings of either kind; name is the file's name for error
+// messages. Settings of a node that routes by host and path name the address
+// for callers "callers".
+func ParseFile(name string, data []byte) (File, error) {
 	var list decoder.List
-	var s Routing
+	var f File
 	if n, ok := decoder.Parse(&list, name, data, MaxFile); ok {
-		s = readRouting(n.Object())
+		if o := n.Object(); o.Has("callers") {
+			f = readRouting(o)
+		} else {
+			f = read(o)
+		}
 	}
 	if err := list.Err(); err != nil {
-		return Routing{}, &Error{Op: "parse settings", Kind: KindInvalid, Err: err}
+		return nil, &Error{Op: "parse settings", Kind: KindInvalid, Err: err}
 	}
 
-	return s, nil
+	return f, nil
 }
 
 func readRouting(o *decoder.Object) Routing {
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -122,18 +122,28 @@
 
 // Load reads the settings of a file.
 func Load(path string) (Settings, error) {
+	data, err := readFile(path)
+	if err != nil {
+		return Settings{}, err
+	}
+
+	return Parse(path, data)
+}
+
+// readFile reads a settings file.
+func readFile(path string) ([]byte, error) {
 	f, err := os.Open(path)
 	if err != nil {
-		return Settings{}, &Error{Op: "load settings", Kind: KindRead, Err: err}
+		return nil, &Error{Op: "load settings", Kind: KindRead, Err: err}
 	}
 	defer func() { _ = f.Close() }()
-	// One byte more than accepted lets Parse see that the file is too long.
+	// One byte more than accepted lets the decoder see that the file is too long.
 	data, err := io.ReadAll(io.LimitReader(f, MaxFile+1))
 	if err != nil {
-		return Settings{}, &Error{Op: "load settings", Kind: KindRead, Err: err}
+		return nil, &Error{Op: "load settings", Kind: KindRead, Err: err}
 	}
 
-	return Parse(path, data)
+	return data, nil
 }
 
 // Parse reads settings; name is the file's name for error messages.
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -118,6 +118,11 @@
 		d.hear(now, e.Others)
 	case Lost:
 		d.lose(now)
+	case Configured:
+		d.opts = e.Options
+		for _, s := range d.services {
+			s.retries.Window, s.retries.Ratio = d.opts.RetryWindow, d.opts.RetryRatio
+		}
 	case Leaving:
 		d.leave()
 	}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -131,6 +131,9 @@
 // Lost tells that the shared view cannot be read.
 type Lost struct{}
 
+// Configured brings changed bounds.
+type Configured struct{ Options Options }
+
 // Leaving starts a graceful shutdown.
 type Leaving struct{}
 
@@ -147,6 +150,7 @@
 func (Confirmed) event()     {}
 func (Lost) event()          {}
 func (Heard) event()         {}
+func (Configured) event()    {}
 func (Leaving) event()       {}
 
 // Effect is something that the node must do. Only the types of this package
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -87,6 +87,13 @@
 	}
 }
 
+// SetSeeds replaces the seeds.
+func (x *Exchanger) SetSeeds(seeds []netip.Addr) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.aggregator.SetSeeds(seeds)
+}
+
 func (x *Exchanger) tick() {
 	own := x.opts.Own()
 	x.mu.Lock()
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -67,6 +67,7 @@
 	FleetChanged      = 718
 	MessageRefused    = 719
 	MessageUnsent     = 720
+	SettingsRefused   = 721
 )
 
 // Definition describes an event.
@@ -142,6 +143,7 @@
 	{FleetChanged, hclog.Info, "number of known nodes changed", []string{"nodes", "former"}},
 	{MessageRefused, hclog.Warn, "message of another node refused", []string{"from", "error"}},
 	{MessageUnsent, hclog.Warn, "message to another node not sent", []string{"to", "error"}},
+	{SettingsRefused, hclog.Error, "settings cannot be used", []string{"error"}},
 }
 
 // Catalogue returns the definitions of all events by number.
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -66,8 +66,14 @@
 
 		return true
 	})
+	// inside tells that the file belongs to this package, which names events
+	// without its own name.
+	inside := false
 	// event returns the number that an expression like logger.LinkUp names.
 	event := func(n ast.Node) int {
+		if x, ok := n.(*ast.Ident); ok && inside {
+			return numbers[x.Name]
+		}
 		s, ok := n.(*ast.SelectorExpr)
 		if !ok {
 			return 0
@@ -82,6 +88,10 @@
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
+		if path == "../logger/events.go" {
+			return nil
+		}
+		inside = strings.HasPrefix(path, "../logger/")
 		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
 		c.Assert(err, qt.IsNil)
 		ast.Inspect(file, func(n ast.Node) bool {
--- a/test.sh
+++ b/test.sh
@@ -36,7 +36,7 @@
 [ -z "$known" ] || { echo "== known red, not run: $known"; cat KNOWN-RED.txt; }
 step test go test -race -timeout 30m ${known:+-skip "$known"} ./...
 step schedules go test ./internal/reducer -run TestRandomFaultSchedules -schedules 500
-[ ! -d docs/samples ] || step samples go run ./cmd/snipedyke check docs/samples/guild docs/samples/valcollina
+[ ! -d docs/samples ] || step samples go run ./cmd/snipedyke check docs/samples/guild docs/samples/valcollina docs/samples/platform/settings.json
 [ ! -d cmd/snipedyke ] || step demo go run ./cmd/snipedyke demo
 [ ! -d traces ] || step replay go run ./cmd/snipedyke replay --secret traces/secret traces
 [ ! -x spec/check.sh ] || step model spec/check.sh
