Let urgent requests go to other engines before they are refused

Ruled out: a wrong urgency (the order at the engines was right); the split (it follows within 1.5 s, the refusals came in the first second). Change: a request of the more urgent group that its own engines cannot take on goes to an engine of the other group, or else is taken on as long as its own target allows.

--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -261,6 +261,39 @@
 		return Choice{}
 	}
 	s.average(now)
+	own, _ := s.deal(n, slots, engines)
+	if n.Long() && n.Shared != 0 {
+		e := chooseShared(n, own)
+
+		return Choice{Engine: e, Holder: s.holder(now, n, e, engines)}
+	}
+
+	return Choice{Engine: draw(n, own)}
+}
+
+// Spill returns an engine of the other group, or nil. It is for requests of the
+// more urgent group that their own engines cannot take on.
+func (s *Splitter) Spill(n Need, slots int, engines []*Engine) *Engine {
+	_, other := s.deal(n, slots, engines)
+	if len(other) == 0 {
+		return nil
+	}
+
+	return draw(n, other)
+}
+
+// Urgent tells whether the request belongs to the group that goes first.
+func (s *Splitter) Urgent(n Need) bool {
+	if n.Long() {
+		return n.Urgency < s.urgencyShort
+	}
+
+	return n.Urgency < s.urgencyLong
+}
+
+// deal returns the engines of the request's group and those of the other one.
+// It reorders engines.
+func (s *Splitter) deal(n Need, slots int, engines []*Engine) (own, other []*Engine) {
 	slices.SortFunc(engines, func(a, b *Engine) int {
 		switch {
 		case a.hash < b.hash:
@@ -273,21 +306,14 @@
 	})
 	k := s.longEngines(len(engines), slots)
 	s.used = k
-	group := engines
 	switch {
 	case k == len(engines):
+		return engines, nil
 	case n.Long():
-		group = engines[:k]
+		return engines[:k], engines[k:]
 	default:
-		group = engines[k:]
+		return engines[k:], engines[:k]
 	}
-	if n.Long() && n.Shared != 0 {
-		e := chooseShared(n, group)
-
-		return Choice{Engine: e, Holder: s.holder(now, n, e, engines)}
-	}
-
-	return Choice{Engine: draw(n, group)}
 }
 
 const (
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -65,6 +65,8 @@
 	waiting []*request
 
 	effects []Effect
+	// space holds the candidates of a choice.
+	space []*chooser.Engine
 }
 
 // service is the state of one service.
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -137,25 +137,49 @@
 
 		return
 	}
-	if d.engine(req) != nil && !req.relayed && !d.admits(req, e) {
-		if !req.waits && !req.waited {
-			req.service.splitter.Refuse(now, req.Need)
-		}
-		d.wait(now, req, ReasonOverload)
+	if d.engine(req) != nil && !req.relayed {
+		if e = d.admit(now, req, e); e == nil {
+			if !req.waited {
+				req.service.splitter.Refuse(now, req.Need)
+			}
+			d.wait(now, req, ReasonOverload)
 
-		return
+			return
+		}
 	}
 	d.dispatch(now, req, e, holder)
 }
 
-// admits tells whether an engine takes a request on.
-func (d *Director) admits(req *request, e *endpoint) bool {
+// admit returns the engine that takes a request on, or nil. A request of the
+// more urgent group that its own engines cannot take on in time goes to those
+// of the other group, or else makes the pauses at its own longer.
+func (d *Director) admit(now time.Time, req *request, e *endpoint) *endpoint {
 	gap := req.route.Gap
 	if req.Need.Long() {
 		// Reading a long prompt takes longer than any pause by itself.
 		gap = 0
 	}
+	if d.admits(req, e, gap) {
+		return e
+	}
+	splitter := &req.service.splitter
+	if !splitter.Urgent(req.Need) {
+		return nil
+	}
+	if other := splitter.Spill(req.Need, d.engine(req).Slots, d.candidates(now, req)); other != nil {
+		if o := d.endpoints[other.ID]; d.admits(req, o, gap) {
+			return o
+		}
+	}
+	if d.admits(req, e, 0) {
+		return e
+	}
 
+	return nil
+}
+
+// admits tells whether an engine takes a request on without pauses above gap.
+func (d *Director) admits(req *request, e *endpoint, gap time.Duration) bool {
 	reader := &req.service.reader
 
 	return reader.Admit(e.load.Unread(), req.route.Target, gap) &&
@@ -165,13 +189,7 @@
 // choose returns the endpoint for a request, or nil, and the endpoint that
 // probably keeps the shared parts of its prompt, or nil.
 func (d *Director) choose(now time.Time, req *request) (chosen, holder *endpoint) {
-	var space [16]*chooser.Engine
-	candidates := space[:0]
-	for _, e := range req.service.endpoints {
-		if d.usable(now, e) && !contains(req.tried, e.entry.ID) && d.allowed(req, e) {
-			candidates = append(candidates, e.load)
-		}
-	}
+	candidates := d.candidates(now, req)
 	var choice chooser.Choice
 	if engine := d.engine(req); engine != nil {
 		choice = req.service.splitter.Choose(now, req.Need, engine.Slots, candidates)
@@ -188,6 +206,19 @@
 	return d.endpoints[choice.Engine.ID], holder
 }
 
+// candidates returns the endpoints that may get a request now. The result is
+// valid until the next call.
+func (d *Director) candidates(now time.Time, req *request) []*chooser.Engine {
+	d.space = d.space[:0]
+	for _, e := range req.service.endpoints {
+		if d.usable(now, e) && !contains(req.tried, e.entry.ID) && d.allowed(req, e) {
+			d.space = append(d.space, e.load)
+		}
+	}
+
+	return d.space
+}
+
 // allowed tells whether a request may be run in an endpoint's region.
 func (d *Director) allowed(req *request, e *endpoint) bool {
 	region := d.opts.Regions[e.entry.DataCentre]
