--- a/cmd/snipedyke/main.go
+++ b/cmd/snipedyke/main.go
@@ -39,6 +39,7 @@
 	In        *inCommand        `arg:"subcommand:in" help:"cancel an emergency order"`
 	Leave     *leaveCommand     `arg:"subcommand:leave" help:"shut a node down gracefully"`
 	Trace     *traceCommand     `arg:"subcommand:trace" help:"download a node's recording"`
+	Explain   *explainCommand   `arg:"subcommand:explain" help:"print what logs say of one request"`
 	Replay    *replayCommand    `arg:"subcommand:replay" help:"replay trace files and check their stated outcomes"`
 	Demo      *demoCommand      `arg:"subcommand:demo" help:"run both deployments with stand-ins and a short mixed load"`
 	Version   *versionCommand   `arg:"subcommand:version" help:"print the version"`
