Log why an attempt failed and which engine was full

Cause: events 711 and 712 named the result but not what lay behind it, and a refusal under load not what decided it. Change: fields cause; for a refusal the engine, its unread tokens, the time to read them and its running requests.

--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -57,6 +58,10 @@
 	// first is the time to the first byte of the answer, and pause the longest
 	// pause between events.
 	first, pause time.Duration
+	// full is the engine that did not take the request on, or nil.
+	full *endpoint
+	// cause tells why the last attempt has failed, for the log.
+	cause string
 	// relayed tells that a byte of the answer has reached the caller.
 	relayed bool
 	// gone tells that the caller has left.
@@ -138,7 +143,9 @@
 		return
 	}
 	if d.engine(req) != nil && !req.relayed {
+		first := e
 		if e = d.admit(now, req, e); e == nil {
+			req.full = first
 			if !req.waited {
 				req.service.splitter.Refuse(now, req.Need)
 			}
@@ -354,6 +361,7 @@
 	e := req.release()
 	req.relayed = req.relayed || f.Relayed
 	req.pause = max(req.pause, f.Pause)
+	req.cause = f.Cause
 	d.emit(Count{Counter: CounterAttempts, Label: f.Result.String()})
 	d.notice(now, e, f)
 	if req.gone {
@@ -473,13 +481,17 @@
 	}
 	d.emit(Count{Counter: CounterRetries, Label: f.Result.String()})
 	d.log(logger.RequestRetried, "request", req.Name, "route", req.route.Name, "endpoint", req.tried[len(req.tried)-1],
-		"result", f.Result.String(), "took", f.Took.String(), "relayed", req.relayed)
+		"result", f.Result.String(), "cause", f.Cause, "took", f.Took.String(), "relayed", req.relayed)
 	d.place(now, req)
 }
 
 // giveUp ends a request without an answer of an endpoint. What has not run is
 // refused with a status that says so.
 func (d *Director) giveUp(now time.Time, req *request, reason Reason) {
+	if reason == ReasonOverload && req.full != nil {
+		req.cause = fmt.Sprintf("engine %s: %.0f tokens unread, read in %s; %d requests running",
+			req.full.entry.ID, req.full.load.Unread(), req.service.reader.Wait(req.full.load.Unread()), req.full.load.Running())
+	}
 	status := http.StatusServiceUnavailable
 	switch {
 	case req.ran && reason == ReasonTimeout:
@@ -510,7 +522,7 @@
 		service = req.service.name
 	}
 	d.log(logger.RequestFailed, "request", req.Name, "route", route, "service", service, "status", status,
-		"reason", string(reason), "waited", now.Sub(req.arrived).String(), "tried", req.tried,
+		"reason", string(reason), "cause", req.cause, "waited", now.Sub(req.arrived).String(), "tried", req.tried,
 		"unreached", req.unreached, "relayed", req.relayed, "age", d.Age(now).String())
 	delete(d.requests, req.ID)
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -28,6 +28,14 @@
 	streamSilence = 1200 * time.Millisecond
 )
 
+// What makes an answer unsound.
+var (
+	errName     = errors.New("the answer is to another request")
+	errSeal     = errors.New("the answer is not marked as the endpoint's own")
+	errEncoded  = errors.New("the body of the answer is encoded")
+	errNoStream = errors.New("the answer does not go on with the stream")
+)
+
 // writers holds the buffers that requests are written through.
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 4<<10) }}
 
@@ -78,8 +86,10 @@
 	}
 }
 
-// failure returns the result for an error after bytes were sent.
-func failure(err error) director.Result {
+// failure returns the result for an error after bytes were sent, and keeps it
+// as the cause.
+func (a *attempt) failure(err error) director.Result {
+	a.finished.Cause = err.Error()
 	if isTimeout(err) || errors.Is(err, fasthttp.ErrTimeout) {
 		return director.Silent
 	}
@@ -94,6 +104,8 @@
 	}
 	l, err := a.call.f.pool.get(a.order.Address, a.start, idle)
 	if err != nil {
+		a.finished.Cause = err.Error()
+
 		return director.Unreached
 	}
 	a.link = l
@@ -110,7 +122,7 @@
 		return director.Unreached
 	}
 	if err := a.write(left); err != nil {
-		return failure(err)
+		return a.failure(err)
 	}
 
 	return a.read(end)
@@ -145,14 +157,14 @@
 	for range maxStale + 1 {
 		a.resp.StreamBody = false
 		if err := h.Read(a.link.br); err != nil {
-			return failure(err)
+			return a.failure(err)
 		}
 		m := a.call.f.opts.Protocol.Interpret(h)
 		a.finished.Cold, a.finished.Status = m.Cold, h.StatusCode()
 		if m.Name != a.call.name && m.Name != "" && a.link.reused {
 			// It answers an earlier request of the connection.
 			if err := a.resp.ReadBody(a.link.br, maxAnswer); err != nil {
-				return failure(err)
+				return a.failure(err)
 			}
 
 			continue
@@ -161,7 +173,7 @@
 		return a.take(m, end)
 	}
 
-	return director.Broken
+	return a.failure(errName)
 }
 
 // take judges an answer by its header and reads its body.
@@ -172,14 +184,18 @@
 		return director.Misdirected
 	case m.Declined:
 		return director.Declined
-	case m.Name != a.call.name || !m.Whole || len(h.ContentEncoding()) > 0:
-		return director.Broken
+	case m.Name != a.call.name:
+		return a.failure(errName)
+	case !m.Whole:
+		return a.failure(errSeal)
+	case len(h.ContentEncoding()) > 0:
+		return a.failure(errEncoded)
 	}
 	if a.order.Route.Kind == router.Stream && h.StatusCode() == http.StatusOK {
 		return a.begin(end)
 	}
 	if a.order.Resume {
-		return director.Broken
+		return a.failure(errNoStream)
 	}
 	if err := a.link.SetDeadline(end); err != nil {
 		return director.Broken
@@ -187,7 +203,7 @@
 	if a.call.req.Header.IsHead() {
 		a.resp.SkipBody = true
 	} else if err := a.readBody(); err != nil {
-		return failure(err)
+		return a.failure(err)
 	}
 	a.keep()
 	a.call.answer, a.resp = a.resp, nil
@@ -222,12 +238,12 @@
 func (a *attempt) begin(end time.Time) director.Result {
 	a.resp.StreamBody = true
 	if err := a.resp.ReadBody(a.link.br, 0); err != nil {
-		return failure(err)
+		return a.failure(err)
 	}
 	stream := &eventReader{r: a.resp.BodyStream()}
 	events, err := stream.next()
 	if err != nil && !(errors.Is(err, io.EOF) && a.order.Resume) {
-		return failure(err)
+		return a.failure(err)
 	}
 	if a.call.f.opts.Clock().After(a.order.Until) || a.link.SetDeadline(end) != nil {
 		return director.Silent
@@ -309,7 +325,7 @@
 		_ = a.resp.CloseBodyStream()
 		a.keep()
 	} else {
-		a.finished.Result = failure(err)
+		a.finished.Result = a.failure(err)
 	}
 	a.close()
 	a.finished.Relayed = true
