--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -251,6 +251,8 @@
 	// Holder, if it is not nil, is another engine that probably keeps the parts
 	// of the prompt that requests share.
 	Holder *Engine
+	// Cached tells that the engine keeps these parts, or that there are none.
+	Cached bool
 }
 
 // Choose returns the engine for a request. It may reorder engines.
@@ -265,10 +267,13 @@
 	if n.Long() && n.Shared != 0 {
 		e := chooseShared(n, own)
 
-		return Choice{Engine: e, Holder: s.holder(now, n, e, engines)}
+		last, known := s.sights[n.Shared]
+		cached := known && last.engine == e.ID && now.Sub(last.at) < sightMemory
+
+		return Choice{Engine: e, Holder: s.holder(now, n, e, engines), Cached: cached}
 	}
 
-	return Choice{Engine: draw(n, own)}
+	return Choice{Engine: draw(n, own), Cached: n.Shared == 0}
 }
 
 // Spill returns an engine of the other group, or nil. It is for requests of the
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -44,6 +44,9 @@
 	// pending tells that the first byte is awaited, and alone that the engine
 	// had nothing else to read when it was sent.
 	pending, alone bool
+	// cached tells that the engine of the last choice keeps the shared parts of
+	// the prompt.
+	cached bool
 	arrived        time.Time
 	// until is when the answer must be there.
 	until time.Time
@@ -196,6 +199,7 @@
 // choose returns the endpoint for a request, or nil, and the endpoint that
 // probably keeps the shared parts of its prompt, or nil.
 func (d *Director) choose(now time.Time, req *request) (chosen, holder *endpoint) {
+	req.cached = false
 	candidates := d.candidates(now, req)
 	var choice chooser.Choice
 	if engine := d.engine(req); engine != nil {
@@ -206,6 +210,7 @@
 	if choice.Engine == nil {
 		return nil, nil
 	}
+	req.cached = choice.Cached
 	if choice.Holder != nil {
 		holder = d.endpoints[choice.Holder.ID]
 	}
@@ -340,7 +345,7 @@
 	}
 	if req.pending {
 		req.pending = false
-		if req.alone {
+		if req.alone && req.cached {
 			req.service.reader.Note(req.Need.Unread(), e.Wait)
 		}
 		req.at.load.Own.AddPending(req.Need, -1)
