--- a/internal/aggregator/aggregator_test.go
+++ b/internal/aggregator/aggregator_test.go
@@ -23,10 +23,14 @@
 	// loss is the share of messages that are lost.
 	loss float64
 	// cut tells that no message passes between two nodes.
-	cut      func(a, b netip.Addr) bool
-	messages int
-	foreign  int
-	centre   map[netip.Addr]string
+	cut func(a, b netip.Addr) bool
+	// messages and bytes count all messages, foreign and foreignBytes those
+	// between data centres.
+	messages, bytes       int
+	foreign, foreignBytes int
+	// loads holds the load of each node; without it node i has one of its own.
+	loads  [][]encoder.Load
+	centre map[netip.Addr]string
 }
 
 // newFleet returns a fleet of nodes that are dealt to data centres in turn. The
@@ -58,14 +62,18 @@
 		if f.centre[from] != f.centre[o.To] {
 			f.foreign++
 		}
-		to := f.nodes[o.To]
-		if to == nil || f.cut(from, o.To) || f.rng.Float64() < f.loss {
-			continue
-		}
 		buf, err := encoder.Append(nil, o.Message)
 		if err != nil {
 			panic(err)
 		}
+		f.bytes += len(buf)
+		if f.centre[from] != f.centre[o.To] {
+			f.foreignBytes += len(buf)
+		}
+		to := f.nodes[o.To]
+		if to == nil || f.cut(from, o.To) || f.rng.Float64() < f.loss {
+			continue
+		}
 		m, err := encoder.Decode(buf)
 		if err != nil {
 			panic(err)
@@ -79,9 +87,15 @@
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.now = f.now.Add(Interval)
 		for i, addr := range f.order {
-			if n := f.nodes[addr]; n != nil {
-				f.deliver(addr, n.Tick(f.now, encoder.Sum{Long: 1, Loads: []encoder.Load{{Endpoint: 7, Running: uint16(i + 1)}}}, View{}))
+			n := f.nodes[addr]
+			if n == nil {
+				continue
+			}
+			own := encoder.Sum{Long: 1, Loads: []encoder.Load{{Endpoint: 7, Running: uint16(i + 1)}}}
+			if f.loads != nil {
+				own.Loads = f.loads[i]
 			}
+			f.deliver(addr, n.Tick(f.now, own, View{}))
 		}
 	}
 }
