Use the limits of the table, and drop fields that nothing reads

Cause: reading the diff: the limit on connections was passed on and not used, the limit on bodies was read and not kept, and six fields of entries, engines and limits had no reader. Change: nodes share half of an endpoint's connections for idle ones; bodies above the table's limit are refused with 413; unread fields are gone. Test: TestLimitsOfTheTable.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -411,3 +411,21 @@
 	// Three engines with 4 slots start more than the share of one group.
 	c.Check(served > 6, qt.IsTrue, qt.Commentf("%d served, %d refused", served, refused))
 }
+
+// Guards against connections that together exhaust what an endpoint accepts,
+// and against bodies above the limit of the table.
+func TestLimitsOfTheTable(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	table, err := router.New(router.Definition{
+		Version: 9, Body: 100, Services: []router.Service{{Name: "desk", Connections: 36}},
+		Routes: []router.Route{{Name: "open", Host: "h", Prefix: "/", Kind: router.Safe, Public: true, Timeout: time.Second, Target: time.Second, Attempts: 1, Shares: []router.Share{{Service: "desk", Weight: 1}}}},
+	})
+	c.Assert(err, qt.IsNil)
+	n.post(TableLoaded{table})
+	d, _ := find[Dispatch](n.post(Arrived{Request{ID: 1, Host: "h", Path: "/x", Body: 100}}))
+	// Six nodes share half of 36 connections.
+	c.Check(d.Idle, qt.Equals, 3)
+	refuse, _ := find[Refuse](n.post(Arrived{Request{ID: 2, Host: "h", Path: "/x", Body: 101}}))
+	c.Check(refuse.Status, qt.Equals, 413)
+}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -38,6 +38,8 @@
 	Key string
 	// Deadline is the time that the caller waits, or zero.
 	Deadline time.Duration
+	// Body is the size of the body in bytes.
+	Body int
 	// Need is what the request needs of a model engine.
 	Need chooser.Need
 }
@@ -179,8 +181,8 @@
 	// Holder, if it is valid, is an endpoint from which the shared parts of the
 	// prompt can be fetched.
 	Holder netip.AddrPort
-	// Connections bounds the idle connections to keep to the endpoint.
-	Connections int
+	// Idle bounds the idle connections to keep to the endpoint.
+	Idle int
 }
 
 // Refuse answers a request with an error of the node's own.
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -102,6 +102,11 @@
 			return
 		}
 	}
+	if most := d.table.Body(); most > 0 && q.Body > most {
+		d.refuse(now, req, http.StatusRequestEntityTooLarge, ReasonTooLarge)
+
+		return
+	}
 	req.until = now.Add(req.route.Timeout)
 	if q.Deadline > 0 && q.Deadline < req.route.Timeout {
 		req.until = now.Add(q.Deadline)
@@ -268,14 +273,10 @@
 	if req.account != nil {
 		account = req.account.Name
 	}
-	connections := 0
-	if s := d.table.Service(req.service.name); s != nil {
-		connections = s.Connections
-	}
 	dispatch := Dispatch{
 		ID: req.ID, Endpoint: e.entry.ID, Address: e.entry.Address, Account: account,
 		Urgency: min(d.table.Urgency(req.route, req.account), leastUrgent), Route: req.route, Until: req.until,
-		Resume: req.relayed, Connections: connections,
+		Resume: req.relayed, Idle: d.idle(now, req.service.name),
 	}
 	if holder != nil {
 		dispatch.Holder = holder.entry.Address
@@ -288,6 +289,24 @@
 	d.emit(dispatch)
 }
 
+const (
+	// maxIdle bounds the idle connections of a node to an endpoint, and idleShare
+	// is the part of an endpoint's connections that all nodes may hold idle.
+	maxIdle   = 8
+	idleShare = 0.5
+)
+
+// idle returns the number of idle connections that the node may keep to each
+// endpoint of a service.
+func (d *Director) idle(now time.Time, name string) int {
+	s := d.table.Service(name)
+	if s == nil || s.Connections == 0 {
+		return maxIdle
+	}
+
+	return min(max(int(idleShare*float64(s.Connections))/d.fleet.size(now), 1), maxIdle)
+}
+
 // release ends the use of the endpoint of the attempt.
 func (req *request) release() *endpoint {
 	e := req.at
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -229,7 +229,7 @@
 	if a.resp.Header.ConnectionClose() {
 		_ = a.link.Close()
 	} else {
-		a.call.f.pool.put(a.order.Address, a.link, time.Now(), &a.resp.Header)
+		a.call.f.pool.put(a.order.Address, a.link, time.Now(), &a.resp.Header, a.order.Idle)
 	}
 	a.link = nil
 }
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -61,6 +61,7 @@
 	c.conn.watch(func() { f.Post(director.Gone{ID: c.id}) })
 	f.Post(director.Arrived{Request: director.Request{
 		ID: c.id, Name: description.Name, Key: description.Key, Deadline: description.Deadline, Need: description.Need,
+		Body: len(ctx.Request.Body()),
 		Host: hostName(ctx.Request.Header.Host()), Path: rawPath(ctx.Request.Header.RequestURI()),
 	}})
 	if !c.run(ctx) {
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -30,8 +30,6 @@
 	// freshIdle is how long a connection may have been idle to carry a request
 	// that runs at most once: the longer, the more likely its end is on the way.
 	freshIdle = 500 * time.Millisecond
-	// maxIdle bounds the idle connections to an endpoint.
-	maxIdle = 8
 	// buffer is the size of the read buffer of a connection in bytes; it bounds
 	// the header of an answer.
 	buffer = 16 << 10
@@ -107,8 +105,8 @@
 	return l
 }
 
-// put keeps a connection after a whole answer.
-func (p *pool) put(address netip.AddrPort, l *link, now time.Time, h *fasthttp.ResponseHeader) {
+// put keeps a connection after a whole answer, and at most a number of them.
+func (p *pool) put(address netip.AddrPort, l *link, now time.Time, h *fasthttp.ResponseHeader, most int) {
 	l.used, l.idle = now, defaultIdle
 	if stated, ok := keepAlive(string(h.Peek("Keep-Alive"))); ok {
 		l.idle = stated - idleMargin
@@ -122,7 +120,7 @@
 	defer p.mu.Unlock()
 	links := p.idle[address]
 	// The oldest connections are the first to be closed by their endpoints.
-	for len(links) > 0 && (len(links) >= maxIdle || now.Sub(links[0].used) >= links[0].idle) {
+	for len(links) > 0 && (len(links) >= most || now.Sub(links[0].used) >= links[0].idle) {
 		_ = links[0].Close()
 		links = links[1:]
 	}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -26,7 +26,6 @@
 	Service    string
 	Address    netip.AddrPort
 	DataCentre string
-	Slots      int
 	// Draining endpoints take no new work.
 	Draining bool
 	// Cold is how much longer the endpoint stays cold.
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -118,10 +118,6 @@
 type Engine struct {
 	// Slots is the largest batch.
 	Slots int
-	// Memory is the room for running requests and cached parts in tokens.
-	Memory int
-	// Stride is the number of tokens in an event.
-	Stride int
 }
 
 // Account is a client account.
@@ -133,14 +129,6 @@
 	Regions []string
 }
 
-// Limits bound what callers may send.
-type Limits struct {
-	// Header and Body are sizes in bytes.
-	Header, Body int
-	// Idle is the time between two requests of a connection.
-	Idle time.Duration
-}
-
 // Definition is what a Table is made of.
 type Definition struct {
 	Version  uint64
@@ -148,14 +136,15 @@
 	Services []Service
 	Accounts []Account
 	// Keys holds the name of the account by key.
-	Keys   map[string]string
-	Limits Limits
+	Keys map[string]string
+	// Body bounds the body of a request in bytes, or is zero.
+	Body int
 }
 
 // Table is one version of the routes. It is immutable.
 type Table struct {
 	version  uint64
-	limits   Limits
+	body     int
 	hosts    map[string][]*Route
 	services map[string]*Service
 	keys     map[string]*Account
@@ -168,7 +157,7 @@
 // refers to something that is missing.
 func New(d Definition) (*Table, error) {
 	t := &Table{
-		version: d.Version, limits: d.Limits, routes: len(d.Routes),
+		version: d.Version, body: d.Body, routes: len(d.Routes),
 		hosts:    make(map[string][]*Route),
 		services: make(map[string]*Service, len(d.Services)),
 		keys:     make(map[string]*Account, len(d.Keys)),
@@ -249,8 +238,8 @@
 // Version returns the version of the table.
 func (t *Table) Version() uint64 { return t.version }
 
-// Limits returns what callers may send.
-func (t *Table) Limits() Limits { return t.limits }
+// Body returns the largest body of a request in bytes, or zero.
+func (t *Table) Body() int { return t.body }
 
 // Routes returns the number of routes.
 func (t *Table) Routes() int { return t.routes }
