Make two tests notice a missing mechanism

Cause: with the spill of urgent requests or the notice of a caller's end taken out, TestUrgentRequestsSpillOver and TestCallerLeavesEndsTheWork still passed: the first asked for too little, the second was saved by the route's timeout. Change: the first states which requests must be sent and to how many engines; in the second the route's timeout is longer than the wait.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -385,31 +385,32 @@
 func TestUrgentRequestsSpillOver(t *testing.T) {
 	c := qt.New(t)
 	n := newNode()
-	served, refused := 0, 0
-	for i := range 400 {
-		id := uint64(i)
-		n.now = n.now.Add(2 * time.Millisecond)
-		path, need := "/chat/", chooser.Need{Prompt: 800, Output: 300}
-		if i%4 == 0 {
-			path, need = "/draft/", chooser.Need{Prompt: 9000, Output: 50}
-		}
-		n.post(Confirmed{n.now})
-		effects := n.post(Arrived{Request{ID: id, Name: fmt.Sprint(id), Host: "h", Path: path, Key: "key", Deadline: 10 * time.Second, Need: need}})
-		if i == 0 {
-			// The engines read 30 tokens in a millisecond.
-			n.post(Began{ID: id, Wait: 300 * time.Millisecond})
-			n.post(Finished{ID: id, Result: Answered, Status: 200, Took: 500 * time.Millisecond})
-		}
-		if path == "/chat/" {
-			if _, ok := find[Dispatch](effects); ok {
-				served++
-			} else if _, ok := find[Refuse](effects); ok {
-				refused++
-			}
-		}
+	id := uint64(0)
+	send := func(path string, need chooser.Need) (Dispatch, bool) {
+		id++
+
+		return find[Dispatch](n.post(Arrived{Request{ID: id, Name: fmt.Sprint(id), Host: "h", Path: path, Key: "key", Deadline: 10 * time.Second, Need: need}}))
+	}
+	// The engines read 30 tokens in a millisecond, so that the bound on pauses
+	// is 5,400 tokens.
+	send("/chat/", chooser.Need{Prompt: 1800, Output: 300})
+	n.post(Began{ID: id, Wait: 60 * time.Millisecond})
+	send("/draft/", chooser.Need{Prompt: 2700, Output: 50})
+	n.now = n.now.Add(time.Second)
+	used := map[string]int{}
+	for range 12 {
+		d, sent := send("/chat/", chooser.Need{Prompt: 2000, Output: 300})
+		c.Assert(sent, qt.IsTrue, qt.Commentf("request %d; %v", id, used))
+		used[d.Endpoint]++
+	}
+	c.Check(used, qt.HasLen, 3, qt.Commentf("%v", used))
+	// Drafts, which are less urgent, wait while their engine has enough to read.
+	refused := false
+	for range 12 {
+		_, sent := send("/draft/", chooser.Need{Prompt: 9000, Output: 50})
+		refused = refused || !sent
 	}
-	// Three engines with 4 slots start more than the share of one group.
-	c.Check(served > 6, qt.IsTrue, qt.Commentf("%d served, %d refused", served, refused))
+	c.Check(refused, qt.IsTrue)
 }
 
 // Guards against connections that together exhaust what an endpoint accepts,
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -191,7 +192,13 @@
 				c.Assert(err, qt.IsNil)
 			}
 			c.Assert(call.Close(), qt.IsNil)
-			c.Check(<-closed, qt.IsTrue)
+			// Without a notice the work would end with the route's timeout.
+			select {
+			case ended := <-closed:
+				c.Check(ended, qt.IsTrue)
+			case <-time.After(longWait):
+				c.Fatal("the endpoint still works for a caller that has left")
+			}
 		})
 	}
 }
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -25,7 +25,7 @@
 type protocol struct{}
 
 func (protocol) Describe(h *fasthttp.RequestHeader) (Description, error) {
-	return Description{Name: string(h.Peek("Name")), Key: string(h.Peek("Key")), Deadline: 10 * time.Second}, nil
+	return Description{Name: string(h.Peek("Name")), Key: string(h.Peek("Key")), Deadline: 2 * longWait}, nil
 }
 
 func (protocol) Clean(h *fasthttp.RequestHeader) {
@@ -45,6 +45,10 @@
 	}
 }
 
+// longWait bounds the wait for what must happen; it is half of the time in which
+// requests end by themselves.
+const longWait = 15 * time.Second
+
 type sink struct{}
 
 func (sink) Event(int, ...any)     {}
@@ -158,7 +162,7 @@
 	}
 	route := func(prefix string, kind router.Kind, resumable bool) router.Route {
 		return router.Route{
-			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Resumable: resumable, Timeout: 10 * time.Second,
+			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Resumable: resumable, Timeout: 2 * longWait,
 			Target: 5 * time.Second, Attempts: 3, Shares: []router.Share{{Service: "s", Weight: 1}},
 		}
 	}
