--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -37,8 +37,8 @@
 	stay time.Duration
 }
 
-// Note takes the time to the first token of a request that found nothing unread
-// at its engine.
+// Note takes the time to the first token of a request, in which its engine has
+// read a number of tokens.
 func (r *Reader) Note(unread float64, wait time.Duration) {
 	if unread < leastSample || wait <= 0 {
 		return
--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -244,6 +244,10 @@
 	return min(max(int(s.engines+0.5), 1), n-1)
 }
 
+// smallPart is the part of a prompt up to which it does not matter whether its
+// shared parts are cached.
+const smallPart = 0.25
+
 // Choice is where a request goes.
 type Choice struct {
 	// Engine is nil if there is none.
@@ -251,7 +255,7 @@
 	// Holder, if it is not nil, is another engine that probably keeps the parts
 	// of the prompt that requests share.
 	Holder *Engine
-	// Cached tells that the engine keeps these parts, or that there are none.
+	// Cached tells that the engine keeps these parts, or that they are small.
 	Cached bool
 }
 
@@ -273,7 +277,7 @@
 		return Choice{Engine: e, Holder: s.holder(now, n, e, engines), Cached: cached}
 	}
 
-	return Choice{Engine: draw(n, own), Cached: n.Shared == 0}
+	return Choice{Engine: draw(n, own), Cached: float64(n.Reused) < smallPart*float64(n.Prompt)}
 }
 
 // Spill returns an engine of the other group, or nil. It is for requests of the
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -19,8 +19,8 @@
 	}
 	if req.pending {
 		req.pending = false
-		if req.alone && req.cached {
-			req.service.reader.Note(req.Need.Unread(), e.Wait)
+		if req.cached {
+			req.service.reader.Note(req.ahead+req.Need.Unread(), e.Wait)
 		}
 		req.at.load.Own.AddPending(req.Need, -1)
 	}
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -41,9 +41,10 @@
 	service *service
 	// generates tells that the service has model engines.
 	generates bool
-	// pending tells that the first byte is awaited, and alone that the engine
-	// had nothing else to read when it was sent.
-	pending, alone bool
+	// pending tells that the first byte is awaited, and ahead is what the engine
+	// had to read before when the request was sent, in tokens.
+	pending bool
+	ahead   float64
 	// cached tells that the engine of the last choice keeps the shared parts of
 	// the prompt.
 	cached  bool
@@ -262,7 +263,7 @@
 	}
 	req.at = e
 	if req.generates && !req.relayed {
-		req.pending, req.alone = true, e.load.Own.Pending+e.load.Others.Pending == 0
+		req.pending, req.ahead = true, e.load.Unread()
 		e.load.Own.AddPending(req.Need, 1)
 	}
 	e.load.Own.Add(req.Need, 1)
