Test the timeout of a silent endpoint and the regions of routes

Change: TestSilentEndpointEndsWithTheTimeout and TestRegionsOfRouteAndAccountBind. Conclusion: both pass; no code changed.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -430,3 +430,44 @@
 	refuse, _ := find[Refuse](n.post(Arrived{Request{ID: 2, Host: "h", Path: "/x", Body: 101}}))
 	c.Check(refuse.Status, qt.Equals, 413)
 }
+
+// Guards against requests that run in a region where their route or account must
+// not go.
+func TestRegionsOfRouteAndAccountBind(t *testing.T) {
+	c := qt.New(t)
+	o := options()
+	o.Regions = map[string]string{"kochi": "kerala", "delhi": "north"}
+	n := &node{Director: New(o), now: start}
+	route := func(name string, regions ...string) router.Route {
+		return router.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: router.Safe, Timeout: time.Second, Target: time.Second,
+			Attempts: 1, Regions: regions, Shares: []router.Share{{Service: "desk", Weight: 1}},
+		}
+	}
+	table, err := router.New(router.Definition{
+		Version: 1, Services: []router.Service{{Name: "desk"}},
+		Routes:   []router.Route{route("any"), route("north", "north"), route("none", "south")},
+		Accounts: []router.Account{{Name: "club"}, {Name: "home", Regions: []string{"kerala"}}},
+		Keys:     map[string]string{"key": "club", "homekey": "home"},
+	})
+	c.Assert(err, qt.IsNil)
+	n.post(TableLoaded{table})
+	south := entry("desk", 0)
+	north := entry("desk", 1)
+	north.DataCentre = "delhi"
+	n.post(EntriesListed{[]registrar.Entry{south, north}})
+	n.post(Confirmed{n.now})
+	id := uint64(0)
+	send := func(path, key string) string {
+		id++
+		d, _ := find[Dispatch](n.post(Arrived{Request{ID: id, Name: fmt.Sprint(id), Host: "h", Path: path, Key: key, Deadline: time.Second}}))
+
+		return d.Endpoint
+	}
+	for range 8 {
+		c.Check(send("/north/x", "key"), qt.Equals, north.ID)
+		c.Check(send("/any/x", "homekey"), qt.Equals, south.ID)
+		c.Check(send("/none/x", "key"), qt.Equals, "")
+		c.Check(send("/north/x", "homekey"), qt.Equals, "", qt.Commentf("both bind"))
+	}
+}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -274,3 +274,17 @@
 	c.Check(err, qt.Equals, io.ErrUnexpectedEOF)
 	c.Check(lastID([]byte("data: id: 9\n\n")), qt.IsNil)
 }
+
+// Guards against a request that is held past its route's timeout by an endpoint
+// that does not answer, and against a refusal that says that it has not run.
+func TestSilentEndpointEndsWithTheTimeout(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan bool)
+	e := newEndpoint(t, func(net.Conn, *http.Request) bool { return <-release })
+	defer close(release)
+	call := start(t, e).dial(c)
+	call.send("POST", "/brief/x", "r1", "")
+	resp, _, err := call.receive()
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.StatusCode, qt.Equals, 504)
+}
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -170,6 +170,7 @@
 		Version: 1, Services: []router.Service{{Name: "s"}},
 		Routes: []router.Route{
 			route("/safe/", router.Safe, false), route("/unsafe/", router.Unsafe, false),
+			brief(route("/brief/", router.Unsafe, false)),
 			route("/stream/", router.Stream, false), route("/resume/", router.Stream, true),
 		},
 		Accounts: []router.Account{{Name: "club"}}, Keys: map[string]string{"k": "club"},
@@ -191,6 +192,13 @@
 	return s
 }
 
+// brief gives a route a short timeout.
+func brief(r router.Route) router.Route {
+	r.Timeout = 100 * time.Millisecond
+
+	return r
+}
+
 // caller is a connection to the forwarder.
 type caller struct {
 	net.Conn
