Send only the load that is used, and bound reading more tightly

Cause: reading the diff: work and pending requests were summed up and sent between nodes but no decision read them any more. Change: loads hold running requests and unread tokens; reading may take 0.6 of the target and 0.8 of the longest pause (0.8 and 1.2 before). The test of the admitter states its figures by the shares and, besides, that what is certainly late is never taken on.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -12,10 +12,10 @@
 const (
 	// targetShare is the part of the target that reading may take. The rest
 	// covers the way and the steps of the requests that run.
-	targetShare = 0.8
+	targetShare = 0.6
 	// gapShare is the part of the longest pause that reading without a rest may
 	// take.
-	gapShare = 1.2
+	gapShare = 0.8
 	// slotShare is the part of the target that the wait for a slot may take.
 	slotShare = 0.5
 	// stayWeight is the weight of a new time in the mean.
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -15,10 +15,13 @@
 	const target, gap = 600 * time.Millisecond, 150 * time.Millisecond
 	c.Check(r.Admit(1e9, target, gap), qt.IsTrue, qt.Commentf("nothing is known yet"))
 	r.Note(3000, 100*time.Millisecond)
-	c.Check(r.Admit(14000, target, 0), qt.IsTrue)
-	c.Check(r.Admit(15000, target, 0), qt.IsFalse)
-	c.Check(r.Admit(5000, target, gap), qt.IsTrue)
-	c.Check(r.Admit(6000, target, gap), qt.IsFalse)
+	// The engine reads 30 tokens in a millisecond.
+	c.Check(r.Admit(30*600*targetShare, target, 0), qt.IsTrue)
+	c.Check(r.Admit(30*600*targetShare+30, target, 0), qt.IsFalse)
+	c.Check(r.Admit(30*150*gapShare, target, gap), qt.IsTrue)
+	c.Check(r.Admit(30*150*gapShare+30, target, gap), qt.IsFalse)
+	// What would certainly be late is never taken on.
+	c.Check(r.Admit(30*600, target, 0), qt.IsFalse)
 }
 
 // Guards against one slow first token that makes the node refuse what engines
--- a/internal/aggregator/aggregator_test.go
+++ b/internal/aggregator/aggregator_test.go
@@ -212,11 +212,11 @@
 func TestSubtractDoesNotWrap(t *testing.T) {
 	c := qt.New(t)
 	rest := subtract(
-		encoder.Sum{Nodes: 1, Long: 1, Loads: []encoder.Load{{Endpoint: 1, Running: 2, Work: 5}, {Endpoint: 3, Running: 1}}},
-		encoder.Sum{Nodes: 2, Long: 2, Loads: []encoder.Load{{Endpoint: 1, Running: 1, Work: 9}, {Endpoint: 2, Running: 4}, {Endpoint: 3, Running: 1}}},
+		encoder.Sum{Nodes: 1, Long: 1, Loads: []encoder.Load{{Endpoint: 1, Running: 2, Unread: 5}, {Endpoint: 3, Running: 1}}},
+		encoder.Sum{Nodes: 2, Long: 2, Loads: []encoder.Load{{Endpoint: 1, Running: 1, Unread: 9}, {Endpoint: 2, Running: 4}, {Endpoint: 3, Running: 1}}},
 	)
 	c.Check(rest.Nodes, qt.Equals, uint16(0))
-	c.Check(rest.Long, qt.Equals, float32(0))
+	c.Check(rest.Long, qt.Equals, uint32(0))
 	c.Check(rest.Loads, qt.DeepEquals, []encoder.Load{{Endpoint: 1, Running: 1}})
 }
 
--- a/internal/aggregator/sum.go
+++ b/internal/aggregator/sum.go
@@ -25,8 +25,7 @@
 		default:
 			x, y := a.Loads[i], b.Loads[j]
 			total.Loads = append(total.Loads, encoder.Load{
-				Endpoint: x.Endpoint, Running: x.Running + y.Running, Pending: x.Pending + y.Pending,
-				Unread: x.Unread + y.Unread, Work: x.Work + y.Work,
+				Endpoint: x.Endpoint, Running: x.Running + y.Running, Unread: x.Unread + y.Unread,
 			})
 			i++
 			j++
@@ -40,7 +39,8 @@
 func subtract(total, part encoder.Sum) encoder.Sum {
 	rest := total
 	rest.Nodes -= min(part.Nodes, rest.Nodes)
-	rest.Long, rest.Short = max(rest.Long-part.Long, 0), max(rest.Short-part.Short, 0)
+	rest.Long -= min(part.Long, rest.Long)
+	rest.Short -= min(part.Short, rest.Short)
 	rest.Loads = slices.Clone(total.Loads)
 	j := 0
 	for i := range rest.Loads {
@@ -51,9 +51,7 @@
 		if j < len(part.Loads) && part.Loads[j].Endpoint == l.Endpoint {
 			p := part.Loads[j]
 			l.Running -= min(p.Running, l.Running)
-			l.Pending -= min(p.Pending, l.Pending)
 			l.Unread -= min(p.Unread, l.Unread)
-			l.Work -= min(p.Work, l.Work)
 		}
 	}
 	rest.Loads = slices.DeleteFunc(rest.Loads, func(l encoder.Load) bool { return l.Running == 0 })
--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -8,8 +8,9 @@
 // numbers follow the work of both, and prompts that share their parts go to the
 // same few engines.
 //
-// A node chooses by what it has placed itself. All nodes rank engines by the
-// same hashes, so that they agree without messages.
+// A node knows its own requests at once and the sums of the other nodes' a few
+// hundred milliseconds late. All nodes split the engines by the same sums and
+// rank them by the same hashes, so that they agree.
 package chooser
 
 import (
@@ -22,8 +23,8 @@
 
 // Need is what a request needs of an engine.
 type Need struct {
-	// Prompt and Output are numbers of tokens; Output is the expected number.
-	Prompt, Output int
+	// Prompt is the number of tokens of the prompt.
+	Prompt int
 	// Shared is the hash of the last part of the prompt that other requests
 	// share, or zero, and Reused the tokens of all parts up to it.
 	Shared uint64
@@ -35,26 +36,13 @@
 	Urgency int
 }
 
-const (
-	// longPrompt is the number of prompt tokens from which a request counts as
-	// long: an engine takes several steps to read it.
-	longPrompt = 2048
-	// outputWork is the work of an output token in prompt tokens: a step yields
-	// one token to each request of a batch, in the time in which the engine
-	// reads about 200 tokens.
-	outputWork = 10
-)
+// longPrompt is the number of prompt tokens from which a request counts as long:
+// an engine takes several steps to read it.
+const longPrompt = 2048
 
 // Long tells whether the request belongs to the group of long prompts.
 func (n Need) Long() bool { return n.Prompt >= longPrompt }
 
-// Work returns the work of the request in prompt tokens, if its shared parts
-// are cached.
-func (n Need) Work() float64 { return n.Unread() + outputWork*float64(n.Output) }
-
-// Running returns the requests of all nodes at the engine.
-func (e *Engine) Running() int { return e.Own.Running + e.Others.Running }
-
 // Unread returns the prompt tokens that are read if the shared parts are
 // cached.
 func (n Need) Unread() float64 { return float64(max(n.Prompt-n.Reused, 0)) }
@@ -82,27 +70,15 @@
 
 // Load is the load of some requests at an engine.
 type Load struct {
-	// Running is the number of requests and Work their work.
+	// Running is the number of requests.
 	Running int
-	Work    float64
-	// Pending is the number of requests without a first token, and Unread the
-	// tokens of their prompts that are not cached.
-	Pending int
-	Unread  float64
+	// Unread is the number of prompt tokens that are not cached, of the requests
+	// without a first token.
+	Unread float64
 }
 
-// Add adds a request, or takes it away if sign is -1.
-func (l *Load) Add(n Need, sign int) {
-	l.Running += sign
-	l.Work += float64(sign) * n.Work()
-}
-
-// AddPending adds a request without a first token, or takes it away if sign
-// is -1.
-func (l *Load) AddPending(n Need, sign int) {
-	l.Pending += sign
-	l.Unread += float64(sign) * n.Unread()
-}
+// Running returns the requests of all nodes at the engine.
+func (e *Engine) Running() int { return e.Own.Running + e.Others.Running }
 
 // Unread returns the prompt tokens that the engine has yet to read.
 func (e *Engine) Unread() float64 { return e.Own.Unread + e.Others.Unread }
@@ -270,7 +246,6 @@
 	own, _ := s.deal(n, slots, engines)
 	if n.Long() && n.Shared != 0 {
 		e := chooseShared(n, own)
-
 		last, known := s.sights[n.Shared]
 		cached := known && last.engine == e.ID && now.Sub(last.at) < sightMemory
 
--- a/internal/chooser/replay_test.go
+++ b/internal/chooser/replay_test.go
@@ -48,13 +48,13 @@
 			parts := []emulator.Part{{ID: 1 + session%4, Tokens: 2520}, {ID: 100 + session, Tokens: 3780}}
 			own := int(500 + rng.ExpFloat64()*2400)
 			list = append(list, &arrival{long: true, need: Need{
-				Prompt: 6300 + own, Output: 52, Shared: parts[1].ID, Reused: 6300, Seed: rng.Uint64(), Urgency: 1,
+				Prompt: 6300 + own, Shared: parts[1].ID, Reused: 6300, Seed: rng.Uint64(), Urgency: 1,
 			}, Request: emulator.Request{Arrival: at, Parts: parts, Prompt: 6300 + own, Output: 52}})
 		}
 		if rng.Float64() < f/1000 {
 			prompt, output := int(300+rng.ExpFloat64()*500), int(100+rng.ExpFloat64()*190)
 			list = append(list, &arrival{
-				need:    Need{Prompt: prompt, Output: output, Seed: rng.Uint64()},
+				need:    Need{Prompt: prompt, Seed: rng.Uint64()},
 				Request: emulator.Request{Arrival: at, Prompt: prompt, Output: output},
 			})
 		}
@@ -75,19 +75,20 @@
 	byRequest := map[*emulator.Request]*arrival{}
 	var splitter Splitter
 	var reader admitter.Reader
-	alone := map[*emulator.Request]bool{}
+	ahead := map[*emulator.Request]float64{}
 	for i := range state {
 		state[i] = NewEngine(fmt.Sprint("e", i), true)
 		machines[i] = emulator.New(emulator.Dense)
 		engine := state[i]
 		machines[i].OnFirst = func(now time.Duration, r *emulator.Request) {
-			engine.Own.AddPending(byRequest[r].need, -1)
-			if alone[r] {
-				reader.Note(byRequest[r].need.Unread(), r.First)
+			need := byRequest[r].need
+			engine.Own.Unread -= need.Unread()
+			if r.Read == int(need.Unread()) {
+				reader.Note(ahead[r]+need.Unread(), r.First)
 			}
 		}
 		machines[i].OnEnd = func(_ time.Duration, r *emulator.Request) {
-			engine.Own.Add(byRequest[r].need, -1)
+			engine.Own.Running--
 			splitter.Add(byRequest[r].need, -1)
 		}
 	}
@@ -100,9 +101,9 @@
 		if at < 0 {
 			continue
 		}
-		alone[&a.Request] = state[at].Own.Pending == 0
-		state[at].Own.Add(a.need, 1)
-		state[at].Own.AddPending(a.need, 1)
+		ahead[&a.Request] = state[at].Unread()
+		state[at].Own.Running++
+		state[at].Own.Unread += a.need.Unread()
 		splitter.Add(a.need, 1)
 		machines[at].Send(&a.Request)
 	}
@@ -137,18 +138,29 @@
 
 // ours is the placement and admission of the director.
 func ours(now time.Time, a *arrival, state []*Engine, s *Splitter, r *admitter.Reader) int {
-	e := s.Choose(now, a.need, emulator.Dense.Slots, append([]*Engine(nil), state...)).Engine
+	candidates := append([]*Engine(nil), state...)
+	e := s.Choose(now, a.need, emulator.Dense.Slots, candidates).Engine
 	gap := 150 * time.Millisecond
 	if a.long {
 		gap = 0
 	}
-	if !r.Admit(e.Unread(), 600*time.Millisecond, gap) || !r.HasSlot(e.Running(), emulator.Dense.Slots, 600*time.Millisecond) {
-		s.Refuse(now, a.need)
-
-		return -1
+	admits := func(e *Engine, gap time.Duration) bool {
+		return r.Admit(e.Unread(), 600*time.Millisecond, gap) && r.HasSlot(e.Running(), emulator.Dense.Slots, 600*time.Millisecond)
+	}
+	if admits(e, gap) {
+		return index(state, e)
+	}
+	if s.Urgent(a.need) {
+		if other := s.Spill(a.need, emulator.Dense.Slots, candidates); other != nil && admits(other, gap) {
+			return index(state, other)
+		}
+		if admits(e, 0) {
+			return index(state, e)
+		}
 	}
+	s.Refuse(now, a.need)
 
-	return index(state, e)
+	return -1
 }
 
 func leastInFlight(_ time.Time, _ *arrival, state []*Engine, _ *Splitter, _ *admitter.Reader) int {
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -344,7 +344,7 @@
 				id++
 				path := rapid.SampledFrom([]string{"/pay/", "/look/", "/chat/", "/draft/"}).Draw(t, "path")
 				requests[id] = &state{path: path}
-				need := chooser.Need{Prompt: rapid.IntRange(10, 9000).Draw(t, "prompt"), Output: 50}
+				need := chooser.Need{Prompt: rapid.IntRange(10, 9000).Draw(t, "prompt")}
 				check(n.post(Arrived{Request{ID: id, Name: fmt.Sprint(id), Host: "h", Path: path, Key: "key", Deadline: time.Second, Need: need}}))
 			case 2, 3:
 				for r := uint64(1); r <= id; r++ {
@@ -393,13 +393,13 @@
 	}
 	// The engines read 30 tokens in a millisecond, so that the bound on pauses
 	// is 5,400 tokens.
-	send("/chat/", chooser.Need{Prompt: 1800, Output: 300})
+	send("/chat/", chooser.Need{Prompt: 1800})
 	n.post(Began{ID: id, Wait: 60 * time.Millisecond})
-	send("/draft/", chooser.Need{Prompt: 2700, Output: 50})
+	send("/draft/", chooser.Need{Prompt: 2700})
 	n.now = n.now.Add(time.Second)
 	used := map[string]int{}
 	for range 12 {
-		d, sent := send("/chat/", chooser.Need{Prompt: 2000, Output: 300})
+		d, sent := send("/chat/", chooser.Need{Prompt: 2000})
 		c.Assert(sent, qt.IsTrue, qt.Commentf("request %d; %v", id, used))
 		used[d.Endpoint]++
 	}
@@ -407,7 +407,7 @@
 	// Drafts, which are less urgent, wait while their engine has enough to read.
 	refused := false
 	for range 12 {
-		_, sent := send("/draft/", chooser.Need{Prompt: 9000, Output: 50})
+		_, sent := send("/draft/", chooser.Need{Prompt: 9000})
 		refused = refused || !sent
 	}
 	c.Check(refused, qt.IsTrue)
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -53,15 +53,14 @@
 	var sum encoder.Sum
 	for _, s := range d.services {
 		long, short := s.splitter.Running()
-		sum.Long += float32(long)
-		sum.Short += float32(short)
+		sum.Long += uint32(max(long, 0))
+		sum.Short += uint32(max(short, 0))
 	}
 	for _, e := range d.endpoints {
 		own := e.load.Own
 		if own.Running > 0 {
 			sum.Loads = append(sum.Loads, encoder.Load{
-				Endpoint: e.number, Running: uint16(own.Running), Pending: uint16(max(own.Pending, 0)),
-				Unread: uint32(max(own.Unread, 0)), Work: uint32(max(own.Work, 0)),
+				Endpoint: e.number, Running: uint16(own.Running), Unread: uint32(max(own.Unread, 0)),
 			})
 		}
 	}
@@ -88,9 +87,7 @@
 	}
 	for _, e := range d.endpoints {
 		l := loads[e.number]
-		e.load.Others = chooser.Load{
-			Running: int(l.Running), Work: float64(l.Work), Pending: int(l.Pending), Unread: float64(l.Unread),
-		}
+		e.load.Others = chooser.Load{Running: int(l.Running), Unread: float64(l.Unread)}
 	}
 	for _, s := range d.services {
 		// Nodes sum up the requests of all services; only services of engines
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -22,7 +22,7 @@
 		if req.cached {
 			req.service.reader.Note(req.ahead+req.Need.Unread(), e.Wait)
 		}
-		req.at.load.Own.AddPending(req.Need, -1)
+		req.at.load.Own.Unread -= req.Need.Unread()
 	}
 	req.at.failures = 0
 	if now.Before(req.at.suspended) {
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -264,9 +264,9 @@
 	req.at = e
 	if req.generates && !req.relayed {
 		req.pending, req.ahead = true, e.load.Unread()
-		e.load.Own.AddPending(req.Need, 1)
+		e.load.Own.Unread += req.Need.Unread()
 	}
-	e.load.Own.Add(req.Need, 1)
+	e.load.Own.Running++
 	if req.generates {
 		req.service.splitter.Add(req.Need, 1)
 	}
@@ -317,9 +317,9 @@
 	req.at = nil
 	if req.pending {
 		req.pending = false
-		e.load.Own.AddPending(req.Need, -1)
+		e.load.Own.Unread -= req.Need.Unread()
 	}
-	e.load.Own.Add(req.Need, -1)
+	e.load.Own.Running--
 	if req.generates {
 		req.service.splitter.Add(req.Need, -1)
 	}
--- a/pkg/encoder/load.go
+++ b/pkg/encoder/load.go
@@ -8,13 +8,10 @@
 type Load struct {
 	// Endpoint is a hash of the endpoint's identifier.
 	Endpoint uint32 `msg:"e"`
-	// Running is the number of requests, Pending those without a first token,
-	// and Unread the prompt tokens of these.
+	// Running is the number of requests, and Unread the prompt tokens of those
+	// without a first token.
 	Running uint16 `msg:"r"`
-	Pending uint16 `msg:"p"`
 	Unread  uint32 `msg:"u"`
-	// Work is the work of all requests in prompt tokens.
-	Work uint32 `msg:"w"`
 }
 
 // Sum is the load of the nodes of a data centre.
@@ -24,11 +21,11 @@
 	Nodes uint16 `msg:"n"`
 	// Age is how old the youngest part is, in milliseconds.
 	Age uint16 `msg:"a"`
-	// Long and Short are the work by second of long prompts and of other
-	// requests, in prompt tokens.
-	Long  float32 `msg:"l"`
-	Short float32 `msg:"s"`
-	Loads []Load  `msg:"o"`
+	// Long and Short are the numbers of running requests with long prompts and
+	// of others at model engines.
+	Long  uint32 `msg:"l"`
+	Short uint32 `msg:"s"`
+	Loads []Load `msg:"o"`
 }
 
 // Hello asks a node for the nodes that it knows. It is the first message to a
