Guard the calls of the follower's test source

Ruled out: a race in the follower itself; both ends are in the test. Change: a mutex and a count. The bound of the test is unchanged.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,11 +28,23 @@
 // source plays answers and then answers nothing any more.
 type source struct {
 	answers []answer
-	calls   []string
+
+	mu    sync.Mutex
+	calls []string
+}
+
+// count returns the number of calls.
+func (s *source) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return len(s.calls)
 }
 
 func (s *source) next(ctx context.Context, call string, wait time.Duration) (View, error) {
+	s.mu.Lock()
 	s.calls = append(s.calls, call)
+	s.mu.Unlock()
 	if len(s.answers) == 0 {
 		<-ctx.Done()
 
@@ -302,11 +315,11 @@
 		for range 3 {
 			f.Relay(aggregator.Relayed{Revision: 6, Confirmed: last})
 		}
-		calls := len(s.calls)
+		calls := s.count()
 		// Changes must be in force after 2 s; 0.4 s are left for the call.
 		time.Sleep(1600 * time.Millisecond)
 		synctest.Wait()
-		c.Check(len(s.calls) > calls, qt.IsTrue, qt.Commentf("%v", s.calls))
+		c.Check(s.count() > calls, qt.IsTrue, qt.Commentf("%d calls", calls))
 		cancel()
 		<-done
 	})
