--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -269,6 +269,9 @@
 	e.load.Own.Running++
 	if req.generates {
 		req.service.splitter.Add(req.Need, 1)
+		if !req.Need.Long() {
+			e.load.Own.Streams++
+		}
 	}
 	account := ""
 	if req.account != nil {
@@ -322,6 +325,9 @@
 	e.load.Own.Running--
 	if req.generates {
 		req.service.splitter.Add(req.Need, -1)
+		if !req.Need.Long() {
+			e.load.Own.Streams--
+		}
 	}
 
 	return e
