--- a/internal/aggregator/sum.go
+++ b/internal/aggregator/sum.go
@@ -26,7 +26,6 @@
 			x, y := a.Loads[i], b.Loads[j]
 			total.Loads = append(total.Loads, encoder.Load{
 				Endpoint: x.Endpoint, Running: x.Running + y.Running, Unread: x.Unread + y.Unread,
-				Streams: x.Streams + y.Streams, Pace: lowerPace(x.Pace, y.Pace),
 			})
 			i++
 			j++
@@ -36,15 +35,6 @@
 	return total
 }
 
-// lowerPace returns the lower of two paces that are known, where zero is not.
-func lowerPace(a, b uint16) uint16 {
-	if a == 0 || b != 0 && b < a {
-		return b
-	}
-
-	return a
-}
-
 // subtract returns a total without a part of it.
 func subtract(total, part encoder.Sum) encoder.Sum {
 	rest := total
@@ -61,11 +51,10 @@
 		if j < len(part.Loads) && part.Loads[j].Endpoint == l.Endpoint {
 			p := part.Loads[j]
 			l.Running -= min(p.Running, l.Running)
-			l.Streams -= min(p.Streams, l.Streams)
 			l.Unread -= min(p.Unread, l.Unread)
 		}
 	}
-	rest.Loads = slices.DeleteFunc(rest.Loads, func(l encoder.Load) bool { return l.Running == 0 && l.Pace == 0 })
+	rest.Loads = slices.DeleteFunc(rest.Loads, func(l encoder.Load) bool { return l.Running == 0 })
 
 	return rest
 }
--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -61,7 +61,6 @@
 	Penalty float64
 
 	hash uint64
-	pace pace
 }
 
 // NewEngine returns an idle engine.
@@ -76,8 +75,6 @@
 	// Unread is the number of prompt tokens that are not cached, of the requests
 	// without a first token.
 	Unread float64
-	// Streams is the number of requests with short prompts.
-	Streams int
 }
 
 // Running returns the requests of all nodes at the engine.
@@ -86,25 +83,14 @@
 // Unread returns the prompt tokens that the engine has yet to read.
 func (e *Engine) Unread() float64 { return e.Own.Unread + e.Others.Unread }
 
-// Streams returns the requests with short prompts of all nodes at the engine.
-func (e *Engine) Streams() int { return e.Own.Streams + e.Others.Streams }
-
-// load returns the load that the choice compares for a request. A long prompt
-// keeps away from streams, whose pauses it would lengthen.
-func (e *Engine) load(n Need) float64 {
-	l := runningLoad*float64(e.Running()) + e.Unread()/unreadScale
-	if n.Long() {
-		l += streamLoad * float64(e.Streams())
-	}
-
-	return l * (1 + e.Penalty)
+// load returns the load that the choice compares.
+func (e *Engine) load() float64 {
+	return (runningLoad*float64(e.Running()) + e.Unread()/unreadScale) * (1 + e.Penalty)
 }
 
 const (
 	// runningLoad is the load of a running request.
 	runningLoad = 0.5
-	// streamLoad is the load of a stream beside which a long prompt is read.
-	streamLoad = 1.0
 	// unreadScale is the number of prompt tokens to read that are a load of 1.
 	unreadScale = 2000
 )
@@ -292,14 +278,8 @@
 // deal returns the engines of the request's group and those of the other one.
 // It reorders engines.
 func (s *Splitter) deal(n Need, slots int, engines []*Engine) (own, other []*Engine) {
-	usual := usualPace(engines)
 	slices.SortFunc(engines, func(a, b *Engine) int {
-		slowA, slowB := a.pace.slow(usual), b.pace.slow(usual)
 		switch {
-		case slowA != slowB && slowA:
-			return -1
-		case slowA != slowB:
-			return 1
 		case a.hash < b.hash:
 			return -1
 		case a.hash > b.hash:
@@ -385,7 +365,7 @@
 func chooseShared(n Need, group []*Engine) *Engine {
 	sum := 0.0
 	for _, e := range group {
-		sum += e.load(n)
+		sum += e.load()
 	}
 	bound := overload*sum/float64(len(group)) + overloadSlack
 	var ranked [homes]*Engine
@@ -401,7 +381,7 @@
 		}
 	}
 	for _, e := range ranked {
-		if e != nil && e.load(n) <= bound {
+		if e != nil && e.load() <= bound {
 			return e
 		}
 	}
@@ -413,11 +393,11 @@
 const nearBonus = 2
 
 // least returns the engine with the least load.
-func least(n Need, engines []*Engine) *Engine {
+func least(engines []*Engine) *Engine {
 	var best *Engine
 	lowest := 0.0
 	for _, e := range engines {
-		l := e.load(n)
+		l := e.load()
 		if !e.Near {
 			l += nearBonus * (1 + e.Penalty)
 		}
@@ -437,7 +417,7 @@
 // draw returns the engine with the least load of a few.
 func draw(n Need, engines []*Engine) *Engine {
 	if len(engines) <= draws {
-		return least(n, engines)
+		return least(engines)
 	}
 	var some [draws]*Engine
 	for i := range some {
@@ -446,7 +426,7 @@
 		some[i] = engines[i]
 	}
 
-	return least(n, some[:])
+	return least(some[:])
 }
 
 // mix is the finalizer of splitmix64.
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -64,8 +64,6 @@
 	Took time.Duration
 	// Pause is the longest pause between the events of a stream.
 	Pause time.Duration
-	// Pace is the least mean gap between a few events of a stream, or zero.
-	Pace time.Duration
 	// Cause tells why an attempt has failed, for the log.
 	Cause string
 	// Cold, if it is not zero, is how much longer the endpoint says it is cold.
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -1,7 +1,6 @@
 package director
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -18,8 +17,6 @@
 	// fleetMemory is how long a node that is no longer heard still counts. It
 	// may be cut off and go on.
 	fleetMemory = time.Minute
-	// paceUnit is the unit of Pace in messages between nodes.
-	paceUnit = 100 * time.Microsecond
 )
 
 // fleet is the number of nodes that share the bounds of the fleet.
@@ -52,7 +49,7 @@
 }
 
 // Load returns the load that the node has placed.
-func (d *Director) Load(now time.Time) encoder.Sum {
+func (d *Director) Load() encoder.Sum {
 	var sum encoder.Sum
 	for _, s := range d.services {
 		long, short := s.splitter.Running()
@@ -61,11 +58,9 @@
 	}
 	for _, e := range d.endpoints {
 		own := e.load.Own
-		pace := e.load.OwnPace(now)
-		if own.Running > 0 || pace > 0 {
+		if own.Running > 0 {
 			sum.Loads = append(sum.Loads, encoder.Load{
 				Endpoint: e.number, Running: uint16(own.Running), Unread: uint32(max(own.Unread, 0)),
-				Streams: uint16(max(own.Streams, 0)), Pace: uint16(min(pace/paceUnit, math.MaxUint16)),
 			})
 		}
 	}
@@ -92,10 +87,7 @@
 	}
 	for _, e := range d.endpoints {
 		l := loads[e.number]
-		e.load.Others = chooser.Load{Running: int(l.Running), Unread: float64(l.Unread), Streams: int(l.Streams)}
-		if l.Pace > 0 {
-			e.load.HearPace(time.Duration(l.Pace) * paceUnit)
-		}
+		e.load.Others = chooser.Load{Running: int(l.Running), Unread: float64(l.Unread)}
 	}
 	for _, s := range d.services {
 		// Nodes sum up the requests of all services; only services of engines
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -101,9 +101,6 @@
 		e.judge(true)
 	case Cancelled:
 	}
-	if f.Pace > 0 {
-		e.load.NotePace(now, f.Pace)
-	}
 	if f.Cold > 0 {
 		d.chill(now, e, f.Cold)
 	}
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -269,9 +269,6 @@
 	e.load.Own.Running++
 	if req.generates {
 		req.service.splitter.Add(req.Need, 1)
-		if !req.Need.Long() {
-			e.load.Own.Streams++
-		}
 	}
 	account := ""
 	if req.account != nil {
@@ -325,9 +322,6 @@
 	e.load.Own.Running--
 	if req.generates {
 		req.service.splitter.Add(req.Need, -1)
-		if !req.Need.Long() {
-			e.load.Own.Streams--
-		}
 	}
 
 	return e
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -54,7 +54,6 @@
 	first []byte
 	// heard is when the last events came.
 	heard time.Time
-	pace  paceMeter
 }
 
 // attempt sends the request to an endpoint and reads the answer, or the first
@@ -317,12 +316,10 @@
 	if err == nil {
 		now := time.Now()
 		a.finished.Pause, a.heard = max(a.finished.Pause, now.Sub(a.heard)), now
-		a.pace.note(now, events)
 		b.take(events)
 
 		return
 	}
-	a.finished.Pace = a.pace.least
 	if errors.Is(err, io.EOF) {
 		a.finished.Result = director.Answered
 		_ = a.resp.CloseBodyStream()
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"time"
 )
 
 // maxEvent bounds the size of one event of a stream in bytes.
@@ -81,32 +80,3 @@
 		rest = rest[:i]
 	}
 }
-
-// paceEvents is the number of gaps between events whose mean is the pace of a
-// stream: a read that comes late counts for little.
-const paceEvents = 6
-
-// paceMeter measures how fast an endpoint makes the events of a stream while
-// nothing delays it. The zero value has seen no events.
-type paceMeter struct {
-	// at holds the times of the last events.
-	at   [paceEvents + 1]time.Time
-	seen int
-	// least is the least mean gap, or zero.
-	least time.Duration
-}
-
-// note takes events that were read at a time.
-func (m *paceMeter) note(now time.Time, events []byte) {
-	for range max(bytes.Count(events, []byte("\n\n")), 1) {
-		oldest := m.at[(m.seen+1)%len(m.at)]
-		m.at[m.seen%len(m.at)] = now
-		m.seen++
-		if m.seen <= paceEvents {
-			continue
-		}
-		if gap := now.Sub(oldest) / paceEvents; m.least == 0 || gap < m.least {
-			m.least = gap
-		}
-	}
-}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -239,7 +239,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	return f.director.Load(f.opts.Clock())
+	return f.director.Load()
 }
 
 // Addr returns the address for callers.
--- a/pkg/encoder/load.go
+++ b/pkg/encoder/load.go
@@ -12,12 +12,6 @@
 	// without a first token.
 	Running uint16 `msg:"r"`
 	Unread  uint32 `msg:"u"`
-	// Streams is the number of running requests with short prompts at a model
-	// engine.
-	Streams uint16 `msg:"s"`
-	// Pace is the least gap between events of the engine's streams in units of
-	// 100 microseconds, or zero.
-	Pace uint16 `msg:"p"`
 }
 
 // Sum is the load of the nodes of a data centre.
--- a/pkg/encoder/load_gen.go
+++ b/pkg/encoder/load_gen.go
@@ -674,8 +674,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Endpoint, err = dc.ReadUint32()
@@ -693,23 +693,13 @@
 		err = msgp.WrapError(err, "Unread")
 		return
 	}
-	z.Streams, err = dc.ReadUint16()
-	if err != nil {
-		err = msgp.WrapError(err, "Streams")
-		return
-	}
-	z.Pace, err = dc.ReadUint16()
-	if err != nil {
-		err = msgp.WrapError(err, "Pace")
-		return
-	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Load) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+func (z Load) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -728,29 +718,17 @@
 		err = msgp.WrapError(err, "Unread")
 		return
 	}
-	err = en.WriteUint16(z.Streams)
-	if err != nil {
-		err = msgp.WrapError(err, "Streams")
-		return
-	}
-	err = en.WriteUint16(z.Pace)
-	if err != nil {
-		err = msgp.WrapError(err, "Pace")
-		return
-	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint32(o, z.Endpoint)
 	o = msgp.AppendUint16(o, z.Running)
 	o = msgp.AppendUint32(o, z.Unread)
-	o = msgp.AppendUint16(o, z.Streams)
-	o = msgp.AppendUint16(o, z.Pace)
 	return
 }
 
@@ -762,8 +740,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Endpoint, bts, err = msgp.ReadUint32Bytes(bts)
@@ -781,23 +759,13 @@
 		err = msgp.WrapError(err, "Unread")
 		return
 	}
-	z.Streams, bts, err = msgp.ReadUint16Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Streams")
-		return
-	}
-	z.Pace, bts, err = msgp.ReadUint16Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Pace")
-		return
-	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Load) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size
+func (z Load) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint32Size
 	return
 }
 
@@ -1060,11 +1028,31 @@
 		z.Loads = make([]Load, zb0002)
 	}
 	for za0001 := range z.Loads {
-		err = z.Loads[za0001].DecodeMsg(dc)
+		var zb0003 uint32
+		zb0003, err = dc.ReadArrayHeader()
 		if err != nil {
 			err = msgp.WrapError(err, "Loads", za0001)
 			return
 		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Loads[za0001].Endpoint, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001, "Endpoint")
+			return
+		}
+		z.Loads[za0001].Running, err = dc.ReadUint16()
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001, "Running")
+			return
+		}
+		z.Loads[za0001].Unread, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001, "Unread")
+			return
+		}
 	}
 	return
 }
@@ -1107,9 +1095,24 @@
 		return
 	}
 	for za0001 := range z.Loads {
-		err = z.Loads[za0001].EncodeMsg(en)
+		// array header, size 3
+		err = en.Append(0x93)
 		if err != nil {
-			err = msgp.WrapError(err, "Loads", za0001)
+			return
+		}
+		err = en.WriteUint32(z.Loads[za0001].Endpoint)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001, "Endpoint")
+			return
+		}
+		err = en.WriteUint16(z.Loads[za0001].Running)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001, "Running")
+			return
+		}
+		err = en.WriteUint32(z.Loads[za0001].Unread)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001, "Unread")
 			return
 		}
 	}
@@ -1128,11 +1131,11 @@
 	o = msgp.AppendUint32(o, z.Short)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
 	for za0001 := range z.Loads {
-		o, err = z.Loads[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Loads", za0001)
-			return
-		}
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint32(o, z.Loads[za0001].Endpoint)
+		o = msgp.AppendUint16(o, z.Loads[za0001].Running)
+		o = msgp.AppendUint32(o, z.Loads[za0001].Unread)
 	}
 	return
 }
@@ -1186,11 +1189,31 @@
 		z.Loads = make([]Load, zb0002)
 	}
 	for za0001 := range z.Loads {
-		bts, err = z.Loads[za0001].UnmarshalMsg(bts)
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Loads", za0001)
 			return
 		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Loads[za0001].Endpoint, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001, "Endpoint")
+			return
+		}
+		z.Loads[za0001].Running, bts, err = msgp.ReadUint16Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001, "Running")
+			return
+		}
+		z.Loads[za0001].Unread, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001, "Unread")
+			return
+		}
 	}
 	o = bts
 	return
@@ -1198,9 +1221,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Sum) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Centre) + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize
-	for za0001 := range z.Loads {
-		s += z.Loads[za0001].Msgsize()
-	}
+	s = 1 + msgp.StringPrefixSize + len(z.Centre) + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Loads) * (7 + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint32Size))
 	return
 }
