Log why the shared view cannot be read

Event 702 gave only the age of the view, so that a store that is silent, one that refuses calls and a response that is not read in time looked the same. It now has the error of the last call.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -133,7 +133,7 @@
 	case OthersLoadUpdated:
 		d.updateOthersLoad(now, e.Others)
 	case ViewLost:
-		d.markViewLost(now)
+		d.markViewLost(now, e.Cause)
 	case OptionsChanged:
 		d.opts = e.Options
 		for _, s := range d.services {
@@ -220,10 +220,10 @@
 	}
 }
 
-func (d *Director) markViewLost(now time.Time) {
+func (d *Director) markViewLost(now time.Time, cause string) {
 	if !d.viewLost {
 		d.viewLost = true
-		d.log(logger.ViewLost, "age", d.Age(now).String())
+		d.log(logger.ViewLost, "age", d.Age(now).String(), "cause", cause)
 	}
 }
 
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -141,8 +141,9 @@
 // endpoints only.
 type OthersLoadUpdated struct{ Others encoder.LoadSum }
 
-// ViewLost reports that the shared view cannot be read.
-type ViewLost struct{}
+// ViewLost reports that the shared view cannot be read. Cause describes why, for
+// the log.
+type ViewLost struct{ Cause string }
 
 // OptionsChanged provides the new options.
 type OptionsChanged struct{ Options Options }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -184,7 +184,7 @@
 			f.listed = false
 			f.mu.Unlock()
 		default:
-			f.handleFailure(ctx)
+			f.handleFailure(ctx, err)
 		}
 	}
 }
@@ -192,12 +192,12 @@
 // handleFailure reports an outage and delays the next call, except after the
 // first failure: that may be a stale connection, so the next call follows
 // immediately.
-func (f *Follower) handleFailure(ctx context.Context) {
+func (f *Follower) handleFailure(ctx context.Context, err error) {
 	f.failures++
 	if f.failures < 2 {
 		return
 	}
-	f.opts.Post(director.ViewLost{})
+	f.opts.Post(director.ViewLost{Cause: err.Error()})
 	sleep(ctx, min(minRetryDelay*time.Duration(f.failures-1), maxRetryDelay))
 }
 
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -124,7 +124,7 @@
 	{TraceIncomplete, hclog.Debug, "recording has discarded its first events", []string{"bytes"}},
 
 	{RouteTableInForce, hclog.Info, "route table in force", []string{"version", "former", "routes"}},
-	{ViewLost, hclog.Warn, "shared view cannot be read", []string{"age"}},
+	{ViewLost, hclog.Warn, "shared view cannot be read", []string{"age", "cause"}},
 	{ViewRegained, hclog.Info, "shared view can be read again", nil},
 	{CentreTakenOut, hclog.Info, "data centre taken out of service", []string{"centre"}},
 	{CentreRestored, hclog.Info, "data centre back in service", []string{"centre"}},
