Bring large routing tables into force on narrow links

Callers got answers by routes and keys that had been replaced more than 3 s before, and then 503 for as long as the store kept its history: a node on a link of 10 Mbit/s needs 0.4 s for a table of 1,500 routes. Cause: a watch returns every version since the node's revision, and had to be complete 0.5 s after its wait. A node that was behind by two versions dropped what it had read and asked for more each time. Members waited until the relayed view was 1.3 s old before they read what the relay cannot carry. The class: a retry whose cost grows with the delay that it is meant to make up for.

A node that learns of changes that it lacks now lists at once, as it does after a watch that it could not read to the end: a list has only the last version of each item.

TestRelayedViewReplacesReads now expects that list at once; the check that a node watches when nobody relays is as before.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -21,13 +21,19 @@
 // are no longer available.
 var ErrHistoryLost = errors.New("follower: change history is no longer available")
 
+// ErrIncomplete is wrapped by errors of Source.Watch if there are more changes
+// than could be read.
+var ErrIncomplete = errors.New("follower: changes are incomplete")
+
 // Source reads the shared view.
 type Source interface {
-	// List returns all items, each as of Revision or later.
+	// List returns all items, each as of Revision or later. The deadline of ctx
+	// bounds the time until the response begins; it may take longer to complete.
 	List(ctx context.Context) (View, error)
 	// Watch returns the changes after a revision as soon as there are any, or
 	// none after the time wait. It returns ErrHistoryLost if they are no longer
-	// available.
+	// available, and an error that wraps ErrIncomplete if they are too large to be
+	// read soon.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (View, error)
 	// Decode converts an item that another node has read to a change, and
 	// reports whether the item is of use.
@@ -105,7 +111,7 @@
 	watchWait = 1500 * time.Millisecond
 	// watchMargin is how much longer than its wait a watch may take.
 	watchMargin = 500 * time.Millisecond
-	// listTimeout bounds a call of List.
+	// listTimeout bounds the time until the response to a call of List begins.
 	listTimeout = 2 * time.Second
 	// relayingWatchWait is how long a watch waits at a node that relays the
 	// view. Twice this time plus batchDelay and the interval of digests is the
@@ -127,6 +133,10 @@
 	// batchDelay is the pause after a watch with changes, so that the next
 	// watch returns several changes at once.
 	batchDelay = 200 * time.Millisecond
+	// maxListDelay bounds the pause after a list that replaced a watch. The pause
+	// is as long as the list took, so that lists take up at most half of a narrow
+	// link.
+	maxListDelay = 800 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a repeated failure.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
@@ -150,6 +160,11 @@
 	historyStart uint64
 	// listed reports whether a full list has been read.
 	listed bool
+	// behind reports whether the changes after revision cannot be had from the
+	// relaying node or by a watch, so that the next call must be a list.
+	behind bool
+	// wake receives a value when behind becomes true.
+	wake chan struct{}
 	// itemRevisions holds the revision of each item by key.
 	itemRevisions map[string]uint64
 	// centresOut reports for each data centre whether it is taken out of
@@ -161,14 +176,21 @@
 
 // New returns a Follower. Run starts it.
 func New(opts Options) *Follower {
-	return &Follower{opts: opts, itemRevisions: map[string]uint64{}, centresOut: map[string]bool{}}
+	return &Follower{
+		opts: opts, itemRevisions: map[string]uint64{}, centresOut: map[string]bool{},
+		wake: make(chan struct{}, 1),
+	}
 }
 
 // Run keeps the shared view up to date until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if f.relayIsFresh() {
-			sleep(ctx, relayCheckInterval)
+			select {
+			case <-ctx.Done():
+			case <-f.wake:
+			case <-time.After(relayCheckInterval):
+			}
 
 			continue
 		}
@@ -184,6 +206,11 @@
 			f.listed = false
 			f.mu.Unlock()
 		default:
+			if errors.Is(err, ErrIncomplete) {
+				f.mu.Lock()
+				f.behind = true
+				f.mu.Unlock()
+			}
 			f.handleFailure(ctx, err)
 		}
 	}
@@ -215,12 +242,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	return f.listed && f.relayed && f.opts.Clock().Sub(f.confirmed) < maxRelayAge
+	return f.listed && !f.behind && f.relayed && f.opts.Clock().Sub(f.confirmed) < maxRelayAge
 }
 
-// nextCall returns whether a full list has been read, the revision to watch
-// from and how long to wait for changes.
-func (f *Follower) nextCall() (listed bool, revision uint64, wait time.Duration) {
+// nextCall returns whether the next call is a list and, if it is a watch, the
+// revision to watch from and how long to wait for changes.
+func (f *Follower) nextCall() (list bool, revision uint64, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	wait = watchWait
@@ -231,7 +258,7 @@
 		wait = relayingWatchWait
 	}
 
-	return f.listed, f.revision, wait
+	return !f.listed || f.behind, f.revision, wait
 }
 
 // SetRelaying sets whether the node relays the view to others.
@@ -275,10 +302,22 @@
 func (f *Follower) ApplyRelayed(r aggregator.RelayedView) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.listed || r.Gap && r.Revision > f.revision || !r.Confirmed.After(f.confirmed) {
+	if !f.listed {
 		return
 	}
-	f.relayed, f.confirmed = true, r.Confirmed
+	if r.Gap && r.Revision > f.revision {
+		f.behind = true
+		select {
+		case f.wake <- struct{}{}:
+		default:
+		}
+
+		return
+	}
+	if !r.Confirmed.After(f.confirmed) {
+		return
+	}
+	f.relayed, f.behind, f.confirmed = true, false, r.Confirmed
 	f.opts.Post(director.ViewConfirmed{At: r.Confirmed})
 	view := View{Revision: r.Revision}
 	for _, item := range r.Items {
@@ -301,20 +340,9 @@
 // update makes one call to the store and applies its result.
 func (f *Follower) update(ctx context.Context) error {
 	sent := f.opts.Clock()
-	listed, revision, wait := f.nextCall()
-	if !listed {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
-		view, err := f.opts.Source.List(ctx)
-		if err != nil {
-			return err
-		}
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.applyList(view)
-		f.confirm(sent)
-
-		return nil
+	list, revision, wait := f.nextCall()
+	if list {
+		return f.updateByList(ctx, sent)
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
@@ -340,9 +368,31 @@
 	return nil
 }
 
+// updateByList reads a full list and applies it. sent is the present time.
+func (f *Follower) updateByList(ctx context.Context, sent time.Time) error {
+	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	view, err := f.opts.Source.List(listCtx)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	repeated := f.listed
+	if !repeated || view.Revision >= f.revision {
+		f.applyList(view)
+		f.confirm(sent)
+	}
+	f.mu.Unlock()
+	if repeated {
+		sleep(ctx, min(max(f.opts.Clock().Sub(sent), batchDelay), maxListDelay))
+	}
+
+	return nil
+}
+
 // applyList replaces the view by a full list.
 func (f *Follower) applyList(view View) {
-	f.revision, f.listed = view.Revision, true
+	f.revision, f.listed, f.behind = view.Revision, true, false
 	f.history, f.historyStart = nil, view.Revision
 	clear(f.itemRevisions)
 	clear(f.centresOut)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -267,14 +267,22 @@
 		c.Check(s.calls, qt.DeepEquals, []string{"list", "watch 5"})
 
 		last := confirmed
-		f.ApplyRelayed(aggregator.RelayedView{Revision: 30, Confirmed: time.Now(), Gap: true})
-		c.Check(confirmed, qt.Equals, last, qt.Commentf("a view with a gap confirms nothing"))
 		f.ApplyRelayed(aggregator.RelayedView{Revision: 25, Confirmed: last.Add(-time.Second)})
 		c.Check(confirmed, qt.Equals, last, qt.Commentf("an older view confirms nothing"))
 
 		time.Sleep(maxRelayAge + relayCheckInterval)
 		synctest.Wait()
 		c.Check(s.calls[2:], qt.DeepEquals, []string{"watch 25"}, qt.Commentf("the node reads when nobody relays"))
+
+		// The watch ends, and another node relays again.
+		f.ApplyRelayed(aggregator.RelayedView{Revision: 25, Confirmed: time.Now().Add(fallbackWatchWait + watchMargin)})
+		time.Sleep(fallbackWatchWait + watchMargin + relayCheckInterval)
+		synctest.Wait()
+		last = confirmed
+		f.ApplyRelayed(aggregator.RelayedView{Revision: 30, Confirmed: time.Now(), Gap: true})
+		c.Check(confirmed, qt.Equals, last, qt.Commentf("a view with a gap confirms nothing"))
+		synctest.Wait()
+		c.Check(s.calls[3:], qt.DeepEquals, []string{"list"}, qt.Commentf("the node reads at once what it misses"))
 		cancel()
 		<-done
 	})
