Confirm the view only after its changes are in force

After an outage that is longer than the lease of keys, the view counted as recent before the changes of the watch were applied, so that a request in between was accepted with a withdrawn key. Cause: one event stood for the end of the outage and for the confirmation, which belong before and after the changes. ViewReachable now comes before, ViewConfirmed after them.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -128,6 +128,8 @@
 		d.setCentresOut(now, e.Names)
 	case ViewConfirmed:
 		d.confirmView(now, e.At)
+	case ViewReachable:
+		d.endOutage(now)
 	case OthersLoadReplaced:
 		d.replaceOthersLoad(now, e.Others)
 	case OthersLoadUpdated:
@@ -213,6 +215,10 @@
 	if at.After(d.confirmedAt) {
 		d.confirmedAt = at
 	}
+	d.endOutage(now)
+}
+
+func (d *Director) endOutage(now time.Time) {
 	if d.viewLost {
 		d.viewLost = false
 		d.registrar.Reconnected(now)
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -141,6 +141,10 @@
 // endpoints only.
 type OthersLoadUpdated struct{ Others encoder.LoadSum }
 
+// ViewReachable reports that the shared view can be read again. What has changed
+// meanwhile follows.
+type ViewReachable struct{}
+
 // ViewLost reports that the shared view cannot be read. Cause describes why, for
 // the log.
 type ViewLost struct{ Cause string }
@@ -162,6 +166,7 @@
 func (EntryRemoved) event()       {}
 func (CentresOut) event()         {}
 func (ViewConfirmed) event()      {}
+func (ViewReachable) event()      {}
 func (ViewLost) event()           {}
 func (OthersLoadReplaced) event() {}
 func (OthersLoadUpdated) event()  {}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -317,8 +317,7 @@
 	if !r.Confirmed.After(f.confirmed) {
 		return
 	}
-	f.relayed, f.behind, f.confirmed = true, false, r.Confirmed
-	f.opts.Post(director.ViewConfirmed{At: r.Confirmed})
+	f.endOutage()
 	view := View{Revision: r.Revision}
 	for _, item := range r.Items {
 		if c, ok := f.opts.Source.Decode(item); ok {
@@ -326,9 +325,20 @@
 		}
 	}
 	f.applyChanges(view)
+	f.relayed, f.behind, f.confirmed = true, false, r.Confirmed
+	f.opts.Post(director.ViewConfirmed{At: r.Confirmed})
 }
 
-// confirm records that the view was complete at the given time.
+// endOutage reports that the view can be read again. The report comes before
+// the changes, so that the director holds removals for a time: the removed
+// endpoints may register again.
+func (f *Follower) endOutage() {
+	f.opts.Post(director.ViewReachable{})
+}
+
+// confirm records that the view was complete at the given time. It comes after
+// the changes: until they are in force, keys that they withdraw must not be
+// accepted again.
 func (f *Follower) confirm(at time.Time) {
 	f.relayed = false
 	if at.After(f.confirmed) {
@@ -354,11 +364,9 @@
 		sent = sent.Add(wait)
 	}
 	f.mu.Lock()
-	// The confirmation comes before the changes: after an outage it makes the
-	// director hold removals for a time, as the removed endpoints may register
-	// again.
-	f.confirm(sent)
+	f.endOutage()
 	f.applyChanges(view)
+	f.confirm(sent)
 	f.mu.Unlock()
 	if len(view.Changes) > 0 {
 		// Changes come in bursts, and each call to the store has a cost.
@@ -379,6 +387,7 @@
 	f.mu.Lock()
 	repeated := f.listed
 	if !repeated || view.Revision >= f.revision {
+		f.endOutage()
 		f.applyList(view)
 		f.confirm(sent)
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -337,3 +337,34 @@
 		<-done
 	})
 }
+
+// Guards against a node that accepts withdrawn keys after an outage because
+// its view counts as recent before the changes are in force, and against one
+// that drops endpoints whose entries have expired during the outage.
+func TestChangesComeBetweenReturnAndConfirmation(t *testing.T) {
+	for name, after := range map[string][]response{
+		"watch": {{view: View{Revision: 9, Changes: []Change{versionChange(9)}}}},
+		"list":  {{err: ErrHistoryLost}, {view: View{Revision: 9, Changes: []Change{versionChange(9)}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				responses := []response{{view: View{Revision: 5}}, {delay: time.Second, err: errNoAnswer}, {err: errNoAnswer}}
+				var order []string
+				for _, e := range runFollower(&fakeSource{responses: append(responses, after...)}, 3*time.Second) {
+					switch e.(type) {
+					case director.ViewLost:
+						order = nil
+					case director.ViewReachable:
+						order = append(order, "reachable")
+					case director.TableLoaded:
+						order = append(order, "changes")
+					case director.ViewConfirmed:
+						order = append(order, "confirmed")
+					}
+				}
+				c.Check(order, qt.DeepEquals, []string{"reachable", "changes", "confirmed"})
+			})
+		})
+	}
+}
