Let less urgent requests yield while urgent ones are refused

The split of the engines gives the urgent group more of them only after the others have ended. Now a refusal for overload makes requests of a less urgent route, of an account that is no more urgent, yield for 1 s.

TestLessUrgentRequestsYieldToRefusedOnes fails without the call of Yields.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -88,6 +88,7 @@
 	splitter    chooser.Splitter
 	retryBudget pacer.Budget
 	estimator   admitter.Estimator
+	shedder     admitter.Shedder
 }
 
 // New returns a director without routes or endpoints.
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -418,6 +418,42 @@
 	c.Check(refused, qt.IsTrue)
 }
 
+// Guards against less urgent requests that take the places that become free
+// while urgent ones are refused, as on jerseyrun-grown at three times the usual
+// traffic.
+func TestLessUrgentRequestsYieldToRefusedOnes(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	arrive := func(id uint64, path string, tokens int) bool {
+		n.post(Arrived{Request{
+			ID: id, Name: fmt.Sprint("r", id), Host: "h", Path: path, Key: "key", Deadline: 5 * time.Second,
+			Need: chooser.Need{PromptTokens: tokens},
+		}})
+		_, sent := find[Dispatch](n.effects)
+
+		return sent
+	}
+	// Drafts that run for 4 s fill the slots of the engines.
+	c.Assert(arrive(100, "/draft/1", 9000), qt.IsTrue)
+	n.post(AttemptFinished{ID: 100, Result: Answered, Status: 200, Took: 4 * time.Second})
+	for id := uint64(1); arrive(id, "/draft/1", 9000); id++ {
+		c.Assert(id < 100, qt.IsTrue)
+	}
+	n.now = n.now.Add(100 * time.Millisecond)
+	n.post(Ticked{})
+	c.Assert(arrive(200, "/chat/1", 100), qt.IsFalse)
+	n.now = n.now.Add(100 * time.Millisecond)
+	_, refused := find[Refuse](n.post(Ticked{}))
+	c.Assert(refused, qt.IsTrue)
+
+	n.post(AttemptFinished{ID: 1, Result: Answered, Status: 200})
+	c.Check(arrive(201, "/draft/1", 9000), qt.IsFalse, qt.Commentf("a draft takes the place"))
+	c.Check(arrive(202, "/chat/1", 100), qt.IsTrue)
+	n.post(AttemptFinished{ID: 202, Result: Answered, Status: 200})
+	n.now = n.now.Add(time.Second)
+	c.Check(arrive(203, "/draft/1", 9000), qt.IsTrue, qt.Commentf("drafts are refused after the overload"))
+}
+
 // Guards against nodes that together use up the connections of an endpoint,
 // and against bodies larger than the limit of the table.
 func TestTableLimitsApply(t *testing.T) {
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"snipedyke/internal/admitter"
 	"snipedyke/internal/chooser"
 	"snipedyke/internal/logger"
 	"snipedyke/internal/router"
@@ -78,6 +79,16 @@
 	queued, wasQueued bool
 }
 
+// class returns the request's class for shedding.
+func (r *request) class() admitter.Class {
+	c := admitter.Class{Route: r.route.Priority}
+	if r.account != nil && r.account.Priority != nil {
+		c.Account = *r.account.Priority
+	}
+
+	return c
+}
+
 // handleArrival places a new request or refuses it.
 func (d *Director) handleArrival(now time.Time, q Request) {
 	req := &request{Request: q, arrivedAt: now}
@@ -174,6 +185,9 @@
 // goes to an engine of the other group or else to one of its own, where it
 // lengthens the pauses.
 func (d *Director) admit(now time.Time, req *request, e *endpoint) *endpoint {
+	if req.service.shedder.Yields(now, req.class()) {
+		return nil
+	}
 	gap := req.route.MaxPause
 	if req.Need.Long() {
 		// Prefilling a long prompt takes longer than any pause limit on its own.
@@ -368,6 +382,7 @@
 // refusal states whether the request may have run.
 func (d *Director) fail(now time.Time, req *request, reason Reason) {
 	if reason == ReasonOverload && req.rejectedBy != nil {
+		req.service.shedder.RecordRefusal(now, req.class())
 		req.lastCause = fmt.Sprintf("engine %s: %.0f prompt tokens to prefill, estimated to take %s; %d requests running",
 			req.rejectedBy.entry.ID, req.rejectedBy.load.PrefillTokens(), req.service.estimator.PrefillTime(req.rejectedBy.load.PrefillTokens()), req.rejectedBy.load.Running())
 	}
