Let urgent short prompts take free slots behind long prompts

Engines prefill urgent requests first, so for a short prompt of the more urgent group a slot is enough.

--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -183,7 +183,8 @@
 // admit returns the engine that admits a request, or nil. If a request belongs
 // to the more urgent group and its own engines cannot admit it in time, it
 // goes to an engine of the other group or else to one of its own, where it
-// lengthens the pauses.
+// lengthens the pauses. For a short prompt, a free slot is enough, as engines
+// prefill it before less urgent ones.
 func (d *Director) admit(now time.Time, req *request, e *endpoint) *endpoint {
 	if req.service.shedder.Yields(now, req.class()) {
 		return nil
@@ -200,25 +201,36 @@
 	if !splitter.Urgent(req.Need) {
 		return nil
 	}
+	var spillover *endpoint
 	if other := splitter.ChooseSpillover(req.Need, d.engineOf(req).Slots, d.candidates(now, req)); other != nil {
-		if spillover := d.endpoints[other.ID]; d.admits(req, spillover, gap) {
-			return spillover
-		}
+		spillover = d.endpoints[other.ID]
 	}
-	if d.admits(req, e, 0) {
+	switch {
+	case spillover != nil && d.admits(req, spillover, gap):
+		return spillover
+	case d.admits(req, e, 0):
+		return e
+	case req.Need.Long():
+		return nil
+	case spillover != nil && d.hasSlot(req, spillover):
+		return spillover
+	case d.hasSlot(req, e):
 		return e
+	default:
+		return nil
 	}
+}
 
-	return nil
+// hasSlot reports whether an engine has a free slot for a request, or frees one
+// in time.
+func (d *Director) hasSlot(req *request, e *endpoint) bool {
+	return req.service.estimator.HasSlot(e.load.Running(), d.engineOf(req).Slots, req.route.LatencyTarget)
 }
 
 // admits reports whether an engine can admit a request without pauses longer
 // than gap.
 func (d *Director) admits(req *request, e *endpoint, gap time.Duration) bool {
-	estimator := &req.service.estimator
-
-	return estimator.Admit(e.load.PrefillTokens(), req.route.LatencyTarget, gap) &&
-		estimator.HasSlot(e.load.Running(), d.engineOf(req).Slots, req.route.LatencyTarget)
+	return req.service.estimator.Admit(e.load.PrefillTokens(), req.route.LatencyTarget, gap) && d.hasSlot(req, e)
 }
 
 // choose returns the endpoint for a request, or nil, and the endpoint that
