--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -25,6 +25,9 @@
 type Need struct {
 	// PromptTokens is the number of tokens in the prompt.
 	PromptTokens int
+	// SharedParts lists the hashes of the prompt parts that other requests share,
+	// in the order of the prompt.
+	SharedParts []uint64
 	// SharedHash is the hash of the last prompt part that other requests share, or
 	// zero, and SharedTokens is the number of tokens in all parts up to and
 	// including it.
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -167,6 +167,6 @@
 	}
 	d.emit(Count{Counter: CounterRetries, Label: f.Result.String()})
 	d.log(logger.RequestRetried, "request", req.Name, "route", req.route.Name, "endpoint", req.tried[len(req.tried)-1],
-		"result", f.Result.String(), "cause", f.Cause, "took", f.Took.String(), "relayed", req.relayed)
+		"result", f.Result.String(), "cause", f.Cause, "took", f.Took.String(), "parts", formatParts(req.Need.SharedParts), "relayed", req.relayed)
 	d.place(now, req)
 }
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -429,10 +431,23 @@
 	}
 	d.log(logger.RequestFailed, "request", req.Name, "route", route, "service", service, "status", status,
 		"reason", string(reason), "cause", req.lastCause, "waited", now.Sub(req.arrivedAt).String(), "tried", req.tried,
-		"unreached", req.unreachedCount, "relayed", req.relayed, "age", d.Age(now).String())
+		"unreached", req.unreachedCount, "parts", formatParts(req.Need.SharedParts), "relayed", req.relayed, "age", d.Age(now).String())
 	delete(d.requests, req.ID)
 }
 
+// formatParts formats the hashes of prompt parts for the log.
+func formatParts(parts []uint64) string {
+	var b strings.Builder
+	for i, part := range parts {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(strconv.FormatUint(part, 16))
+	}
+
+	return b.String()
+}
+
 // abandon ends a request whose caller no longer needs an answer.
 func (d *Director) abandon(req *request, reason Reason) {
 	d.emit(Count{Counter: CounterRefusals, Label: string(reason)})
