Isolate prompt parts that crash engines

The class: a failure that follows the request and is counted against the endpoint.

Nodes now record which parts were in requests that an ending engine cut off before their answer began, and which parts have been answered since, and tell each other by way of the speakers. Three failures without an answer isolate the part; sound parts of the same requests are cleared by their next answer.

--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -356,6 +356,25 @@
 	return live
 }
 
+// Announce returns the messages that bring m one step closer to all nodes. A
+// member sends it to its speaker, a speaker to its members and to the speakers
+// of the other data centres.
+func (a *Aggregator) Announce(now time.Time, m encoder.Message) []Output {
+	speaker := a.speaker(now)
+	if speaker != a.opts.Self {
+		return []Output{{speaker, m}}
+	}
+	var out []Output
+	for _, name := range a.centreNames() {
+		out = append(out, Output{a.centres[name].speaker, m})
+	}
+	for _, addr := range a.heardMembers(now) {
+		out = append(out, Output{addr, m})
+	}
+
+	return out
+}
+
 // addView adds to a digest the changes of the shared view that the member
 // lacks.
 func (m *member) addView(now time.Time, d *encoder.Digest, view View) {
--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -134,6 +134,8 @@
 		SetOthersLoad:   func(others encoder.LoadSum) { n.forwarder.Post(director.OthersLoadReplaced{Others: others}) },
 		LoadChange:      func() encoder.LoadChange { return n.forwarder.LoadChange() },
 		SetChangedLoads: func(others encoder.LoadSum) { n.forwarder.Post(director.OthersLoadUpdated{Others: others}) },
+		Crashes:         n.forwarder.Crashes,
+		MergeCrashes:    func(list []encoder.Crash) { n.forwarder.Post(director.CrashesObserved{Crashes: list}) },
 	})
 	if err != nil {
 		return nil, errors.Join(&Error{Op: "nodes", Kind: KindListen, Err: err}, n.readiness.Close())
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -6,6 +6,7 @@
 
 	"snipedyke/internal/admitter"
 	"snipedyke/internal/chooser"
+	"snipedyke/internal/isolator"
 	"snipedyke/internal/logger"
 	"snipedyke/internal/pacer"
 	"snipedyke/internal/registrar"
@@ -61,6 +62,8 @@
 	ready    bool
 
 	fleet fleet
+	// isolator finds the prompt parts that crash engines.
+	isolator isolator.Isolator
 
 	requests map[uint64]*request
 	// waiting holds the requests that wait for an endpoint, oldest first.
@@ -135,6 +138,8 @@
 		d.replaceOthersLoad(now, e.Others)
 	case OthersLoadUpdated:
 		d.updateOthersLoad(now, e.Others)
+	case CrashesObserved:
+		d.isolator.Merge(now, e.Crashes)
 	case ViewLost:
 		d.markViewLost(now, e.Cause)
 	case OptionsChanged:
@@ -307,7 +312,7 @@
 		case registrar.Updated:
 			d.updateEndpoint(now, e.Entry)
 		case registrar.Removed:
-			d.removeEndpoint(e.Entry)
+			d.removeEndpoint(now, e.Entry)
 		}
 	}
 	if len(events) > 0 {
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -88,13 +88,14 @@
 	}
 }
 
-func (d *Director) removeEndpoint(entry registrar.Entry) {
+func (d *Director) removeEndpoint(now time.Time, entry registrar.Entry) {
 	e := d.endpoints[entry.ID]
 	if e == nil {
 		return
 	}
 	delete(d.endpoints, entry.ID)
 	delete(d.endpointsByNumber, e.number)
+	d.isolator.RecordEnded(now, e.number)
 	s := d.ensureService(entry.Service)
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(other *endpoint) bool { return other == e })
 	d.emit(CloseIdleConnections{Address: entry.Address})
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -141,6 +141,10 @@
 // endpoints only.
 type OthersLoadUpdated struct{ Others encoder.LoadSum }
 
+// CrashesObserved provides what other nodes have observed about prompt parts
+// that crash endpoints.
+type CrashesObserved struct{ Crashes []encoder.Crash }
+
 // ViewReachable reports that the shared view can be read again. What has changed
 // meanwhile follows.
 type ViewReachable struct{}
@@ -166,6 +170,7 @@
 func (EntryRemoved) event()       {}
 func (CentresOut) event()         {}
 func (ViewConfirmed) event()      {}
+func (CrashesObserved) event()    {}
 func (ViewReachable) event()      {}
 func (ViewLost) event()           {}
 func (OthersLoadReplaced) event() {}
@@ -288,12 +293,13 @@
 	ReasonBroken     Reason = "endpoint_broken"
 	ReasonTimeout    Reason = "timeout"
 	ReasonGone       Reason = "caller_gone"
+	ReasonHarmful    Reason = "harmful_prompt"
 )
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	ReasonNotReady, ReasonNoRoute, ReasonNoKey, ReasonStaleView, ReasonTooLarge, ReasonMalformed,
-	ReasonNoEndpoint, ReasonOverload, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone,
+	ReasonNoEndpoint, ReasonOverload, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmful,
 }
 
 // Results lists all results.
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -83,6 +83,10 @@
 	return c
 }
 
+// Crashes returns what the other nodes need to know about prompt parts that
+// crash endpoints.
+func (d *Director) Crashes(now time.Time) []encoder.Crash { return d.isolator.Observations(now) }
+
 // markChanged records that the own load of an endpoint has changed.
 func (d *Director) markChanged(e *endpoint) {
 	if !e.changed {
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -25,6 +25,7 @@
 		req.endpoint.load.Own.PrefillTokens -= req.Need.PrefillTokens()
 		d.markChanged(req.endpoint)
 	}
+	d.isolator.RecordSound(now, req.Need.SharedParts)
 	req.endpoint.consecutiveFailures = 0
 	if now.Before(req.endpoint.suspendedUntil) {
 		req.endpoint.suspendedUntil = now
@@ -44,6 +45,9 @@
 	req.lastCause = f.Cause
 	d.emit(Count{Counter: CounterAttempts, Label: f.Result.String()})
 	d.recordResult(now, e, f)
+	if e != nil && req.usesEngine && f.Result == Broken && !f.Relayed {
+		d.isolator.RecordCutOff(now, req.Need.SharedParts, e.number)
+	}
 	if req.callerGone {
 		d.abandon(req, ReasonGone)
 
@@ -99,6 +103,7 @@
 		e.recordOutcome(false)
 	case Misdirected, Unreached:
 		d.suspend(now, e, f.Result)
+		d.isolator.RecordEnded(now, e.number)
 	case Broken, TimedOut:
 		e.recordOutcome(true)
 	case Cancelled:
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -35,6 +35,9 @@
 	// retryAfterSpread is the range over which their retries are spread.
 	minRetryAfter    = 150 * time.Millisecond
 	retryAfterSpread = 350 * time.Millisecond
+	// harmfulRetryAfter is the retry delay where a prompt has crashed engines. It
+	// is the time in which another node may report that the prompt is sound.
+	harmfulRetryAfter = 30 * time.Second
 )
 
 // request is a request in progress.
@@ -161,6 +164,12 @@
 
 		return
 	}
+	if part, isolated := d.isolator.Isolated(now, req.Need.SharedParts); isolated {
+		req.lastCause = "engines have crashed under prompts with part " + strconv.FormatUint(part, 16)
+		d.fail(now, req, ReasonHarmful)
+
+		return
+	}
 	e, holder := d.choose(now, req)
 	if e == nil {
 		d.enqueue(now, req, ReasonNoEndpoint)
@@ -417,7 +426,11 @@
 	} else {
 		var retryAfter time.Duration
 		if status == http.StatusServiceUnavailable {
-			retryAfter = minRetryAfter + time.Duration(xxhash.Sum64String(req.Name)%uint64(retryAfterSpread))
+			retryAfter = minRetryAfter
+			if reason == ReasonHarmful {
+				retryAfter = harmfulRetryAfter
+			}
+			retryAfter += time.Duration(xxhash.Sum64String(req.Name) % uint64(retryAfterSpread))
 		}
 		d.emit(Refuse{ID: req.ID, Status: status, Reason: reason, RetryAfter: retryAfter})
 	}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -47,7 +47,11 @@
 	View           func() aggregator.View
 	SetRelayedView func(aggregator.RelayedView)
 	SetSpeaker     func(bool)
-	Logger         Logger
+	// Crashes returns what the node knows about prompt parts that crash endpoints,
+	// and MergeCrashes is called with what other nodes know.
+	Crashes      func() []encoder.Crash
+	MergeCrashes func([]encoder.Crash)
+	Logger       Logger
 	// Clock returns the time on the clock that the node's decisions use.
 	Clock func() time.Time
 }
@@ -122,10 +126,13 @@
 }
 
 func (x *Exchanger) sendFullSums() {
-	load, view := x.opts.Load(), x.opts.View()
+	load, view, crashes := x.opts.Load(), x.opts.View(), x.opts.Crashes()
 	x.mu.Lock()
 	now := x.opts.Clock()
 	x.send(x.aggregator.Tick(now, load, view))
+	if len(crashes) > 0 {
+		x.send(x.aggregator.Announce(now, &encoder.Crashes{List: crashes}))
+	}
 	isSpeaker := x.aggregator.IsSpeaker(now)
 	others := x.aggregator.Others(now)
 	nodes := int(others.Nodes) + 1
@@ -156,6 +163,11 @@
 
 			continue
 		}
+		if crashes, ok := m.(*encoder.Crashes); ok {
+			x.opts.MergeCrashes(crashes.List)
+
+			continue
+		}
 		x.mu.Lock()
 		x.send(x.aggregator.Receive(x.opts.Clock(), from.Addr().Unmap(), m))
 		relayed, hasView := x.aggregator.Relayed()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -253,6 +253,15 @@
 	return f.director.TakeLoadChanges()
 }
 
+// Crashes returns what the other nodes need to know about prompt parts that
+// crash endpoints.
+func (f *Forwarder) Crashes() []encoder.Crash {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.director.Crashes(f.opts.Clock())
+}
+
 // Addr returns the address on which the forwarder listens for callers.
 func (f *Forwarder) Addr() netip.AddrPort {
 	return f.listener.Addr().(*net.TCPAddr).AddrPort()
--- /dev/null
+++ b/internal/isolator/isolator_test.go
@@ -0,0 +1,81 @@
+package isolator
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// crash records that an endpoint cut off a request with the parts and ended.
+func (s *Isolator) crash(at time.Time, endpoint uint32, parts ...uint64) {
+	s.RecordCutOff(at, parts, endpoint)
+	s.RecordEnded(at.Add(100*time.Millisecond), endpoint)
+}
+
+// Guards against parts that are isolated although they are sound: after a
+// single failure of several endpoints, after answers that were only lost, and
+// where answers have begun since.
+func TestSoundPartsAreNotIsolated(t *testing.T) {
+	c := qt.New(t)
+	var together, lost, answered Isolator
+	for i := range uint32(5) {
+		at := start.Add(time.Duration(i) * time.Second)
+		together.crash(start.Add(time.Duration(i)*10*time.Millisecond), i+1, 7)
+		lost.RecordCutOff(at, []uint64{7}, i+1)
+		answered.crash(at, i+1, 7, 8)
+		answered.RecordSound(at.Add(500*time.Millisecond), []uint64{7})
+	}
+	now := start.Add(5 * time.Second)
+	for name, s := range map[string]*Isolator{"together": &together, "lost": &lost, "answered": &answered} {
+		_, isolated := s.Isolated(now, []uint64{7})
+		c.Check(isolated, qt.IsFalse, qt.Commentf(name))
+	}
+	part, isolated := answered.Isolated(now, []uint64{7, 8})
+	c.Check(isolated, qt.IsTrue)
+	c.Check(part, qt.Equals, uint64(8))
+	_, isolated = answered.Isolated(now.Add(isolationTime), []uint64{8})
+	c.Check(isolated, qt.IsFalse)
+}
+
+// Guards against nodes that each lose endpoints of their own to the same part,
+// and against an isolation that outlasts an answer at another node.
+func TestNodesShareObservations(t *testing.T) {
+	c := qt.New(t)
+	var a, b Isolator
+	now := start
+	for i := range uint32(3) {
+		now = now.Add(time.Second)
+		a.crash(now, i+1, 7)
+	}
+	now = now.Add(300 * time.Millisecond)
+	b.Merge(now, a.Observations(now))
+	_, isolated := b.Isolated(now, []uint64{7})
+	c.Check(isolated, qt.IsTrue)
+	// A node that starts later learns of the part, too.
+	var late Isolator
+	now = now.Add(time.Minute)
+	late.Merge(now, b.Observations(now))
+	_, isolated = late.Isolated(now, []uint64{7})
+	c.Check(isolated, qt.IsTrue)
+	late.RecordSound(now, []uint64{7})
+	b.Merge(now, late.Observations(now))
+	_, isolated = b.Isolated(now, []uint64{7})
+	c.Check(isolated, qt.IsFalse)
+}
+
+// Guards against memory and messages that grow with the parts that callers
+// send.
+func TestObservationsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	var s Isolator
+	for i := range uint32(5000) {
+		s.crash(start, i+1, uint64(i+1))
+	}
+	c.Check(len(s.parts) <= maxParts && len(s.endedAt) <= maxParts, qt.IsTrue)
+	c.Check(s.Observations(start), qt.HasLen, maxSent)
+	s.crash(start.Add(isolationTime), 9000, 9000)
+	c.Check(s.parts, qt.HasLen, 1)
+}
--- a/pkg/encoder/load.go
+++ b/pkg/encoder/load.go
@@ -1,6 +1,6 @@
 package encoder
 
-//msgp:tuple Load LoadSum Item Report Speaker Digest Hello LoadChange Update
+//msgp:tuple Load LoadSum Item Report Speaker Digest Hello LoadChange Update Crash Crashes
 
 //go:generate go tool msgp -file load.go -o load_gen.go -tests=false
 
@@ -110,3 +110,20 @@
 type Update struct {
 	Changes []LoadChange `msg:"c"`
 }
+
+// Crash is an observation about a prompt part, an endpoint or both.
+type Crash struct {
+	// Part is the hash of a prompt part, and Endpoint the number of an endpoint.
+	// With both, a request with the part was cut off before its answer began.
+	// Without a part, the endpoint has ended. Without an endpoint, an answer to a
+	// request with the part has begun.
+	Part     uint64 `msg:"p"`
+	Endpoint uint32 `msg:"e"`
+	// Age is the time since the observation in milliseconds.
+	Age uint32 `msg:"a"`
+}
+
+// Crashes holds what the sender knows about prompt parts that crash endpoints.
+type Crashes struct {
+	List []Crash `msg:"l"`
+}
--- a/pkg/encoder/load_gen.go
+++ b/pkg/encoder/load_gen.go
@@ -6,6 +6,275 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// DecodeMsg implements msgp.Decodable
+func (z *Crash) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Part, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
+	z.Endpoint, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Endpoint")
+		return
+	}
+	z.Age, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Crash) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Part)
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
+	err = en.WriteUint32(z.Endpoint)
+	if err != nil {
+		err = msgp.WrapError(err, "Endpoint")
+		return
+	}
+	err = en.WriteUint32(z.Age)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Crash) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Part)
+	o = msgp.AppendUint32(o, z.Endpoint)
+	o = msgp.AppendUint32(o, z.Age)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Crash) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Part, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
+	z.Endpoint, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Endpoint")
+		return
+	}
+	z.Age, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Crash) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Crashes) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "List")
+		return
+	}
+	if cap(z.List) >= int(zb0002) {
+		z.List = (z.List)[:zb0002]
+	} else {
+		z.List = make([]Crash, zb0002)
+	}
+	for za0001 := range z.List {
+		var zb0003 uint32
+		zb0003, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.List[za0001].Part, err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Part")
+			return
+		}
+		z.List[za0001].Endpoint, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Endpoint")
+			return
+		}
+		z.List[za0001].Age, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Age")
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Crashes) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.List)))
+	if err != nil {
+		err = msgp.WrapError(err, "List")
+		return
+	}
+	for za0001 := range z.List {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.List[za0001].Part)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Part")
+			return
+		}
+		err = en.WriteUint32(z.List[za0001].Endpoint)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Endpoint")
+			return
+		}
+		err = en.WriteUint32(z.List[za0001].Age)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Age")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Crashes) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint64(o, z.List[za0001].Part)
+		o = msgp.AppendUint32(o, z.List[za0001].Endpoint)
+		o = msgp.AppendUint32(o, z.List[za0001].Age)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Crashes) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "List")
+		return
+	}
+	if cap(z.List) >= int(zb0002) {
+		z.List = (z.List)[:zb0002]
+	} else {
+		z.List = make([]Crash, zb0002)
+	}
+	for za0001 := range z.List {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.List[za0001].Part, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Part")
+			return
+		}
+		z.List[za0001].Endpoint, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Endpoint")
+			return
+		}
+		z.List[za0001].Age, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Age")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Crashes) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize + (len(z.List) * (7 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size))
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Digest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
--- a/pkg/encoder/message.go
+++ b/pkg/encoder/message.go
@@ -42,6 +42,7 @@
 func (*Report) kind() byte       { return 26 }
 func (*Digest) kind() byte       { return 27 }
 func (*Update) kind() byte       { return 28 }
+func (*Crashes) kind() byte      { return 29 }
 
 // newMessage returns a new zero message of the given kind, or nil if the kind is
 // unknown.
@@ -103,6 +104,8 @@
 		return new(Digest)
 	case 28:
 		return new(Update)
+	case 29:
+		return new(Crashes)
 	default:
 		return nil
 	}
