--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -350,11 +350,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				responses := []response{{view: View{Revision: 5}}, {delay: time.Second, err: errNoAnswer}, {err: errNoAnswer}}
-				var order []string
+				order := make([]string, 0, 3)
 				for _, e := range runFollower(&fakeSource{responses: append(responses, after...)}, 3*time.Second) {
 					switch e.(type) {
 					case director.ViewLost:
-						order = nil
+						order = order[:0]
 					case director.ViewReachable:
 						order = append(order, "reachable")
 					case director.TableLoaded:
