Let observations of crashes expire between nodes

An observation that comes back from another node looked later than the own one by the time of the messages, was taken for a new one and passed on again. Its age is now raised by 20 ms a hop, more than a message takes.

TestObservationsExpireBetweenNodes failed before.

--- a/internal/director/harmful_test.go
+++ b/internal/director/harmful_test.go
@@ -12,7 +12,6 @@
 
 	"snipedyke/internal/chooser"
 	"snipedyke/internal/registrar"
-	"snipedyke/pkg/encoder"
 )
 
 // timedCall is a call at a time of a simulation.
@@ -120,7 +119,7 @@
 				now: start.Add(discoveryPeriod), backAt: map[string]time.Time{},
 				running: map[string]map[uint64]*node{}, harmful: map[uint64]bool{},
 			}
-			var entries []registrar.Entry
+			entries := make([]registrar.Entry, 0, 9)
 			for i := range 9 {
 				entries = append(entries, entry("model", i))
 			}
@@ -153,7 +152,7 @@
 				heap.Push(&f.calls, timedCall{at, func() {
 					for _, n := range f.nodes {
 						f.post(n, Ticked{})
-						var list []encoder.Crash = n.Crashes(f.now)
+						list := n.Crashes(f.now)
 						for _, other := range f.nodes {
 							if other != n {
 								f.after(600*time.Millisecond, func() { f.post(other, CrashesObserved{list}) })
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -35,6 +35,10 @@
 	// newsTime is how long an observation is sent to other nodes, unless its part
 	// is isolated.
 	newsTime = 5 * time.Second
+	// hopTime is added to the age of an observation of another node. It is more
+	// than a message takes, so that an observation that comes back is not taken
+	// for a later one.
+	hopTime = 20 * time.Millisecond
 	// maxSent bounds the observations in a message. With 14 bytes each, five
 	// messages a second take 2.2 KB/s while endpoints crash.
 	maxSent = 32
@@ -203,7 +207,7 @@
 
 // Merge adds the observations of another node.
 func (s *Isolator) Merge(now time.Time, list []encoder.Crash) {
-	when := func(c encoder.Crash) time.Time { return now.Add(-time.Duration(c.Age) * time.Millisecond) }
+	when := func(c encoder.Crash) time.Time { return now.Add(-time.Duration(c.Age)*time.Millisecond - hopTime) }
 	for _, c := range list {
 		switch at := when(c); {
 		case now.Sub(at) >= isolationTime || c.Part == 0:
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -66,6 +66,24 @@
 	c.Check(isolated, qt.IsFalse)
 }
 
+// Guards against observations that never expire because nodes pass them back
+// and forth.
+func TestObservationsExpireBetweenNodes(t *testing.T) {
+	c := qt.New(t)
+	var a, b Isolator
+	a.crash(start, 1, 7)
+	b.crash(start, 2, 7)
+	now := start.Add(time.Second)
+	a.RecordSound(now, []uint64{7})
+	for now.Sub(start) < 7*time.Second {
+		now = now.Add(40 * time.Millisecond)
+		b.Merge(now.Add(10*time.Millisecond), a.Observations(now))
+		a.Merge(now.Add(20*time.Millisecond), b.Observations(now.Add(10*time.Millisecond)))
+	}
+	c.Check(a.Observations(now), qt.HasLen, 0)
+	c.Check(b.Observations(now), qt.HasLen, 0)
+}
+
 // Guards against memory and messages that grow with the parts that callers
 // send.
 func TestObservationsAreBounded(t *testing.T) {
