Check for isolated parts before a retry is counted

A request whose prompt had been isolated meanwhile used up the retry budget of its service and counted as a retry, although it was not sent again. Found by reading.

--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -165,6 +165,9 @@
 // retry sends a request to another endpoint if the attempts of its route and
 // the retry budget allow it.
 func (d *Director) retry(now time.Time, req *request, f AttemptFinished, reason Reason) {
+	if d.failIsolated(now, req) {
+		return
+	}
 	if len(req.tried) >= req.route.Attempts || !d.mayRetry(now, req.service) {
 		d.fail(now, req, reason)
 
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -36,7 +36,7 @@
 	minRetryAfter    = 150 * time.Millisecond
 	retryAfterSpread = 350 * time.Millisecond
 	// harmfulRetryAfter is the retry delay where a prompt has crashed engines. It
-	// is the time in which another node may report that the prompt is sound.
+	// is shorter than the isolation, which another node may end.
 	harmfulRetryAfter = 30 * time.Second
 )
 
@@ -164,10 +164,7 @@
 
 		return
 	}
-	if part, isolated := d.isolator.Isolated(now, req.Need.SharedParts); isolated {
-		req.lastCause = "engines have crashed under prompts with part " + strconv.FormatUint(part, 16)
-		d.fail(now, req, ReasonHarmful)
-
+	if d.failIsolated(now, req) {
 		return
 	}
 	e, holder := d.choose(now, req)
@@ -191,6 +188,18 @@
 	d.dispatch(now, req, e, holder)
 }
 
+// failIsolated ends a request if its prompt has a part that is isolated, and
+// reports whether it has.
+func (d *Director) failIsolated(now time.Time, req *request) bool {
+	part, isolated := d.isolator.Isolated(now, req.Need.SharedParts)
+	if isolated {
+		req.lastCause = "engines have crashed under prompts with part " + strconv.FormatUint(part, 16)
+		d.fail(now, req, ReasonHarmful)
+	}
+
+	return isolated
+}
+
 // admit returns the engine that admits a request, or nil. If a request belongs
 // to the more urgent group and its own engines cannot admit it in time, it
 // goes to an engine of the other group or else to one of its own, where it
