--- /dev/null
+++ b/internal/forwarder/framing_test.go
@@ -0,0 +1,80 @@
+package forwarder
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const unframedHead = "HTTP/1.1 200 OK\r\nName: r1\r\nSeal: s\r\n\r\n"
+
+// Guards against responses with neither a length nor chunks that are lost, cut
+// off, or taken for complete although they end inside an event.
+func TestResponsesThatEndWithTheirConnection(t *testing.T) {
+	for name, test := range map[string]struct {
+		path, body, want string
+		complete         bool
+	}{
+		"plain":         {"/unsafe/x", "the body", "the body", true},
+		"stream":        {"/stream/x", events(1, 4), events(1, 4), true},
+		"broken stream": {"/stream/x", events(1, 4) + "id: 5\ndata:", events(1, 4), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			e := newEndpoint(t, func(conn net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(conn, unframedHead+test.body)
+
+				return false
+			})
+			call := start(t, e).dial(c)
+			call.send("POST", test.path, "r1", "")
+			resp, body, err := call.receive()
+			c.Assert(resp, qt.IsNotNil)
+			c.Check(resp.StatusCode, qt.Equals, 200)
+			c.Check(body, qt.Equals, test.want)
+			c.Check(err == nil, qt.Equals, test.complete, qt.Commentf("%v", err))
+		})
+	}
+}
+
+// Guards against bytes without end that are read until the caller's time limit
+// or into memory without bound.
+func TestEndlessResponsesAreCutOff(t *testing.T) {
+	for name, test := range map[string]struct{ begin, repeat string }{
+		"head":     {"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+		"line":     {"", "x"},
+		"body":     {unframedHead, "bytes"},
+		"chunks":   {"HTTP/1.1 200 OK\r\nName: r1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nbytes\r\n"},
+		"trailer":  {"HTTP/1.1 200 OK\r\nName: r1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Field: value\r\n"},
+		"informal": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			closed := make(chan struct{})
+			e := newEndpoint(t, func(conn net.Conn, _ *http.Request) bool {
+				defer close(closed)
+				block := make([]byte, 0, 64<<10)
+				for len(block)+len(test.repeat) <= cap(block) {
+					block = append(block, test.repeat...)
+				}
+				_, err := io.WriteString(conn, test.begin)
+				// The bound is four times the largest body that is accepted.
+				for sent := 0; err == nil && sent < 4*maxResponseBytes; sent += len(block) {
+					_, err = conn.Write(block)
+				}
+				c.Check(err, qt.IsNotNil, qt.Commentf("the forwarder read all %d bytes", 4*maxResponseBytes))
+
+				return false
+			})
+			call := start(t, e).dial(c)
+			call.send("POST", "/unsafe/x", "r1", "")
+			resp, _, err := call.receive()
+			c.Assert(err, qt.IsNil)
+			c.Check(resp.StatusCode, qt.Equals, 502)
+			<-closed
+		})
+	}
+}
