Wait until responses are written at a shutdown

A caller that read its response slowly, or whose response was being written at that moment, saw the connection end in the middle when the node got SIGTERM, although the endpoint had answered in full. Nothing was logged: the director takes such a request for answered.

call.end runs before fasthttp writes the response. It marked the caller's connection as idle and removed the call, so the shutdown closed the connection, and ended the process as there were no calls. Besides, Read marked the connection as busy only after it had returned data: a request could be sent to an endpoint from a connection that had just been closed.

A connection is now idle only while the HTTP server awaits the first byte of the next request, which is the case after it has written all responses (its ConnState hook tells). It is claimed by compare-and-swap, either by Read with the first bytes of a request or by the shutdown, which waits for the connections that remain instead of the calls. A connection with unread bytes is not closed, since that would reset it and discard what the kernel has not sent of the last response.

fasthttp's own ShutdownWithContext does not fit: it waits 5 s for the first request of each new connection, 7.5 s after the signal together with drainDelay where the grace period may be 8 s, and compares wall-clock seconds, so a clock that is set back keeps idle connections open.

--- a/internal/forwarder/callerconn.go
+++ b/internal/forwarder/callerconn.go
@@ -5,6 +5,10 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"snipedyke/internal/dispatcher"
 )
 
 // listener accepts the connections of callers and keeps track of which are idle.
@@ -29,25 +33,48 @@
 	return c, nil
 }
 
-// closeIdle closes the connections without a request in progress.
-func (l *listener) closeIdle() {
+// closeIdle closes the idle connections and returns the number of those that
+// remain.
+func (l *listener) closeIdle() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	remaining := 0
 	for c := range l.conns {
-		if !c.busy.Load() {
-			_ = c.Conn.Close()
+		if !c.closeIfIdle() {
+			remaining++
 		}
 	}
+
+	return remaining
 }
 
+// connState is the state of a callerConn.
+type connState = int32
+
+const (
+	// connIdle is a connection without a request: no byte of the next request
+	// has been read, and the last response has been written.
+	connIdle connState = iota
+	// connActive is a connection on which a request is being read or served, or
+	// a response is being written.
+	connActive
+	// connClosed is a connection that was closed while it was idle. Nothing that
+	// arrives on it is served.
+	connClosed
+)
+
 // callerConn is a connection from a caller. While a request is served, it reads
 // ahead to detect that the caller has disconnected, which the HTTP server does
 // not detect.
 type callerConn struct {
 	net.Conn
 	listener *listener
-	// busy reports whether a request is being read or served.
-	busy atomic.Bool
+	// state changes from connIdle by compare-and-swap only, so that a connection
+	// is either closed or has its next request served.
+	state atomic.Int32
+	// awaiting reports whether the HTTP server has written all responses and
+	// awaits the first byte of the next request.
+	awaiting bool
 
 	// peeked holds the byte that was read ahead, if hasPeeked is set.
 	peeked    [1]byte
@@ -57,6 +84,13 @@
 	watchDone chan struct{}
 }
 
+// setServerState follows the state that the HTTP server gives the connection.
+// With a part of the next request in its buffer, the server may hold a response
+// back, but then it becomes active again without a call of Read.
+func (c *callerConn) setServerState(state fasthttp.ConnState) {
+	c.awaiting = state == fasthttp.StateIdle
+}
+
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	if len(p) > 0 && c.hasPeeked {
@@ -65,9 +99,13 @@
 
 		return 1, nil
 	}
+	if c.awaiting {
+		c.awaiting = false
+		c.state.Store(connIdle)
+	}
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.busy.Store(true)
+	if n > 0 && !c.state.CompareAndSwap(connIdle, connActive) && c.state.Load() == connClosed {
+		return 0, net.ErrClosed
 	}
 
 	return n, err
@@ -82,6 +120,37 @@
 	return c.Conn.Close()
 }
 
+// closeIfIdle closes the connection if it is idle, and reports whether it is
+// closed. A connection with unread bytes is left open: closing would reset it,
+// and discard what the caller has not yet received of the last response.
+func (c *callerConn) closeIfIdle() bool {
+	switch c.state.Load() {
+	case connActive:
+		return false
+	case connClosed:
+		return true
+	}
+	if c.hasUnread() || !c.state.CompareAndSwap(connIdle, connClosed) {
+		return false
+	}
+	_ = c.Conn.Close()
+
+	return true
+}
+
+// hasUnread reports whether the connection has bytes that have not been read.
+func (c *callerConn) hasUnread() bool {
+	raw := dispatcher.RawConn(c.Conn)
+	if raw == nil {
+		return false
+	}
+	state := dispatcher.SocketClosed
+	// Read would wait for the read that is in progress.
+	_ = raw.Control(func(fd uintptr) { state = dispatcher.PeekSocket(fd) })
+
+	return state == dispatcher.SocketReadable
+}
+
 // watch calls onClose if the caller disconnects before unwatch is called.
 func (c *callerConn) watch(onClose func()) {
 	if c.hasPeeked {
@@ -108,8 +177,7 @@
 // immediately.
 var expiredDeadline = time.Unix(1, 0)
 
-// unwatch stops the read started by watch. The connection is idle afterwards
-// unless a byte of the next request was read ahead.
+// unwatch stops the read started by watch.
 func (c *callerConn) unwatch() {
 	if c.watchDone != nil {
 		_ = c.SetReadDeadline(expiredDeadline)
@@ -117,5 +185,4 @@
 		c.watchDone = nil
 		_ = c.SetReadDeadline(time.Time{})
 	}
-	c.busy.Store(c.hasPeeked)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -97,6 +97,7 @@
 	f.server = &fasthttp.Server{
 		Handler:                      f.serve,
 		ErrorHandler:                 f.handleReadError,
+		ConnState:                    func(conn net.Conn, s fasthttp.ConnState) { conn.(*callerConn).setServerState(s) },
 		ReadBufferSize:               opts.MaxHeaderBytes,
 		MaxRequestBodySize:           opts.MaxBodyBytes,
 		Concurrency:                  opts.MaxConnections,
@@ -141,8 +142,9 @@
 	return nil
 }
 
-// shutdown stops accepting connections after drainDelay, and then waits until the
-// requests in progress are answered or the grace period ends.
+// shutdown stops accepting connections after drainDelay, and then waits until
+// the requests in progress are answered and their responses are written, or the
+// grace period ends.
 func (f *Forwarder) shutdown() {
 	start := time.Now()
 	f.shuttingDown.Store(true)
@@ -150,21 +152,13 @@
 	time.Sleep(drainDelay)
 	_ = f.listener.Close()
 	for time.Since(start) < f.opts.GracePeriod-exitMargin {
-		f.listener.closeIdle()
-		if f.activeCalls() == 0 {
-			break
+		if f.listener.closeIdle() == 0 {
+			return
 		}
 		time.Sleep(tickInterval)
 	}
 }
 
-func (f *Forwarder) activeCalls() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	return len(f.calls)
-}
-
 // Post passes an event to the director and carries out the resulting effects.
 func (f *Forwarder) Post(e director.Event) {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/forwarder/shutdown_test.go
@@ -0,0 +1,64 @@
+package forwarder
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a shutdown that cuts off a response that is still being written
+// to a slow caller.
+func TestShutdownWaitsForResponsesToBeWritten(t *testing.T) {
+	c := qt.New(t)
+	// The response is larger than the socket buffers.
+	large := strings.Repeat("x", 12<<20)
+	s := start(t, newEndpoint(t, func(conn net.Conn, r *http.Request) bool { return reply(conn, r, 200, large) }))
+	idle, slow := s.dial(c), s.dial(c)
+	c.Assert(slow.Conn.(*net.TCPConn).SetReadBuffer(16<<10), qt.IsNil)
+	slow.send("GET", "/safe/x", "r1", "")
+	_, err := slow.br.Peek(1)
+	c.Assert(err, qt.IsNil)
+	s.stop()
+	_, err = idle.Read(make([]byte, 1))
+	c.Assert(err, qt.Equals, io.EOF)
+	select {
+	case err := <-s.done:
+		c.Errorf("the shutdown ended before the response was written: %v", err)
+	default:
+	}
+	_, body, err := slow.receive()
+	c.Assert(err, qt.IsNil)
+	c.Check(len(body), qt.Equals, len(large))
+	c.Check(<-s.done, qt.IsNil)
+}
+
+// interruptedConn calls onRead after it has read data, before Read returns.
+type interruptedConn struct {
+	net.Conn
+	onRead func()
+}
+
+func (c interruptedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.onRead()
+
+	return n, err
+}
+
+// Guards against a request that is served although its connection has been
+// closed as idle.
+func TestRequestOnClosedConnectionIsNotServed(t *testing.T) {
+	c := qt.New(t)
+	caller, accepted := net.Pipe()
+	l := &listener{conns: map[*callerConn]struct{}{}}
+	conn := &callerConn{Conn: interruptedConn{accepted, func() { l.closeIdle() }}, listener: l}
+	l.conns[conn] = struct{}{}
+	go func() { _, _ = io.WriteString(caller, "GET /safe/x HTTP/1.1\r\n") }()
+	n, err := conn.Read(make([]byte, 1024))
+	c.Check(n, qt.Equals, 0)
+	c.Check(err, qt.ErrorIs, net.ErrClosed)
+}
