Tell callers of requests in progress that the node shuts down

Responses to requests that had arrived before SIGTERM lacked `Connection: close`. Their callers kept the connection, and the next request crossed its end 2.5 s after the signal.

The field was set when a request arrived; it is now set when the response is ready to be written.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -40,9 +40,12 @@
 
 // serve handles one request.
 func (f *Forwarder) serve(ctx *fasthttp.RequestCtx) {
-	if f.shuttingDown.Load() {
-		ctx.Response.Header.SetConnectionClose()
-	}
+	// The shutdown may begin while the request is in progress.
+	defer func() {
+		if f.shuttingDown.Load() {
+			ctx.Response.Header.SetConnectionClose()
+		}
+	}()
 	metadata, err := f.opts.Protocol.ParseRequest(&ctx.Request.Header)
 	if err != nil {
 		writeError(ctx, http.StatusBadRequest, director.ReasonMalformed, 0)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -229,10 +229,11 @@
 	<-working
 	finish <- true
 	finish <- true
-	_, body, err := call.receive()
+	resp, body, err := call.receive()
 	c.Assert(err, qt.IsNil)
 	c.Check(body, qt.Equals, "answer to r1")
-	resp, body, err := second.receive()
+	c.Check(resp.Close, qt.IsTrue)
+	resp, body, err = second.receive()
 	c.Assert(err, qt.IsNil)
 	c.Check(body, qt.Equals, "answer to r2")
 	c.Check(resp.Close, qt.IsTrue)
