Log the connections that a shutdown cuts off

Requests that were cut off because the grace period ended left no trace: the director never learns of their end.

Event 725, "shutdown cut off connections", gives the number of connections on which a request was being read or answered at that time, and how long the shutdown took. There is no counter, as the process exits before it could be read.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"snipedyke/internal/director"
+	"snipedyke/internal/logger"
 	"snipedyke/pkg/encoder"
 )
 
@@ -151,8 +152,14 @@
 	f.Post(director.ShutdownRequested{})
 	time.Sleep(drainDelay)
 	_ = f.listener.Close()
-	for time.Since(start) < f.opts.GracePeriod-exitMargin {
-		if f.listener.closeIdle() == 0 {
+	for {
+		remaining, waited := f.listener.closeIdle(), time.Since(start)
+		if remaining == 0 {
+			return
+		}
+		if waited >= f.opts.GracePeriod-exitMargin {
+			f.opts.Logger.Event(logger.ShutdownCutOff, "connections", remaining, "waited", waited.String())
+
 			return
 		}
 		time.Sleep(tickInterval)
--- a/internal/forwarder/shutdown_test.go
+++ b/internal/forwarder/shutdown_test.go
@@ -5,9 +5,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"snipedyke/internal/logger"
 )
 
 // Guards against a shutdown that cuts off a response that is still being written
@@ -62,3 +65,36 @@
 	c.Check(n, qt.Equals, 0)
 	c.Check(err, qt.ErrorIs, net.ErrClosed)
 }
+
+// eventCounter counts log events by number.
+type eventCounter struct {
+	mu     sync.Mutex
+	counts map[int]int
+}
+
+func (e *eventCounter) Event(number int, _ ...any) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts[number]++
+}
+
+// Guards against a shutdown that cuts off a request without a trace in the log.
+func TestShutdownLogsConnectionsItCutsOff(t *testing.T) {
+	c := qt.New(t)
+	working, finish := make(chan bool), make(chan bool)
+	defer close(finish)
+	s := start(t, newEndpoint(t, func(net.Conn, *http.Request) bool {
+		working <- true
+
+		return <-finish
+	}))
+	events := &eventCounter{counts: map[int]int{}}
+	s.opts.Logger, s.opts.GracePeriod = events, drainDelay
+	s.dial(c).send("POST", "/unsafe/x", "r1", "")
+	<-working
+	s.stop()
+	c.Check(<-s.done, qt.IsNil)
+	events.mu.Lock()
+	defer events.mu.Unlock()
+	c.Check(events.counts[logger.ShutdownCutOff], qt.Equals, 1)
+}
