Give up a silent endpoint only if another can take over

What callers saw: a request that may be repeated got 502, and a resumable stream was cut off, because its endpoint was silent for twice the target or for 1.2 s, although the endpoint would have gone on. Such a request failed whenever its attempts or the retry budget were used up or no other endpoint was left, which is when many endpoints are silent at once.

Cause: the connection was closed at the soft deadline, and only the AttemptFinished that followed let the director find out that it could not retry.

Change: the soft deadline posts AttemptStalled. The director answers with GiveUp if the request may be repeated, attempts are left, no part of the prompt is isolated, another endpoint admits it now and the retry budget allows it. The budget is used up at that point, and not again by the retry. Otherwise the attempt goes on and the director is asked again after the same time, until the deadline, which is as before. Readers of HTTP cannot go on after a timeout, so endpointConn asks within Read and Write: the silence of an endpoint that does not read a request is handled alike. A retry at the deadline no longer uses up budget before it fails.

"silent" remains the result of such an attempt.

Measured: with the connection closed at the soft deadline, as before, the new tests of the forwarder fail:

TestSilentEndpointIsAwaitedIfNoneCanTakeOver//quick/x: got 502, want 200 body {"error":{"code":"no_endpoint"}} TestSilentEndpointIsAwaitedIfNoneCanTakeOver//resume/x: unexpected EOF TestEndpointThatReadsLateIsAwaited: got 502, want 200

With a director that always gives up, TestSilentAttemptGoesOnWithoutReplacement fails, and with a retry that uses the budget again, TestReplacementOfSilentEndpointUsesBudgetOnce fails. All pass with the change, the forwarder's also 20 times in a row with the race detector.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -113,6 +113,8 @@
 		d.handleArrival(now, e.Request)
 	case ResponseStarted:
 		d.handleFirstByte(now, e)
+	case AttemptStalled:
+		d.handleStalled(now, e)
 	case AttemptFinished:
 		d.handleFinished(now, e)
 	case CallerDisconnected:
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -342,7 +342,7 @@
 		id := uint64(0)
 		for range rapid.IntRange(1, 80).Draw(t, "events") {
 			n.now = n.now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * time.Millisecond)
-			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			switch rapid.IntRange(0, 7).Draw(t, "event") {
 			case 0, 1:
 				id++
 				path := rapid.SampledFrom([]string{"/pay/", "/look/", "/chat/", "/draft/"}).Draw(t, "path")
@@ -371,6 +371,17 @@
 				check(n.post(Ticked{}))
 			case 6:
 				check(n.post(ViewConfirmed{n.now}))
+			case 7:
+				for r := uint64(1); r <= id; r++ {
+					s := requests[r]
+					if s.endpoint == "" || s.ended {
+						continue
+					}
+					if _, givenUp := find[GiveUp](n.post(AttemptStalled{ID: r})); givenUp {
+						s.endpoint, s.mayHaveRun = "", true
+						check(n.post(AttemptFinished{ID: r, Result: TimedOut}))
+					}
+				}
 			}
 		}
 		n.now = n.now.Add(time.Second)
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -33,6 +33,41 @@
 	d.retryWaiting(now)
 }
 
+// handleStalled gives up an attempt whose endpoint is silent if another endpoint
+// can take over. Otherwise the attempt goes on, as the endpoint may be sound.
+func (d *Director) handleStalled(now time.Time, s AttemptStalled) {
+	req := d.requests[s.ID]
+	if req == nil || req.endpoint == nil || req.callerGone {
+		return
+	}
+	req.relayed = req.relayed || s.Relayed
+	req.replaced = d.allowReplacement(now, req)
+	if req.replaced {
+		d.emit(GiveUp{ID: req.ID})
+	}
+	d.log(logger.EndpointSilent, "request", req.Name, "route", req.route.Name, "endpoint", req.endpoint.entry.ID,
+		"silent", s.Silent.String(), "relayed", req.relayed, "replaced", req.replaced)
+}
+
+// allowReplacement reports whether another endpoint can take over a request from
+// that of the attempt in progress, and uses up the retry budget if it can.
+func (d *Director) allowReplacement(now time.Time, req *request) bool {
+	if !req.route.Repeatable() || len(req.tried)+1 >= req.route.Attempts || req.expiresAt.Sub(now) < minAttemptTime {
+		return false
+	}
+	if _, isolated := d.isolator.Isolated(now, req.Need.SharedParts); isolated {
+		return false
+	}
+	cached := req.prefixCached
+	e, _ := d.choose(now, req)
+	req.prefixCached = cached
+	if e != nil && d.engineOf(req) != nil && !req.relayed {
+		e = d.admit(now, req, e)
+	}
+
+	return e != nil && d.mayRetry(now, req.service)
+}
+
 // handleFinished handles the end of an attempt.
 func (d *Director) handleFinished(now time.Time, f AttemptFinished) {
 	req := d.requests[f.ID]
@@ -168,12 +203,21 @@
 	if d.failIsolated(now, req) {
 		return
 	}
-	if len(req.tried) >= req.route.Attempts || !d.mayRetry(now, req.service) {
+	if req.expiresAt.Sub(now) < minAttemptTime {
+		d.fail(now, req, ReasonTimeout)
+
+		return
+	}
+	if len(req.tried) >= req.route.Attempts || !req.replaced && !d.mayRetry(now, req.service) {
 		d.fail(now, req, reason)
 
 		return
 	}
-	d.emit(Count{Counter: CounterRetries, Label: f.Result.String()})
+	label := f.Result.String()
+	if req.replaced {
+		label = LabelReplaced
+	}
+	d.emit(Count{Counter: CounterRetries, Label: label})
 	d.log(logger.RequestRetried, "request", req.Name, "route", req.route.Name, "endpoint", req.tried[len(req.tried)-1],
 		"result", f.Result.String(), "cause", f.Cause, "took", f.Took.String(), "parts", formatParts(req.Need.SharedParts), "relayed", req.relayed)
 	d.place(now, req)
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -28,7 +28,8 @@
 	// made.
 	minAttemptTime = 20 * time.Millisecond
 	// firstByteFactor times the target is how long a repeatable request waits for
-	// the first byte of an answer, but at least minFirstByteTimeout.
+	// the first byte of an answer before another endpoint is considered, but at
+	// least minFirstByteTimeout.
 	firstByteFactor     = 2
 	minFirstByteTimeout = 250 * time.Millisecond
 	// minRetryAfter is the least retry delay given to refused callers, and
@@ -66,6 +67,9 @@
 	unreachedCount int
 	// endpoint is the endpoint of the attempt in progress, or nil.
 	endpoint *endpoint
+	// replaced reports whether the attempt in progress has been given up for
+	// another one, which the retry budget already includes.
+	replaced bool
 	// mayHaveRun reports whether an earlier attempt may have run.
 	mayHaveRun bool
 	// timeToFirstByte is the time from arrival to the first byte of the answer,
@@ -280,7 +284,7 @@
 func (d *Director) candidates(now time.Time, req *request) []*chooser.Engine {
 	d.candidateBuffer = d.candidateBuffer[:0]
 	for _, e := range req.service.endpoints {
-		if d.usable(now, e) && !contains(req.tried, e.entry.ID) && d.regionAllowed(req, e) {
+		if e != req.endpoint && d.usable(now, e) && !contains(req.tried, e.entry.ID) && d.regionAllowed(req, e) {
 			d.candidateBuffer = append(d.candidateBuffer, e.load)
 		}
 	}
@@ -312,7 +316,7 @@
 	if now.Before(e.coldUntil) {
 		e.coldPacer.Record(now)
 	}
-	req.endpoint = e
+	req.endpoint, req.replaced = e, false
 	if req.usesEngine && !req.relayed {
 		req.awaitingFirstByte, req.prefillTokensAhead = true, e.load.PrefillTokens()
 		e.load.Own.PrefillTokens += req.Need.PrefillTokens()
--- /dev/null
+++ b/internal/director/silence_test.go
@@ -0,0 +1,106 @@
+package director
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"snipedyke/internal/logger"
+)
+
+// stall reports that the endpoint of a request is silent. It returns whether the
+// attempt is given up, which is also what the log says.
+func (n *node) stall(c *qt.C, id uint64, relayed bool) bool {
+	effects := n.post(AttemptStalled{ID: id, Silent: time.Second, Relayed: relayed})
+	_, givenUp := find[GiveUp](effects)
+	line, logged := find[Log](effects)
+	c.Assert(logged, qt.IsTrue)
+	c.Check(line.Event, qt.Equals, logger.EndpointSilent)
+	c.Check(line.Args[len(line.Args)-1], qt.Equals, any(givenUp))
+
+	return givenUp
+}
+
+// Guards against giving up a silent endpoint although the request can't be sent
+// to another one, which failed requests that the endpoint would have answered.
+func TestSilentAttemptGoesOnWithoutReplacement(t *testing.T) {
+	for name, test := range map[string]struct {
+		path    string
+		relayed bool
+		prepare func(n *node)
+	}{
+		"unsafe request":        {path: "/pay/1", prepare: func(*node) {}},
+		"stream cannot resume":  {path: "/chat/1", relayed: true, prepare: func(*node) {}},
+		"budget of stream":      {path: "/draft/1", relayed: true, prepare: func(n *node) { n.useUpBudget(1) }},
+		"budget of request":     {path: "/look/1", prepare: func(n *node) { n.useUpBudget(1) }},
+		"no other endpoint":     {path: "/draft/1", relayed: true, prepare: removeOthers},
+		"no other, no answer":   {path: "/look/1", prepare: removeOthers},
+		"attempts used up":      {path: "/draft/1", relayed: true, prepare: func(n *node) { n.post(AttemptFinished{ID: 1, Result: Broken, Relayed: true}) }},
+		"deadline about to end": {path: "/look/1", prepare: func(n *node) { n.now = n.now.Add(time.Second - minAttemptTime/2) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			n := newNode()
+			_, sent := find[Dispatch](n.arrive(1, test.path))
+			c.Assert(sent, qt.IsTrue)
+			test.prepare(n)
+			for range 2 {
+				c.Check(n.stall(c, 1, test.relayed), qt.IsFalse)
+			}
+			_, relayed := find[Relay](n.post(AttemptFinished{ID: 1, Result: Answered, Status: 200, Relayed: test.relayed}))
+			c.Check(relayed, qt.IsTrue)
+			c.Check(n.Active(), qt.Equals, 0)
+		})
+	}
+}
+
+// useUpBudget uses up the retry budget of a request's service, and returns how
+// many retries were left.
+func (n *node) useUpBudget(id uint64) int {
+	left := 0
+	for n.mayRetry(n.now, n.requests[id].service) {
+		left++
+	}
+
+	return left
+}
+
+// removeOthers removes all endpoints but that of request 1.
+func removeOthers(n *node) {
+	for _, id := range n.endpointIDs() {
+		if id != n.requests[1].endpoint.entry.ID {
+			n.post(EntryRemoved{ID: id})
+		}
+	}
+	n.now = n.now.Add(time.Second / 2)
+	n.post(ViewConfirmed{n.now})
+}
+
+// Guards against a replacement that uses up the retry budget twice, or that is
+// refused by the budget after the attempt was given up.
+func TestReplacementOfSilentEndpointUsesBudgetOnce(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		path    string
+		relayed bool
+	}{{"/look/1", false}, {"/draft/1", false}, {"/draft/1", true}} {
+		n, other := newNode(), newNode()
+		other.arrive(1, test.path)
+		first, _ := find[Dispatch](n.arrive(1, test.path))
+		c.Assert(n.stall(c, 1, test.relayed), qt.IsTrue)
+		c.Check(n.useUpBudget(1), qt.Equals, other.useUpBudget(1)-1)
+		effects := n.post(AttemptFinished{ID: 1, Result: TimedOut, Relayed: test.relayed})
+		second, retried := find[Dispatch](effects)
+		c.Assert(retried, qt.IsTrue)
+		c.Check(second.Endpoint, qt.Not(qt.Equals), first.Endpoint)
+		c.Check(second.Resume, qt.Equals, test.relayed)
+		labels := map[Counter]string{}
+		for _, e := range effects {
+			if count, ok := e.(Count); ok {
+				labels[count.Counter] = count.Label
+			}
+		}
+		c.Check(labels, qt.DeepEquals, map[Counter]string{CounterAttempts: "silent", CounterRetries: "replaced"})
+	}
+}
--- a/internal/exporter/exporter.go
+++ b/internal/exporter/exporter.go
@@ -66,7 +66,7 @@
 		reducer.CounterMarks:     {"suspect", "blocked", "cleared"},
 		reducer.CounterEndpoints: {"cold", "warming", "warm", "failed", "probing", "out"},
 		RoutedRefusals:           routedReasonNames(),
-		RoutedRetries:            append(routedResultNames(), "status"),
+		RoutedRetries:            append(routedResultNames(), "status", director.LabelReplaced),
 		RoutedAttempts:           routedResultNames(),
 	}
 	// perClass lists the counters whose initial time series are also created
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -25,7 +25,7 @@
 	// the deadline sent to the endpoint.
 	responseMargin = 100 * time.Millisecond
 	// streamIdleTimeout is the time without an event after which a resumable
-	// stream is resumed at another endpoint.
+	// stream is resumed at another endpoint if one can take over.
 	streamIdleTimeout = 1200 * time.Millisecond
 )
 
@@ -48,19 +48,28 @@
 	conn     *endpointConn
 	resp     *fasthttp.Response
 	finished director.AttemptFinished
+	// end is the time by which the response must be complete. patience is the time
+	// without data after which the director decides whether the attempt goes on, or
+	// zero if it goes on until the end.
+	end      time.Time
+	patience time.Duration
+	// givenUp reports whether the director has given up the attempt.
+	givenUp bool
 
 	// stream reads the events of a streamed response, or is nil.
 	stream *eventReader
 	// firstEvents holds the first events of the stream.
 	firstEvents []byte
-	// lastRead is the time at which events were last read.
+	// lastRead is the time at which events were last read, or the start of the
+	// attempt.
 	lastRead time.Time
 }
 
 // attempt sends the request to an endpoint and reads the response, or the first
 // events of a streamed response.
 func (c *call) attempt(d director.Dispatch) *attempt {
-	a := &attempt{call: c, dispatch: d, start: time.Now(), finished: director.AttemptFinished{ID: c.id}}
+	now := time.Now()
+	a := &attempt{call: c, dispatch: d, start: now, lastRead: now, finished: director.AttemptFinished{ID: c.id}}
 	a.finished.Result = a.do()
 	if a.stream == nil {
 		a.close()
@@ -92,7 +101,7 @@
 // began, and records the error as the cause.
 func (a *attempt) failureResult(err error) director.Result {
 	a.finished.Cause = err.Error()
-	if isTimeout(err) || errors.Is(err, fasthttp.ErrTimeout) {
+	if a.givenUp || isTimeout(err) || errors.Is(err, fasthttp.ErrTimeout) {
 		return director.TimedOut
 	}
 
@@ -115,19 +124,44 @@
 	if !a.call.setEndpointConn(conn) || left <= 0 {
 		return director.Unreached
 	}
-	end := time.Now().Add(left + responseMargin)
-	first := end
+	a.end = time.Now().Add(left + responseMargin)
 	if !a.dispatch.FirstByteDeadline.IsZero() {
-		first = end.Add(a.dispatch.FirstByteDeadline.Sub(a.dispatch.Deadline))
+		a.patience = max(left-a.dispatch.Deadline.Sub(a.dispatch.FirstByteDeadline), 0) + responseMargin
 	}
-	if conn.SetDeadline(first) != nil {
+	conn.onTimeout = a.continueAfterTimeout
+	if a.extendDeadline() != nil {
 		return director.Unreached
 	}
 	if err := a.write(left); err != nil {
 		return a.failureResult(err)
 	}
 
-	return a.read(end)
+	return a.read()
+}
+
+// extendDeadline sets the deadline of the connection for the next data.
+func (a *attempt) extendDeadline() error {
+	deadline := a.end
+	if a.patience > 0 {
+		if next := time.Now().Add(a.patience); next.Before(deadline) {
+			deadline = next
+		}
+	}
+
+	return a.conn.SetDeadline(deadline)
+}
+
+// continueAfterTimeout reports whether the attempt goes on after a read or write
+// has timed out, and extends the deadline if it does.
+func (a *attempt) continueAfterTimeout() bool {
+	if a.patience == 0 || !time.Now().Before(a.end) {
+		return false
+	}
+	// Post carries out GiveUp before it returns.
+	a.call.f.Post(director.AttemptStalled{ID: a.call.id, Silent: time.Since(a.lastRead), Relayed: a.stream != nil})
+	a.givenUp = a.call.takeGiveUp()
+
+	return !a.givenUp && a.extendDeadline() == nil
 }
 
 // write sends the request to the endpoint.
@@ -152,7 +186,7 @@
 }
 
 // read reads the response, skipping responses to earlier requests.
-func (a *attempt) read(end time.Time) director.Result {
+func (a *attempt) read() director.Result {
 	a.resp = fasthttp.AcquireResponse()
 	h := &a.resp.Header
 	h.SetNoDefaultContentType(true)
@@ -172,7 +206,7 @@
 			continue
 		}
 
-		return a.handleResponse(m, end)
+		return a.handleResponse(m)
 	}
 
 	return a.failureResult(errRequestMismatch)
@@ -180,7 +214,7 @@
 
 // handleResponse validates the response header and reads the body, or the first
 // events of a stream.
-func (a *attempt) handleResponse(m ResponseMetadata, end time.Time) director.Result {
+func (a *attempt) handleResponse(m ResponseMetadata) director.Result {
 	h := &a.resp.Header
 	switch {
 	case h.StatusCode() == http.StatusMisdirectedRequest:
@@ -195,12 +229,13 @@
 		return a.failureResult(errContentEncoded)
 	}
 	if a.dispatch.Route.Kind == router.Stream && h.StatusCode() == http.StatusOK {
-		return a.beginStream(end)
+		return a.beginStream()
 	}
 	if a.dispatch.Resume {
 		return a.failureResult(errNotStream)
 	}
-	if err := a.conn.SetDeadline(end); err != nil {
+	a.patience = 0
+	if a.extendDeadline() != nil {
 		return director.Broken
 	}
 	if a.call.req.Header.IsHead() {
@@ -239,7 +274,7 @@
 }
 
 // beginStream reads the first events of a stream.
-func (a *attempt) beginStream(end time.Time) director.Result {
+func (a *attempt) beginStream() director.Result {
 	a.resp.StreamBody = true
 	if err := a.resp.ReadBody(a.conn.br, 0); err != nil {
 		return a.failureResult(err)
@@ -249,7 +284,11 @@
 	if err != nil && (!errors.Is(err, io.EOF) || !a.dispatch.Resume) {
 		return a.failureResult(err)
 	}
-	if a.call.f.opts.Clock().After(a.dispatch.Deadline) || a.conn.SetDeadline(end) != nil {
+	a.patience = 0
+	if a.dispatch.Route.Resumable {
+		a.patience = a.call.f.streamIdleTimeout
+	}
+	if a.call.f.opts.Clock().After(a.dispatch.Deadline) || a.extendDeadline() != nil {
 		return director.TimedOut
 	}
 	a.stream, a.firstEvents, a.lastRead = stream, events, time.Now()
@@ -312,12 +351,9 @@
 // attempt.
 func (b *streamBody) fill() {
 	a := b.attempt
-	if a.dispatch.Route.Resumable {
-		deadline := time.Now().Add(streamIdleTimeout)
-		if end := time.Now().Add(a.dispatch.Deadline.Sub(a.call.f.opts.Clock()) + responseMargin); end.Before(deadline) {
-			deadline = end
-		}
-		_ = a.conn.SetReadDeadline(deadline)
+	if a.patience > 0 {
+		// The next read returns any error of the connection.
+		_ = a.extendDeadline()
 	}
 	events, err := a.stream.next()
 	if err == nil {
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -36,6 +36,8 @@
 	// endpointConn is the connection that cancel closes, or nil.
 	endpointConn *endpointConn
 	cancelled    bool
+	// givenUp reports whether the attempt in progress has been given up.
+	givenUp bool
 }
 
 // serve handles one request.
@@ -191,6 +193,25 @@
 	}
 }
 
+// giveUp ends the attempt in progress, which is waiting for the director's
+// decision.
+func (c *call) giveUp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.givenUp = true
+}
+
+// takeGiveUp reports whether giveUp has been called since the last call of
+// takeGiveUp.
+func (c *call) takeGiveUp() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	givenUp := c.givenUp
+	c.givenUp = false
+
+	return givenUp
+}
+
 // setEndpointConn sets the connection that cancel closes. It reports whether the
 // attempt may proceed, which is false if cancel has already been called.
 func (c *call) setEndpointConn(conn *endpointConn) bool {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -76,6 +76,8 @@
 	pool         *pool
 	lastID       atomic.Uint64
 	shuttingDown atomic.Bool
+	// streamIdleTimeout is the constant of that name, or shorter in tests.
+	streamIdleTimeout time.Duration
 
 	mu       sync.Mutex
 	director *director.Director
@@ -91,7 +93,7 @@
 		return nil, &Error{Op: "listen for callers", Kind: KindListen, Err: err}
 	}
 	f := &Forwarder{
-		opts: opts, pool: newPool(), director: director.New(opts.Director), calls: map[uint64]*call{},
+		opts: opts, pool: newPool(), director: director.New(opts.Director), calls: map[uint64]*call{}, streamIdleTimeout: streamIdleTimeout,
 		listener: &listener{Listener: ln, conns: map[*callerConn]struct{}{}},
 	}
 	f.server = &fasthttp.Server{
@@ -200,6 +202,10 @@
 		if c := f.calls[e.ID]; c != nil {
 			c.cancel()
 		}
+	case director.GiveUp:
+		if c := f.calls[e.ID]; c != nil {
+			c.giveUp()
+		}
 	case director.CloseIdleConnections:
 		f.pool.closeIdle(e.Address)
 	case director.Log:
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"snipedyke/internal/director"
+	"snipedyke/internal/logger"
 	"snipedyke/internal/registrar"
 	"snipedyke/internal/router"
 )
@@ -56,6 +58,20 @@
 func (discardSink) Count(director.Count)     {}
 func (discardSink) Observe(director.Observe) {}
 
+// silenceSink is a Logger that reports the events about silent endpoints while
+// there is a receiver.
+type silenceSink chan bool
+
+func (s silenceSink) Event(number int, _ ...any) {
+	if number != logger.EndpointSilent {
+		return
+	}
+	select {
+	case s <- true:
+	default:
+	}
+}
+
 // endpoint is a test server that handles requests with a handler. The handler
 // reports whether the connection stays open.
 type endpoint struct {
@@ -68,7 +84,21 @@
 type handler func(conn net.Conn, r *http.Request) bool
 
 func newEndpoint(t *testing.T, h handler) *endpoint {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return listen(t, net.ListenConfig{}, func() {}, h)
+}
+
+// newSlowReader returns an endpoint that calls wait before it begins to read from
+// a connection. Its receive buffer is small.
+func newSlowReader(t *testing.T, wait func()) *endpoint {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+
+	return listen(t, config, wait, func(conn net.Conn, r *http.Request) bool { return reply(conn, r, 200, "") })
+}
+
+func listen(t *testing.T, config net.ListenConfig, wait func(), h handler) *endpoint {
+	ln, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -80,7 +110,10 @@
 			if err != nil {
 				return
 			}
-			go e.serve(conn, h)
+			go func() {
+				wait()
+				e.serve(conn, h)
+			}()
 		}
 	}()
 
@@ -152,6 +185,11 @@
 }
 
 func start(t *testing.T, endpoints ...*endpoint) *system {
+	return startWith(t, func(*Forwarder) {}, endpoints...)
+}
+
+// startWith calls adjust before the forwarder runs.
+func startWith(t *testing.T, adjust func(*Forwarder), endpoints ...*endpoint) *system {
 	f, err := New(Options{
 		Director: director.Options{
 			Name: "n", KeyLease: time.Hour, FreshView: time.Hour, AssumedNodes: 1, RetryWindow: time.Minute, RetrySlack: 1000,
@@ -162,6 +200,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	adjust(f)
 	route := func(prefix string, kind router.Kind, resumable bool) router.Route {
 		return router.Route{
 			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Resumable: resumable, Timeout: 2 * longWait,
@@ -172,7 +211,7 @@
 		Version: 1, Services: []router.Service{{Name: "s"}},
 		Routes: []router.Route{
 			route("/safe/", router.Safe, false), route("/unsafe/", router.Unsafe, false),
-			withShortTimeout(route("/brief/", router.Unsafe, false)),
+			withShortTimeout(route("/brief/", router.Unsafe, false)), withShortTarget(route("/quick/", router.Safe, false)),
 			route("/stream/", router.Stream, false), route("/resume/", router.Stream, true),
 		},
 		Accounts: []router.Account{{Name: "club"}}, Keys: map[string]string{"k": "club"},
@@ -201,6 +240,13 @@
 	return r
 }
 
+// withShortTarget returns the route with a short latency target.
+func withShortTarget(r router.Route) router.Route {
+	r.LatencyTarget = 10 * time.Millisecond
+
+	return r
+}
+
 // caller is a connection to the forwarder.
 type caller struct {
 	net.Conn
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -41,6 +41,9 @@
 type endpointConn struct {
 	net.Conn
 	br *bufio.Reader
+	// onTimeout reports whether a read or write that has exceeded its deadline
+	// goes on. It is nil while the connection is idle.
+	onTimeout func() bool
 	// lastUsed is the time at which the last response ended. idleTimeout is the
 	// time that the connection may be kept idle.
 	lastUsed    time.Time
@@ -49,6 +52,33 @@
 	reused bool
 }
 
+// Read implements io.Reader. It is the source of br, since readers of HTTP cannot
+// go on after a timeout.
+func (c *endpointConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 || !c.goesOn(err) {
+			return n, err
+		}
+	}
+}
+
+// Write implements io.Writer.
+func (c *endpointConn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if written == len(p) || !c.goesOn(err) {
+			return written, err
+		}
+	}
+}
+
+func (c *endpointConn) goesOn(err error) bool {
+	return c.onTimeout != nil && isTimeout(err) && c.onTimeout()
+}
+
 // pool holds idle connections to endpoints.
 type pool struct {
 	dialer net.Dialer
@@ -91,7 +121,10 @@
 		return nil, err
 	}
 
-	return &endpointConn{Conn: conn, br: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	c := &endpointConn{Conn: conn}
+	c.br = bufio.NewReaderSize(c, readBufferBytes)
+
+	return c, nil
 }
 
 // pop removes and returns the most recently used connection, or returns nil if
@@ -112,7 +145,7 @@
 // put returns a connection to the pool after a complete response. The pool
 // keeps at most the given number of idle connections to an address.
 func (p *pool) put(address netip.AddrPort, c *endpointConn, now time.Time, h *fasthttp.ResponseHeader, maxIdle int) {
-	c.lastUsed, c.idleTimeout = now, defaultKeepAlive
+	c.lastUsed, c.idleTimeout, c.onTimeout = now, defaultKeepAlive, nil
 	if stated, ok := parseKeepAlive(string(h.Peek("Keep-Alive"))); ok {
 		c.idleTimeout = stated - keepAliveMargin
 	}
--- /dev/null
+++ b/internal/forwarder/silence_test.go
@@ -0,0 +1,102 @@
+package forwarder
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against ending an answer because its only endpoint is silent for a
+// while, before the first byte or within a stream.
+func TestSilentEndpointIsAwaitedIfNoneCanTakeOver(t *testing.T) {
+	for path, want := range map[string]string{"/quick/x": "answer to r1", "/resume/x": events(1, 3)} {
+		t.Run(path, func(t *testing.T) {
+			c := qt.New(t)
+			silent := make(silenceSink)
+			e := newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+				if path == "/quick/x" {
+					<-silent
+					<-silent
+
+					return respondOK(conn, r)
+				}
+				stream(conn, r, events(1, 1))
+				<-silent
+				<-silent
+				chunk(conn, events(2, 3))
+				_, err := io.WriteString(conn, "0\r\n\r\n")
+
+				return err == nil
+			})
+			call := startWith(t, func(f *Forwarder) { f.opts.Logger, f.streamIdleTimeout = silent, 10*time.Millisecond }, e).dial(c)
+			call.send("POST", path, "r1", "")
+			resp, body, err := call.receive()
+			c.Assert(err, qt.IsNil)
+			c.Check(resp.StatusCode, qt.Equals, 200)
+			c.Check(body, qt.Equals, want)
+			c.Check(e.requests(), qt.HasLen, 1)
+		})
+	}
+}
+
+// Guards against a caller that waits for a silent endpoint although another one
+// can take over, and against lost or duplicated events of its stream.
+func TestSilentEndpointIsReplaced(t *testing.T) {
+	for path, want := range map[string]string{"/quick/x": "answer to r1", "/resume/x": events(1, 3)} {
+		t.Run(path, func(t *testing.T) {
+			c := qt.New(t)
+			first := make(chan bool, 1)
+			first <- true
+			handle := func(conn net.Conn, r *http.Request) bool {
+				select {
+				case <-first:
+					if path == "/resume/x" {
+						stream(conn, r, events(1, 1), "id: 2\nda")
+					}
+					_, err := conn.Read(make([]byte, 1))
+
+					return err == nil
+				default:
+				}
+				if path == "/quick/x" {
+					return respondOK(conn, r)
+				}
+				c.Check(r.Header.Get("Event"), qt.Equals, "1")
+				stream(conn, r, events(2, 3))
+				_, err := io.WriteString(conn, "0\r\n\r\n")
+
+				return err == nil
+			}
+			call := startWith(t, func(f *Forwarder) { f.streamIdleTimeout = 10 * time.Millisecond }, newEndpoint(t, handle), newEndpoint(t, handle)).dial(c)
+			call.send("POST", path, "r1", "")
+			resp, body, err := call.receive()
+			c.Assert(err, qt.IsNil)
+			c.Check(resp.StatusCode, qt.Equals, 200)
+			c.Check(body, qt.Equals, want)
+		})
+	}
+}
+
+// Guards against failing a request because its only endpoint does not read it
+// for a while.
+func TestEndpointThatReadsLateIsAwaited(t *testing.T) {
+	c := qt.New(t)
+	silent := make(silenceSink)
+	e := newSlowReader(t, func() {
+		<-silent
+		<-silent
+	})
+	body := strings.Repeat("x", 8<<20)
+	call := startWith(t, func(f *Forwarder) { f.opts.Logger, f.server.MaxRequestBodySize = silent, len(body) }, e).dial(c)
+	call.send("POST", "/quick/x", "r1", body)
+	resp, _, err := call.receive()
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.StatusCode, qt.Equals, 200)
+	c.Assert(e.requests(), qt.HasLen, 1)
+	c.Check(e.body[0] == body, qt.IsTrue)
+}
