Let a broken stream wait for an endpoint

What callers saw: a resumable stream was cut off at once if its server broke off at a moment at which all others were suspended, cold or out of reach, although one of them could have resumed it a moment later.

Cause: a request waits for an endpoint until an eighth of its target has passed since its arrival. For a stream that has begun, that time is over.

Change: a stream whose attempt has failed, and a request whose silent endpoint was given up, waits for up to 1 s after that, within its deadline. Other requests are refused as early as before.

Measured: TestBrokenStreamWaitsForAnEndpoint fails before, as the stream is aborted with the end of the attempt ("value is not false", got true), and passes with the change, which also checks that the wait ends.

--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -213,6 +213,9 @@
 
 		return
 	}
+	if req.relayed || req.replaced {
+		req.waitUntil = now.Add(maxMoveWait)
+	}
 	label := f.Result.String()
 	if req.replaced {
 		label = LabelReplaced
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -24,6 +24,10 @@
 	// A request waits for an endpoint for at most its target divided by
 	// waitDivisor before it is refused.
 	waitDivisor = 8
+	// maxMoveWait is how long a request waits for an endpoint after its stream has
+	// broken off, or after its endpoint was given up. Refusing it would cut off
+	// or lose an answer.
+	maxMoveWait = time.Second
 	// minAttemptTime is the least remaining time for which an attempt is still
 	// made.
 	minAttemptTime = 20 * time.Millisecond
@@ -70,6 +74,9 @@
 	// replaced reports whether the attempt in progress has been given up for
 	// another one, which the retry budget already includes.
 	replaced bool
+	// waitUntil, if not zero, extends the time for which the request may wait for
+	// an endpoint.
+	waitUntil time.Time
 	// mayHaveRun reports whether an earlier attempt may have run.
 	mayHaveRun bool
 	// timeToFirstByte is the time from arrival to the first byte of the answer,
@@ -388,9 +395,12 @@
 }
 
 // enqueue keeps a request until an endpoint can admit it, for a small part of
-// its target.
+// its target or until its waitUntil.
 func (d *Director) enqueue(now time.Time, req *request, reason Reason) {
 	latest := req.arrivedAt.Add(req.route.LatencyTarget / waitDivisor)
+	if req.waitUntil.After(latest) {
+		latest = req.waitUntil
+	}
 	if now.After(latest) || len(req.service.endpoints) == 0 {
 		d.fail(now, req, reason)
 
--- a/internal/director/silence_test.go
+++ b/internal/director/silence_test.go
@@ -104,3 +104,32 @@
 		c.Check(labels, qt.DeepEquals, map[Counter]string{CounterAttempts: "silent", CounterRetries: "replaced"})
 	}
 }
+
+// Guards against cutting off a stream at once because no other endpoint takes
+// requests at the moment at which its own one breaks off, and against a stream
+// that waits without limit.
+func TestBrokenStreamWaitsForAnEndpoint(t *testing.T) {
+	c := qt.New(t)
+	for _, suspended := range []time.Duration{maxMoveWait / 2, time.Minute} {
+		n := newNode()
+		d, _ := find[Dispatch](n.post(Arrived{Request{ID: 1, Name: "r1", Host: "h", Path: "/draft/1", Key: "key", Deadline: 5 * time.Second}}))
+		n.now = n.now.Add(time.Second)
+		for id, e := range n.endpoints {
+			if id != d.Endpoint {
+				e.suspendedUntil = n.now.Add(suspended)
+			}
+		}
+		_, aborted := find[Abort](n.post(AttemptFinished{ID: 1, Result: Broken, Relayed: true}))
+		c.Assert(aborted, qt.IsFalse)
+		n.now = n.now.Add(min(suspended, maxMoveWait))
+		_, aborted = find[Abort](n.post(Ticked{}))
+		c.Assert(aborted, qt.IsFalse)
+		n.now = n.now.Add(time.Millisecond)
+		if suspended < maxMoveWait {
+			c.Check(n.requests[1].endpoint, qt.IsNotNil, qt.Commentf("the stream is not resumed"))
+		} else {
+			_, aborted = find[Abort](n.post(Ticked{}))
+			c.Check(aborted, qt.IsTrue)
+		}
+	}
+}
