Do not report the load of endpoints that are gone

After an endpoint's entry was removed, other nodes could count the endpoint that started under the same ID as less loaded than it was, until the next full sum.

A full sum leaves out the requests that still run at the removed endpoint, but their end was reported as a change: minus one request for the number that both endpoints share. The reported load of an endpoint is now zero from its removal.

TestChangesUnderRunningRequests found it: a random test of arrivals, results, disconnects, ticks and changes of tables (routes, services, engines, keys, timeouts), endpoints, data centres, options and view. It checks that each request has one final effect and one attempt at a time, is aborted only within its answer or after its caller has left, and that all load returns to zero.

--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -95,6 +95,7 @@
 	}
 	delete(d.endpoints, entry.ID)
 	delete(d.endpointsByNumber, e.number)
+	d.markChanged(e)
 	d.isolator.RecordEnded(now, e.number)
 	s := d.ensureService(entry.Service)
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(other *endpoint) bool { return other == e })
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -63,7 +63,7 @@
 	d.reportedLong, d.reportedShort = long, short
 	unreported := d.changedEndpoints[:0]
 	for _, e := range d.changedEndpoints {
-		own := e.load.Own
+		own := d.ownLoad(e)
 		running := own.Running - e.reported.Running
 		prefill := own.PrefillTokens - e.reported.PrefillTokens
 		if running == 0 && max(prefill, -prefill) < minReportedPrefillTokens {
@@ -87,6 +87,17 @@
 // crash endpoints.
 func (d *Director) Crashes(now time.Time) []encoder.Crash { return d.isolator.Observations(now) }
 
+// ownLoad returns the load that the node places on an endpoint, as reported to
+// the other nodes. It is zero after the endpoint's entry was removed: the other
+// nodes would count its last requests for an endpoint that starts with its ID.
+func (d *Director) ownLoad(e *endpoint) chooser.Load {
+	if d.endpoints[e.entry.ID] != e {
+		return chooser.Load{}
+	}
+
+	return e.load.Own
+}
+
 // markChanged records that the own load of an endpoint has changed.
 func (d *Director) markChanged(e *endpoint) {
 	if !e.changed {
@@ -125,7 +136,7 @@
 	sum := encoder.LoadSum{Long: uint32(long), Short: uint32(short)}
 	d.reportedLong, d.reportedShort = long, short
 	for _, e := range d.changedEndpoints {
-		e.changed, e.reported = false, e.load.Own
+		e.changed, e.reported = false, d.ownLoad(e)
 	}
 	clear(d.changedEndpoints)
 	d.changedEndpoints = d.changedEndpoints[:0]
