Add an event for a restored store

The follower reports that the store has come back from an older copy, and the director holds removals as after an outage. Nothing posts the event yet.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -140,6 +140,8 @@
 		d.updateOthersLoad(now, e.Others)
 	case CrashesObserved:
 		d.isolator.Merge(now, e.Crashes)
+	case ViewRestored:
+		d.restoreView(now)
 	case ViewLost:
 		d.markViewLost(now, e.Cause)
 	case OptionsChanged:
@@ -232,6 +234,13 @@
 	}
 }
 
+// restoreView holds what the restored store may lack, until it has been written
+// again.
+func (d *Director) restoreView(now time.Time) {
+	d.endOutage(now)
+	d.registrar.Reconnected(now)
+}
+
 func (d *Director) markViewLost(now time.Time, cause string) {
 	if !d.viewLost {
 		d.viewLost = true
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -149,6 +149,12 @@
 // meanwhile follows.
 type ViewReachable struct{}
 
+// ViewRestored reports that the store of the shared view has come back from an
+// older copy. The full list of the restored store follows; it may lack entries
+// and data centres, or contain older ones, until their writers have written them
+// again.
+type ViewRestored struct{}
+
 // ViewLost reports that the shared view cannot be read. Cause describes why, for
 // the log.
 type ViewLost struct{ Cause string }
@@ -172,6 +178,7 @@
 func (ViewConfirmed) event()      {}
 func (CrashesObserved) event()    {}
 func (ViewReachable) event()      {}
+func (ViewRestored) event()       {}
 func (ViewLost) event()           {}
 func (OthersLoadReplaced) event() {}
 func (OthersLoadUpdated) event()  {}
