Report the era of the shared view

When the store came back from an older copy, neither the log nor the metrics showed which copy a node had read.

No decision uses the era yet.

--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -47,7 +47,8 @@
 
 // View is a node's copy of the shared view.
 type View struct {
-	Revision uint64
+	// Era and Revision identify the state of the store that the view holds.
+	Era, Revision uint64
 	// Confirmed is the latest time at which the view is known to have been
 	// complete.
 	Confirmed time.Time
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -42,6 +42,10 @@
 
 // View is a full list of items, or the changes since a revision.
 type View struct {
+	// Era rises each time that the store comes back from an older copy. Such a
+	// store gives revisions out again, so revisions are comparable within one
+	// era only. It is zero if the store has no eras.
+	Era uint64
 	// Revision is the revision after which to watch.
 	Revision uint64
 	Changes  []Change
@@ -147,8 +151,10 @@
 type Follower struct {
 	opts Options
 
-	mu       sync.Mutex
-	revision uint64
+	mu sync.Mutex
+	// era and revision identify the state of the store that the view holds.
+	// revision is zero before the first list.
+	era, revision uint64
 	// confirmed is the last time at which the view was known to be complete.
 	confirmed time.Time
 	// relayed reports whether the last confirmation came from another node, and
@@ -273,7 +279,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	return aggregator.View{Revision: f.revision, Confirmed: f.confirmed, Since: f.changesSince}
+	return aggregator.View{Era: f.era, Revision: f.revision, Confirmed: f.confirmed, Since: f.changesSince}
 }
 
 // changesSince returns the changes after a revision, or false if they are not
@@ -401,7 +407,10 @@
 
 // applyList replaces the view by a full list.
 func (f *Follower) applyList(view View) {
-	f.revision, f.listed, f.behind = view.Revision, true, false
+	if f.revision > 0 && view.Era > f.era {
+		f.opts.Logger.Event(logger.ViewRestored, "era", view.Era, "former", f.era, "revision", view.Revision, "formerRevision", f.revision)
+	}
+	f.era, f.revision, f.listed, f.behind = view.Era, view.Revision, true, false
 	f.history, f.historyStart = nil, view.Revision
 	clear(f.itemRevisions)
 	clear(f.centresOut)
