Order the shared view by era and revision

When the store came back from an older copy, nodes whose revision had been given out again by the time of their next watch got no 410.

The follower compared revisions without regard to the era of the store. It now keeps the era of its view and the newest era that the store has shown:

- A watch of a newer era is not applied; the next call, at once, is a list.
- A list of a newer era replaces the view with its revisions and history, whatever its revision is.
ViewRestored comes before its content.
- An answer of an older era is a failed call.
It is not applied and does not confirm the view.
- The first watch after a failure waits 0.2 s instead of up to 1.5 s, so that a restored store is recognized without a change in it.

A list of the same era with a smaller revision is ignored as before. Revisions are thus compared within one era only.

Before, TestNodeFollowsStoreThatGivesItsRevisionOutAgain failed (after 7 writes, got map[e0:17 e1:18 e2:19 e3:20], want map[e0:9 e2:11 e3:12 n0:27 n1:25 n2:26]), and so did this case with a wait of 1.5 s. All three cases of TestAnswersOfOlderErasAreIgnored failed (put b of the other era was applied and confirmed). TestRestoredViewIsLogged is new. All pass now.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -25,6 +25,10 @@
 // than could be read.
 var ErrIncomplete = errors.New("follower: changes are incomplete")
 
+// errOlderEra is the failure of a call whose answer is of an older era than an
+// earlier answer.
+var errOlderEra = errors.New("follower: answer is of an older era of the store")
+
 // Source reads the shared view.
 type Source interface {
 	// List returns all items, each as of Revision or later. The deadline of ctx
@@ -155,6 +159,9 @@
 	// era and revision identify the state of the store that the view holds.
 	// revision is zero before the first list.
 	era, revision uint64
+	// storeEra is the newest era that an answer of the store had. If it is newer
+	// than era, the view is that of a lost copy.
+	storeEra uint64
 	// confirmed is the last time at which the view was known to be complete.
 	confirmed time.Time
 	// relayed reports whether the last confirmation came from another node, and
@@ -167,11 +174,12 @@
 	// listed reports whether a full list has been read.
 	listed bool
 	// behind reports whether the changes after revision cannot be had from the
-	// relaying node or by a watch, so that the next call must be a list.
+	// relaying node or by a watch, so that the next call must be a list. It is
+	// true while storeEra is newer than era.
 	behind bool
 	// wake receives a value when behind becomes true.
 	wake chan struct{}
-	// itemRevisions holds the revision of each item by key.
+	// itemRevisions holds the revision of each item by key, in the present era.
 	itemRevisions map[string]uint64
 	// centresOut reports for each data centre whether it is taken out of
 	// service.
@@ -258,7 +266,9 @@
 	defer f.mu.Unlock()
 	wait = watchWait
 	switch {
-	case f.relayed:
+	case f.relayed || f.failures > 0:
+		// After an outage, an answer soon shows whether the store has been
+		// restored.
 		wait = fallbackWatchWait
 	case f.relaying:
 		wait = relayingWatchWait
@@ -342,6 +352,21 @@
 	f.opts.Post(director.ViewReachable{})
 }
 
+// checkEra compares the era of an answer of the store with those before it. It
+// returns errOlderEra if the answer must be ignored. If the answer shows a newer
+// era than that of the view, behind becomes true.
+func (f *Follower) checkEra(view View) error {
+	if view.Era < f.storeEra {
+		return errOlderEra
+	}
+	f.storeEra = view.Era
+	if f.storeEra > f.era {
+		f.behind = true
+	}
+
+	return nil
+}
+
 // confirm records that the view was complete at the given time. It comes after
 // the changes: until they are in force, keys that they withdraw must not be
 // accepted again.
@@ -370,16 +395,20 @@
 		sent = sent.Add(wait)
 	}
 	f.mu.Lock()
-	f.endOutage()
-	f.applyChanges(view)
-	f.confirm(sent)
+	err = f.checkEra(view)
+	current := err == nil && view.Era == f.era
+	if current {
+		f.endOutage()
+		f.applyChanges(view)
+		f.confirm(sent)
+	}
 	f.mu.Unlock()
-	if len(view.Changes) > 0 {
+	if current && len(view.Changes) > 0 {
 		// Changes come in bursts, and each call to the store has a cost.
 		sleep(ctx, batchDelay)
 	}
 
-	return nil
+	return err
 }
 
 // updateByList reads a full list and applies it. sent is the present time.
@@ -391,9 +420,9 @@
 		return err
 	}
 	f.mu.Lock()
-	repeated := f.listed
-	if !repeated || view.Revision >= f.revision {
-		f.endOutage()
+	err = f.checkEra(view)
+	repeated := err == nil && f.listed
+	if err == nil && (!repeated || view.Era > f.era || view.Revision >= f.revision) {
 		f.applyList(view)
 		f.confirm(sent)
 	}
@@ -402,13 +431,17 @@
 		sleep(ctx, min(max(f.opts.Clock().Sub(sent), batchDelay), maxListDelay))
 	}
 
-	return nil
+	return err
 }
 
-// applyList replaces the view by a full list.
+// applyList replaces the view by a full list. A list of a newer era may lack what
+// was in the view, so the director is told before.
 func (f *Follower) applyList(view View) {
 	if f.revision > 0 && view.Era > f.era {
+		f.opts.Post(director.ViewRestored{})
 		f.opts.Logger.Event(logger.ViewRestored, "era", view.Era, "former", f.era, "revision", view.Revision, "formerRevision", f.revision)
+	} else {
+		f.endOutage()
 	}
 	f.era, f.revision, f.listed, f.behind = view.Era, view.Revision, true, false
 	f.history, f.historyStart = nil, view.Revision
