Relay what the later pages of a list contained

A member could miss a change for good. Where an item was written between two pages of the relaying node's list, the list contained it already, so the watch that returned it again left it out of the changes that are relayed. A member that had listed before received the revision without the change.

An item of a relayed view was also applied if the member's own later list lacked it because it had been deleted meanwhile: the list clears the revisions of deleted items.

Changes up to the revision of the view are now skipped, as the view contains them or what came after them, and all others enter the history.

TestListAndRelayedViewOverlap failed before: the relayed changes were [new], not [listed new], and the node put [new deleted newer], not [new newer].

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -466,15 +466,21 @@
 	f.opts.Post(director.EntriesListed{Entries: entries})
 }
 
-// applyChanges applies the changes of a view.
+// applyChanges applies the changes of a view of the present era.
 func (f *Follower) applyChanges(view View) {
+	former := f.revision
 	f.revision = max(f.revision, view.Revision)
 	for _, c := range view.Changes {
+		if c.Revision <= former {
+			continue
+		}
+		// The later pages of a list may already have contained the item. The
+		// history needs it nevertheless.
+		f.appendHistory(c.Item)
 		if c.Revision <= f.itemRevisions[c.Key] {
 			continue
 		}
 		f.itemRevisions[c.Key] = c.Revision
-		f.appendHistory(c.Item)
 		switch v := c.Value.(type) {
 		case Endpoint:
 			f.opts.Post(director.EntryPut{Entry: v.Entry})
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -368,3 +368,27 @@
 		})
 	}
 }
+
+// Guards against members that miss a change which the later pages of the relaying
+// node's list contained already, and against deleted entries that a relayed view
+// older than the member's list brings back.
+func TestListAndRelayedViewOverlap(t *testing.T) {
+	c := qt.New(t)
+	var put []string
+	f := New(Options{Source: &fakeSource{}, Logger: discardLogger{}, Clock: time.Now, Post: func(e director.Event) {
+		if e, ok := e.(director.EntryPut); ok {
+			put = append(put, e.Entry.ID)
+		}
+	}})
+	f.applyList(View{Revision: 10, Changes: []Change{endpoint("listed", 12)}})
+	f.applyChanges(View{Revision: 13, Changes: []Change{endpoint("listed", 12), endpoint("new", 13)}})
+	c.Check(put, qt.DeepEquals, []string{"new"})
+	items, known := f.View().Since(10)
+	c.Assert(known, qt.IsTrue)
+	c.Check(items, qt.DeepEquals, []encoder.Item{{Key: "listed", Revision: 12}, {Key: "new", Revision: 13}})
+
+	f.ApplyRelayed(aggregator.RelayedView{Revision: 14, Confirmed: time.Now(), Items: []encoder.Item{
+		{Key: "deleted", Revision: 9}, {Key: "newer", Revision: 14},
+	}})
+	c.Check(put, qt.DeepEquals, []string{"new", "newer"})
+}
