Relay the shared view within one era of the store

A member took the view of a speaker that had read another copy of the store: it ignored the speaker's items for their revisions, or applied those of a lost copy, and counted its own view as confirmed either way. It then missed what was written, although its view did not look old.

Reports and digests of the view now carry the era with the revision. The speaker sends items to members of its own era only. A member that learns of a newer era lists the store at once, as after a gap. A view that is older than the member's own, by era or by revision, is neither applied nor counts as a confirmation, so a member that cannot read the restored store keeps its view and its age. The items of a digest are those of the state that it names, also if the speaker's view has changed meanwhile.

The view has messages of its own for this, ViewReport and ViewDigest. The layout of Report and Digest is unchanged; their fields of the view are zero. Another field in Digest would have made the versions refuse each other's load.

--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -45,29 +45,6 @@
 	maxNodes = 4096
 )
 
-// View is a node's copy of the shared view.
-type View struct {
-	// Era and Revision identify the state of the store that the view holds.
-	Era, Revision uint64
-	// Confirmed is the latest time at which the view is known to have been
-	// complete.
-	Confirmed time.Time
-	// Since returns the changes after a revision, and reports whether they are
-	// known.
-	Since func(revision uint64) ([]encoder.Item, bool)
-}
-
-// RelayedView is the part of the speaker's shared view that its last digest
-// carried.
-type RelayedView struct {
-	Revision  uint64
-	Confirmed time.Time
-	Items     []encoder.Item
-	// Gap reports whether changes are missing between the node's revision and
-	// Items.
-	Gap bool
-}
-
 // Output is a message to send to a node.
 type Output struct {
 	To      netip.Addr
@@ -89,10 +66,10 @@
 	// that of the speaker's last digest that lists it.
 	lastHeard, lastListed time.Time
 	sum                   encoder.LoadSum
-	// reportSent and reportRevision are the Sent and Revision fields of the
-	// node's last report, which was received at reportReceived.
-	reportSent, reportRevision uint64
-	reportReceived             time.Time
+	// viewReport is the node's last report of its shared view, which was received
+	// at viewReported. Sent is zero if there was none.
+	viewReport   encoder.ViewReport
+	viewReported time.Time
 	// unsent holds the changes from the node's reports and updates that the
 	// speaker has not yet passed on.
 	unsent delta
@@ -198,9 +175,7 @@
 		own.Centre, own.Nodes, own.Age = a.opts.Centre, 1, 0
 		a.discardAllUnsent()
 
-		return append(out, Output{speaker, &encoder.Report{
-			Sum: own, Sent: uint64(now.UnixMicro()), Revision: view.Revision,
-		}})
+		return append(out, Output{speaker, &encoder.Report{Sum: own}}, Output{speaker, view.report(now)})
 	}
 
 	return append(out, a.digests(now, own, view)...)
@@ -274,8 +249,10 @@
 			Members: members, Others: speakers,
 		}
 		part.fill(digest, append([]encoder.LoadSum{rest}, sums...))
-		a.members[addr].addView(now, digest, view)
 		out = append(out, Output{addr, digest})
+		if d := a.members[addr].viewDigest(now, view); d != nil {
+			out = append(out, Output{addr, d})
+		}
 	}
 	a.discardUnsent(part)
 	a.sinceDigest = delta{}
@@ -376,36 +353,12 @@
 	return out
 }
 
-// addView adds to a digest the changes of the shared view that the member
-// lacks.
-func (m *member) addView(now time.Time, d *encoder.Digest, view View) {
-	if m.reportSent == 0 || view.Since == nil || view.Confirmed.IsZero() {
-		return
-	}
-	d.Echo, d.EchoDelay = m.reportSent, uint64(now.Sub(m.reportReceived).Microseconds())
-	d.Revision, d.Age = view.Revision, uint64(max(now.Sub(view.Confirmed), 0).Microseconds())
-	items, known := view.Since(m.reportRevision)
-	d.Items, d.Gap = items, !known
-}
-
 // IsSpeaker reports whether the node is the speaker of other nodes in its data
 // centre.
 func (a *Aggregator) IsSpeaker(now time.Time) bool {
 	return len(a.members) > 0 && a.speaker(now) == a.opts.Self
 }
 
-// Relayed returns the shared view received from the speaker since the last
-// call, and reports whether there is one.
-func (a *Aggregator) Relayed() (RelayedView, bool) {
-	r := a.relayed
-	a.relayed = nil
-	if r == nil {
-		return RelayedView{}, false
-	}
-
-	return *r, true
-}
-
 // centreNames returns the sorted names of the other data centres.
 func (a *Aggregator) centreNames() []string {
 	names := make([]string, 0, len(a.centres))
@@ -463,7 +416,6 @@
 			apply(&a.localOthers, rest)
 			a.markChanged(rest)
 			known.lastHeard, known.sum = now, m.Sum
-			known.reportSent, known.reportRevision, known.reportReceived = m.Sent, m.Revision, now
 		}
 		if a.speaker(now) != a.opts.Self {
 			// The sender does not know the speaker yet.
@@ -473,6 +425,10 @@
 		return a.receiveDigest(now, from, m)
 	case *encoder.Update:
 		a.receiveUpdate(now, from, m)
+	case *encoder.ViewReport:
+		a.receiveViewReport(now, from, m)
+	case *encoder.ViewDigest:
+		a.receiveViewDigest(from, m)
 	}
 
 	return nil
@@ -544,12 +500,6 @@
 	if m := a.member(from); m != nil {
 		m.lastHeard = now
 	}
-	if d.Echo > 0 {
-		// On the local clock, Echo plus EchoDelay is no later than the time at which
-		// the sender sent the digest, so the confirmed time is never too late.
-		confirmed := time.UnixMicro(int64(d.Echo + d.EchoDelay)).Add(-time.Duration(d.Age) * time.Microsecond)
-		a.relayed = &RelayedView{Revision: d.Revision, Confirmed: confirmed, Items: d.Items, Gap: d.Gap}
-	}
 	fromSpeaker := len(d.Sums) > 0
 	for _, n := range d.Members {
 		addr := uint32ToAddr(n)
--- a/internal/follower/era_test.go
+++ b/internal/follower/era_test.go
@@ -21,11 +21,11 @@
 		t.Run(fmt.Sprint(later, " writes"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				store := newModelStore(func() time.Duration { return time.Millisecond })
+				store := newModelStore()
 				for i := range 20 {
 					store.write(fmt.Sprint("e", i%4), false)
 				}
-				node := newModelNode(store)
+				node := newModelNode(store, func() time.Duration { return time.Millisecond })
 				ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 				defer cancel()
 				go node.follower.Run(ctx)
@@ -47,6 +47,7 @@
 				store.write("e2", false)
 				time.Sleep(300 * time.Millisecond)
 				c.Check(node.content(), qt.DeepEquals, store.content())
+				c.Check(node.fault, qt.Equals, "")
 				cancel()
 				synctest.Wait()
 			})
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"snipedyke/internal/aggregator"
 	"snipedyke/internal/director"
 	"snipedyke/internal/logger"
 	"snipedyke/internal/registrar"
@@ -168,7 +167,7 @@
 	// relaying whether this node relays the view to others.
 	relayed, relaying bool
 	// history holds the latest changes, oldest first. It is complete for the
-	// revisions after historyStart.
+	// revisions of the present era after historyStart.
 	history      []encoder.Item
 	historyStart uint64
 	// listed reports whether a full list has been read.
@@ -250,15 +249,6 @@
 	}
 }
 
-// relayIsFresh reports whether a recent view of another node makes reading the
-// store unnecessary.
-func (f *Follower) relayIsFresh() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	return f.listed && !f.behind && f.relayed && f.opts.Clock().Sub(f.confirmed) < maxRelayAge
-}
-
 // nextCall returns whether the next call is a list and, if it is a watch, the
 // revision to watch from and how long to wait for changes.
 func (f *Follower) nextCall() (list bool, revision uint64, wait time.Duration) {
@@ -277,74 +267,6 @@
 	return !f.listed || f.behind, f.revision, wait
 }
 
-// SetRelaying sets whether the node relays the view to others.
-func (f *Follower) SetRelaying(relaying bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.relaying = relaying
-}
-
-// View returns the view to be relayed to others.
-func (f *Follower) View() aggregator.View {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	return aggregator.View{Era: f.era, Revision: f.revision, Confirmed: f.confirmed, Since: f.changesSince}
-}
-
-// changesSince returns the changes after a revision, or false if they are not
-// known or too large for a message.
-func (f *Follower) changesSince(revision uint64) ([]encoder.Item, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if revision < f.historyStart {
-		return nil, false
-	}
-	size, at := 0, len(f.history)
-	for at > 0 && f.history[at-1].Revision > revision {
-		at--
-		size += len(f.history[at].Key) + len(f.history[at].Data)
-	}
-	if size > maxRelaySize {
-		return nil, false
-	}
-
-	return f.history[at:len(f.history):len(f.history)], true
-}
-
-// ApplyRelayed applies a view relayed by another node. It ignores a view that
-// misses changes, is not newer than the node's own, or arrives before the first
-// list.
-func (f *Follower) ApplyRelayed(r aggregator.RelayedView) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.listed {
-		return
-	}
-	if r.Gap && r.Revision > f.revision {
-		f.behind = true
-		select {
-		case f.wake <- struct{}{}:
-		default:
-		}
-
-		return
-	}
-	if !r.Confirmed.After(f.confirmed) {
-		return
-	}
-	f.endOutage()
-	view := View{Revision: r.Revision}
-	for _, item := range r.Items {
-		if c, ok := f.opts.Source.Decode(item); ok {
-			view.Changes = append(view.Changes, c)
-		}
-	}
-	f.applyChanges(view)
-	f.relayed, f.behind, f.confirmed = true, false, r.Confirmed
-	f.opts.Post(director.ViewConfirmed{At: r.Confirmed})
-}
-
 // endOutage reports that the view can be read again. The report comes before
 // the changes, so that the director holds removals for a time: the removed
 // endpoints may register again.
@@ -500,18 +422,6 @@
 	}
 }
 
-// appendHistory adds an item to the history, and drops the older half of it
-// when it is full.
-func (f *Follower) appendHistory(item encoder.Item) {
-	if n := len(f.history); n >= maxHistory {
-		// The rest is copied, as slices that changesSince has returned may
-		// still be in use.
-		f.historyStart = f.history[n/2-1].Revision
-		f.history = append([]encoder.Item(nil), f.history[n/2:]...)
-	}
-	f.history = append(f.history, item)
-}
-
 func (f *Follower) logInvalid(c Change, v Invalid) {
 	f.opts.Logger.Event(logger.EntryIgnored, "key", c.Key, "revision", c.Revision, "error", v.Err.Error())
 }
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -297,11 +297,11 @@
 	for r := uint64(11); r < 11+3*maxHistory; r++ {
 		f.applyChanges(View{Revision: r, Changes: []Change{endpoint(fmt.Sprint(r), r)}})
 	}
-	_, known := f.changesSince(10)
+	_, known := f.View().Since(10)
 	c.Check(known, qt.IsFalse)
 	last := uint64(10 + 3*maxHistory)
 	for _, after := range []uint64{last, last - 1, last - 100} {
-		items, known := f.changesSince(after)
+		items, known := f.View().Since(after)
 		c.Assert(known, qt.IsTrue)
 		c.Check(items, qt.HasLen, int(last-after))
 	}
--- /dev/null
+++ b/internal/follower/relay.go
@@ -0,0 +1,103 @@
+package follower
+
+import (
+	"snipedyke/internal/aggregator"
+	"snipedyke/internal/director"
+	"snipedyke/pkg/encoder"
+)
+
+// relayIsFresh reports whether a recent view of another node makes reading the
+// store unnecessary.
+func (f *Follower) relayIsFresh() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.listed && !f.behind && f.relayed && f.opts.Clock().Sub(f.confirmed) < maxRelayAge
+}
+
+// SetRelaying sets whether the node relays the view to others.
+func (f *Follower) SetRelaying(relaying bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relaying = relaying
+}
+
+// View returns the view to be relayed to others.
+func (f *Follower) View() aggregator.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	era, last := f.era, f.revision
+
+	return aggregator.View{Era: era, Revision: last, Confirmed: f.confirmed, Since: func(revision uint64) ([]encoder.Item, bool) {
+		return f.changesBetween(era, revision, last)
+	}}
+}
+
+// changesBetween returns the changes of an era after one revision up to another,
+// or false if they are not known or too large for a message.
+func (f *Follower) changesBetween(era, after, last uint64) ([]encoder.Item, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if era != f.era || after < f.historyStart {
+		return nil, false
+	}
+	end := len(f.history)
+	for end > 0 && f.history[end-1].Revision > last {
+		end--
+	}
+	size, at := 0, end
+	for at > 0 && f.history[at-1].Revision > after {
+		at--
+		size += len(f.history[at].Key) + len(f.history[at].Data)
+	}
+	if size > maxRelaySize {
+		return nil, false
+	}
+
+	return f.history[at:end:end], true
+}
+
+// ApplyRelayed applies a view relayed by another node. It ignores a view of an
+// older era or revision than the node's own, one that was not confirmed later, and
+// one that arrives before the first list. If changes are missing, because the view
+// is of a newer era or has a gap, the next call is a list.
+func (f *Follower) ApplyRelayed(r aggregator.RelayedView) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case !f.listed, r.Era < f.storeEra, r.Era == f.era && r.Revision < f.revision:
+		return
+	case r.Era > f.era, r.Gap && r.Revision > f.revision:
+		f.behind = true
+		select {
+		case f.wake <- struct{}{}:
+		default:
+		}
+
+		return
+	case !r.Confirmed.After(f.confirmed):
+		return
+	}
+	f.endOutage()
+	view := View{Revision: r.Revision}
+	for _, item := range r.Items {
+		if c, ok := f.opts.Source.Decode(item); ok {
+			view.Changes = append(view.Changes, c)
+		}
+	}
+	f.applyChanges(view)
+	f.relayed, f.behind, f.confirmed = true, false, r.Confirmed
+	f.opts.Post(director.ViewConfirmed{At: r.Confirmed})
+}
+
+// appendHistory adds an item to the history, and drops the older half of it
+// when it is full.
+func (f *Follower) appendHistory(item encoder.Item) {
+	if n := len(f.history); n >= maxHistory {
+		// The rest is copied, as slices that changesBetween has returned may
+		// still be in use.
+		f.historyStart = f.history[n/2-1].Revision
+		f.history = append([]encoder.Item(nil), f.history[n/2:]...)
+	}
+	f.history = append(f.history, item)
+}
--- a/pkg/encoder/load.go
+++ b/pkg/encoder/load.go
@@ -1,6 +1,6 @@
 package encoder
 
-//msgp:tuple Load LoadSum Item Report Speaker Digest Hello LoadChange Update Crash Crashes
+//msgp:tuple Load LoadSum Item Report Speaker Digest Hello LoadChange Update Crash Crashes ViewReport ViewDigest
 
 //go:generate go tool msgp -file load.go -o load_gen.go -tests=false
 
@@ -36,12 +36,39 @@
 // Report is the load of one node, sent to the speaker of its data centre.
 type Report struct {
 	Sum LoadSum `msg:"s"`
-	// Sent is the sender's clock in microseconds. Revision is the revision of
-	// its shared view.
+	// Sent and Revision are zero. Nodes without ViewReport expect them.
 	Sent     uint64 `msg:"t"`
 	Revision uint64 `msg:"r"`
 }
 
+// ViewReport is the state of one node's shared view, sent to the speaker of its
+// data centre.
+type ViewReport struct {
+	// Sent is the sender's clock in microseconds. Era and Revision identify the
+	// state of the store that its view holds.
+	Sent     uint64 `msg:"t"`
+	Era      uint64 `msg:"e"`
+	Revision uint64 `msg:"r"`
+}
+
+// ViewDigest is the speaker's response to a ViewReport.
+type ViewDigest struct {
+	// Echo is Sent of the receiver's last ViewReport, and EchoDelay the time in
+	// microseconds since that report arrived.
+	Echo      uint64 `msg:"t"`
+	EchoDelay uint64 `msg:"h"`
+	// Era and Revision identify the state of the store that the sender's view
+	// holds, and Age is the time in microseconds since that view was last
+	// complete. Items holds the changes after the receiver's revision. Gap
+	// reports whether these changes are unknown, as of another era or too large
+	// to send.
+	Era      uint64 `msg:"e"`
+	Revision uint64 `msg:"r"`
+	Age      uint64 `msg:"a"`
+	Items    []Item `msg:"i"`
+	Gap      bool   `msg:"g"`
+}
+
 // Item is a key of the shared view with its value as published.
 type Item struct {
 	Key      string `msg:"k"`
@@ -81,18 +108,13 @@
 	// is 0 or 1, it covers all of them.
 	Part  uint32 `msg:"q"`
 	Parts uint32 `msg:"n"`
-	// Echo is Sent of the receiver's last report, and EchoDelay the time in
-	// microseconds since that report arrived. Both are zero if there was none.
+	// The fields that follow are zero. Nodes without ViewDigest expect them.
 	Echo      uint64 `msg:"e"`
 	EchoDelay uint64 `msg:"h"`
-	// Revision is the revision of the sender's shared view, and Age the time in
-	// microseconds since that view was last complete. Items holds the changes
-	// after the receiver's revision. Gap reports whether these changes are
-	// unknown or too large to send.
-	Revision uint64 `msg:"r"`
-	Age      uint64 `msg:"a"`
-	Items    []Item `msg:"i"`
-	Gap      bool   `msg:"g"`
+	Revision  uint64 `msg:"r"`
+	Age       uint64 `msg:"a"`
+	Items     []Item `msg:"i"`
+	Gap       bool   `msg:"g"`
 }
 
 // LoadChange is the difference between two states of a LoadSum.
--- a/pkg/encoder/load_gen.go
+++ b/pkg/encoder/load_gen.go
@@ -1762,3 +1762,317 @@
 	}
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *ViewDigest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.Echo, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Echo")
+		return
+	}
+	z.EchoDelay, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "EchoDelay")
+		return
+	}
+	z.Era, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
+	z.Revision, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	z.Age, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Items")
+		return
+	}
+	if cap(z.Items) >= int(zb0002) {
+		z.Items = (z.Items)[:zb0002]
+	} else {
+		z.Items = make([]Item, zb0002)
+	}
+	for za0001 := range z.Items {
+		err = z.Items[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001)
+			return
+		}
+	}
+	z.Gap, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Gap")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ViewDigest) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 7
+	err = en.Append(0x97)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Echo)
+	if err != nil {
+		err = msgp.WrapError(err, "Echo")
+		return
+	}
+	err = en.WriteUint64(z.EchoDelay)
+	if err != nil {
+		err = msgp.WrapError(err, "EchoDelay")
+		return
+	}
+	err = en.WriteUint64(z.Era)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
+	err = en.WriteUint64(z.Revision)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	err = en.WriteUint64(z.Age)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Items)))
+	if err != nil {
+		err = msgp.WrapError(err, "Items")
+		return
+	}
+	for za0001 := range z.Items {
+		err = z.Items[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001)
+			return
+		}
+	}
+	err = en.WriteBool(z.Gap)
+	if err != nil {
+		err = msgp.WrapError(err, "Gap")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ViewDigest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 7
+	o = append(o, 0x97)
+	o = msgp.AppendUint64(o, z.Echo)
+	o = msgp.AppendUint64(o, z.EchoDelay)
+	o = msgp.AppendUint64(o, z.Era)
+	o = msgp.AppendUint64(o, z.Revision)
+	o = msgp.AppendUint64(o, z.Age)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Items)))
+	for za0001 := range z.Items {
+		o, err = z.Items[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001)
+			return
+		}
+	}
+	o = msgp.AppendBool(o, z.Gap)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ViewDigest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.Echo, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Echo")
+		return
+	}
+	z.EchoDelay, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "EchoDelay")
+		return
+	}
+	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
+	z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	z.Age, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Items")
+		return
+	}
+	if cap(z.Items) >= int(zb0002) {
+		z.Items = (z.Items)[:zb0002]
+	} else {
+		z.Items = make([]Item, zb0002)
+	}
+	for za0001 := range z.Items {
+		bts, err = z.Items[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001)
+			return
+		}
+	}
+	z.Gap, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Gap")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ViewDigest) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Items {
+		s += z.Items[za0001].Msgsize()
+	}
+	s += msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ViewReport) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Sent, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Sent")
+		return
+	}
+	z.Era, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
+	z.Revision, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ViewReport) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Sent)
+	if err != nil {
+		err = msgp.WrapError(err, "Sent")
+		return
+	}
+	err = en.WriteUint64(z.Era)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
+	err = en.WriteUint64(z.Revision)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ViewReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Sent)
+	o = msgp.AppendUint64(o, z.Era)
+	o = msgp.AppendUint64(o, z.Revision)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ViewReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Sent, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sent")
+		return
+	}
+	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
+	z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ViewReport) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size
+	return
+}
--- a/pkg/encoder/message.go
+++ b/pkg/encoder/message.go
@@ -43,6 +43,8 @@
 func (*Digest) kind() byte       { return 27 }
 func (*Update) kind() byte       { return 28 }
 func (*Crashes) kind() byte      { return 29 }
+func (*ViewReport) kind() byte   { return 30 }
+func (*ViewDigest) kind() byte   { return 31 }
 
 // newMessage returns a new zero message of the given kind, or nil if the kind is
 // unknown.
@@ -106,6 +108,10 @@
 		return new(Update)
 	case 29:
 		return new(Crashes)
+	case 30:
+		return new(ViewReport)
+	case 31:
+		return new(ViewDigest)
 	default:
 		return nil
 	}
