--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"snipedyke/internal/aggregator"
 	"snipedyke/internal/director"
 	"snipedyke/internal/logger"
 	"snipedyke/internal/registrar"
@@ -25,6 +24,10 @@
 // than could be read.
 var ErrIncomplete = errors.New("follower: changes are incomplete")
 
+// errOlderEra is the failure of a call whose answer is of an older era than an
+// earlier answer.
+var errOlderEra = errors.New("follower: answer is of an older era of the store")
+
 // Source reads the shared view.
 type Source interface {
 	// List returns all items, each as of Revision or later. The deadline of ctx
@@ -42,6 +45,10 @@
 
 // View is a full list of items, or the changes since a revision.
 type View struct {
+	// Era rises each time that the store comes back from an older copy. Such a
+	// store gives revisions out again, so revisions are comparable within one
+	// era only. It is zero if the store has no eras.
+	Era uint64
 	// Revision is the revision after which to watch.
 	Revision uint64
 	Changes  []Change
@@ -147,25 +154,31 @@
 type Follower struct {
 	opts Options
 
-	mu       sync.Mutex
-	revision uint64
+	mu sync.Mutex
+	// era and revision identify the state of the store that the view holds.
+	// revision is zero before the first list.
+	era, revision uint64
+	// storeEra is the newest era that an answer of the store had. If it is newer
+	// than era, the view is that of a lost copy.
+	storeEra uint64
 	// confirmed is the last time at which the view was known to be complete.
 	confirmed time.Time
 	// relayed reports whether the last confirmation came from another node, and
 	// relaying whether this node relays the view to others.
 	relayed, relaying bool
 	// history holds the latest changes, oldest first. It is complete for the
-	// revisions after historyStart.
+	// revisions of the present era after historyStart.
 	history      []encoder.Item
 	historyStart uint64
 	// listed reports whether a full list has been read.
 	listed bool
 	// behind reports whether the changes after revision cannot be had from the
-	// relaying node or by a watch, so that the next call must be a list.
+	// relaying node or by a watch, so that the next call must be a list. It is
+	// true while storeEra is newer than era.
 	behind bool
 	// wake receives a value when behind becomes true.
 	wake chan struct{}
-	// itemRevisions holds the revision of each item by key.
+	// itemRevisions holds the revision of each item by key, in the present era.
 	itemRevisions map[string]uint64
 	// centresOut reports for each data centre whether it is taken out of
 	// service.
@@ -236,15 +249,6 @@
 	}
 }
 
-// relayIsFresh reports whether a recent view of another node makes reading the
-// store unnecessary.
-func (f *Follower) relayIsFresh() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	return f.listed && !f.behind && f.relayed && f.opts.Clock().Sub(f.confirmed) < maxRelayAge
-}
-
 // nextCall returns whether the next call is a list and, if it is a watch, the
 // revision to watch from and how long to wait for changes.
 func (f *Follower) nextCall() (list bool, revision uint64, wait time.Duration) {
@@ -252,7 +256,9 @@
 	defer f.mu.Unlock()
 	wait = watchWait
 	switch {
-	case f.relayed:
+	case f.relayed || f.failures > 0:
+		// After an outage, an answer soon shows whether the store has been
+		// restored.
 		wait = fallbackWatchWait
 	case f.relaying:
 		wait = relayingWatchWait
@@ -261,79 +267,26 @@
 	return !f.listed || f.behind, f.revision, wait
 }
 
-// SetRelaying sets whether the node relays the view to others.
-func (f *Follower) SetRelaying(relaying bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.relaying = relaying
-}
-
-// View returns the view to be relayed to others.
-func (f *Follower) View() aggregator.View {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	return aggregator.View{Revision: f.revision, Confirmed: f.confirmed, Since: f.changesSince}
-}
-
-// changesSince returns the changes after a revision, or false if they are not
-// known or too large for a message.
-func (f *Follower) changesSince(revision uint64) ([]encoder.Item, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if revision < f.historyStart {
-		return nil, false
-	}
-	size, at := 0, len(f.history)
-	for at > 0 && f.history[at-1].Revision > revision {
-		at--
-		size += len(f.history[at].Key) + len(f.history[at].Data)
-	}
-	if size > maxRelaySize {
-		return nil, false
-	}
-
-	return f.history[at:len(f.history):len(f.history)], true
+// endOutage reports that the view can be read again. The report comes before
+// the changes, so that the director holds removals for a time: the removed
+// endpoints may register again.
+func (f *Follower) endOutage() {
+	f.opts.Post(director.ViewReachable{})
 }
 
-// ApplyRelayed applies a view relayed by another node. It ignores a view that
-// misses changes, is not newer than the node's own, or arrives before the first
-// list.
-func (f *Follower) ApplyRelayed(r aggregator.RelayedView) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.listed {
-		return
+// checkEra compares the era of an answer of the store with those before it. It
+// returns errOlderEra if the answer must be ignored. If the answer shows a newer
+// era than that of the view, behind becomes true.
+func (f *Follower) checkEra(view View) error {
+	if view.Era < f.storeEra {
+		return errOlderEra
 	}
-	if r.Gap && r.Revision > f.revision {
+	f.storeEra = view.Era
+	if f.storeEra > f.era {
 		f.behind = true
-		select {
-		case f.wake <- struct{}{}:
-		default:
-		}
-
-		return
-	}
-	if !r.Confirmed.After(f.confirmed) {
-		return
-	}
-	f.endOutage()
-	view := View{Revision: r.Revision}
-	for _, item := range r.Items {
-		if c, ok := f.opts.Source.Decode(item); ok {
-			view.Changes = append(view.Changes, c)
-		}
 	}
-	f.applyChanges(view)
-	f.relayed, f.behind, f.confirmed = true, false, r.Confirmed
-	f.opts.Post(director.ViewConfirmed{At: r.Confirmed})
-}
 
-// endOutage reports that the view can be read again. The report comes before
-// the changes, so that the director holds removals for a time: the removed
-// endpoints may register again.
-func (f *Follower) endOutage() {
-	f.opts.Post(director.ViewReachable{})
+	return nil
 }
 
 // confirm records that the view was complete at the given time. It comes after
@@ -364,16 +317,20 @@
 		sent = sent.Add(wait)
 	}
 	f.mu.Lock()
-	f.endOutage()
-	f.applyChanges(view)
-	f.confirm(sent)
+	err = f.checkEra(view)
+	current := err == nil && view.Era == f.era
+	if current {
+		f.endOutage()
+		f.applyChanges(view)
+		f.confirm(sent)
+	}
 	f.mu.Unlock()
-	if len(view.Changes) > 0 {
+	if current && len(view.Changes) > 0 {
 		// Changes come in bursts, and each call to the store has a cost.
 		sleep(ctx, batchDelay)
 	}
 
-	return nil
+	return err
 }
 
 // updateByList reads a full list and applies it. sent is the present time.
@@ -385,9 +342,9 @@
 		return err
 	}
 	f.mu.Lock()
-	repeated := f.listed
-	if !repeated || view.Revision >= f.revision {
-		f.endOutage()
+	err = f.checkEra(view)
+	repeated := err == nil && f.listed
+	if err == nil && (!repeated || view.Era > f.era || view.Revision >= f.revision) {
 		f.applyList(view)
 		f.confirm(sent)
 	}
@@ -396,12 +353,19 @@
 		sleep(ctx, min(max(f.opts.Clock().Sub(sent), batchDelay), maxListDelay))
 	}
 
-	return nil
+	return err
 }
 
-// applyList replaces the view by a full list.
+// applyList replaces the view by a full list. A list of a newer era may lack what
+// was in the view, so the director is told before.
 func (f *Follower) applyList(view View) {
-	f.revision, f.listed, f.behind = view.Revision, true, false
+	if f.revision > 0 && view.Era > f.era {
+		f.opts.Post(director.ViewRestored{})
+		f.opts.Logger.Event(logger.ViewRestored, "era", view.Era, "former", f.era, "revision", view.Revision, "formerRevision", f.revision)
+	} else {
+		f.endOutage()
+	}
+	f.era, f.revision, f.listed, f.behind = view.Era, view.Revision, true, false
 	f.history, f.historyStart = nil, view.Revision
 	clear(f.itemRevisions)
 	clear(f.centresOut)
@@ -424,15 +388,21 @@
 	f.opts.Post(director.EntriesListed{Entries: entries})
 }
 
-// applyChanges applies the changes of a view.
+// applyChanges applies the changes of a view of the present era.
 func (f *Follower) applyChanges(view View) {
+	former := f.revision
 	f.revision = max(f.revision, view.Revision)
 	for _, c := range view.Changes {
+		if c.Revision <= former {
+			continue
+		}
+		// The later pages of a list may already have contained the item. The
+		// history needs it nevertheless.
+		f.appendHistory(c.Item)
 		if c.Revision <= f.itemRevisions[c.Key] {
 			continue
 		}
 		f.itemRevisions[c.Key] = c.Revision
-		f.appendHistory(c.Item)
 		switch v := c.Value.(type) {
 		case Endpoint:
 			f.opts.Post(director.EntryPut{Entry: v.Entry})
@@ -452,18 +422,6 @@
 	}
 }
 
-// appendHistory adds an item to the history, and drops the older half of it
-// when it is full.
-func (f *Follower) appendHistory(item encoder.Item) {
-	if n := len(f.history); n >= maxHistory {
-		// The rest is copied, as slices that changesSince has returned may
-		// still be in use.
-		f.historyStart = f.history[n/2-1].Revision
-		f.history = append([]encoder.Item(nil), f.history[n/2:]...)
-	}
-	f.history = append(f.history, item)
-}
-
 func (f *Follower) logInvalid(c Change, v Invalid) {
 	f.opts.Logger.Event(logger.EntryIgnored, "key", c.Key, "revision", c.Revision, "error", v.Err.Error())
 }
