--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -22,7 +22,10 @@
 	ID string
 	// Born is the start time of the endpoint in Unix milliseconds, or zero. ID
 	// and Born together identify one incarnation.
-	Born       int64
+	Born int64
+	// Sequence is the number of times that the incarnation has published, or zero
+	// if it is not known. It rises also if nothing else changes.
+	Sequence   uint64
 	Service    string
 	Address    netip.AddrPort
 	DataCentre string
@@ -32,6 +35,14 @@
 	Cold time.Duration
 }
 
+// differs reports whether the entries differ in more than their sequence
+// numbers.
+func (e Entry) differs(other Entry) bool {
+	other.Sequence = e.Sequence
+
+	return e != other
+}
+
 // Change is the kind of change of an endpoint.
 type Change uint8
 
@@ -83,7 +94,7 @@
 		return []Event{{Added, e}}
 	case old.Born != e.Born || old.Address != e.Address || old.Service != e.Service:
 		return []Event{{Removed, old}, {Added, e}}
-	case old != e:
+	case old.differs(e):
 		return []Event{{Updated, e}}
 	default:
 		return nil
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -87,3 +87,13 @@
 	c.Check(r.Usable("a"), qt.IsFalse)
 	c.Check(r.Len(), qt.Equals, 2)
 }
+
+// An endpoint that publishes again without a change must not be reported as
+// updated, because an update marks it as cold again.
+func TestRepeatedPublicationIsNoChange(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	r.Put(Entry{ID: "a", Born: 1, Sequence: 4, Cold: time.Second})
+	c.Check(r.Put(Entry{ID: "a", Born: 1, Sequence: 5, Cold: time.Second}), qt.HasLen, 0)
+	c.Check(changes(r.Put(Entry{ID: "a", Born: 1, Sequence: 6})), qt.DeepEquals, []Change{Updated})
+}
