Ignore entries of a restored store that are older than known

When the store came back from a copy, nodes took the copy's entries for the present ones. An endpoint that had begun to drain got new requests again until it published anew, one that had left came back, and a restarted one was replaced by its former incarnation.

In the first list after ViewRestored, the registrar now ignores an entry of an earlier incarnation, or of the same incarnation with a lower sequence number than known. A draining incarnation stays draining also at an equal number. Removed incarnations are remembered, at most 4096 for 10 min, and an entry of one counts only if its number is above the one last seen. Later lists may return the same copies, so these stay ignored until the endpoint writes. Event 723 reports each ignored entry. Otherwise the order of the store rules as before.

The copy of a departed endpoint is used if the store still has it after 6 s of a readable view: entries expire after three missed publications, and an endpoint that publishes without a change causes no event. So no running endpoint is lost for good. Endpoints that the copy lacks are held for 2.2 s, draining ones are removed at once, both as after an outage.

All pass now, with -race.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -204,7 +204,8 @@
 func (d *Director) Active() int { return len(d.requests) }
 
 // NeedsTick reports whether a Ticked event is needed soon, because requests are
-// waiting or vanished entries are held.
+// waiting, vanished entries are held or entries of departed endpoints are
+// doubted.
 func (d *Director) NeedsTick() bool { return len(d.waiting) > 0 || d.registrar.HasHeld() }
 
 func (d *Director) setTable(t *router.Table) {
@@ -238,7 +239,7 @@
 // again.
 func (d *Director) restoreView(now time.Time) {
 	d.endOutage(now)
-	d.registrar.Reconnected(now)
+	d.registrar.Restored(now)
 }
 
 func (d *Director) markViewLost(now time.Time, cause string) {
@@ -322,6 +323,9 @@
 			d.updateEndpoint(now, e.Entry)
 		case registrar.Removed:
 			d.removeEndpoint(now, e.Entry)
+		case registrar.Outdated:
+			d.log(logger.EntryOutdated, "endpoint", e.Entry.ID, "service", e.Entry.Service,
+				"sequence", e.Entry.Sequence, "known", e.Known)
 		}
 	}
 	if len(events) > 0 {
@@ -341,9 +345,12 @@
 	return s
 }
 
-// handleTick drops held entries that have expired and retries the waiting
-// requests.
+// handleTick drops held entries that have expired, uses entries that are no
+// longer doubted and retries the waiting requests.
 func (d *Director) handleTick(now time.Time) {
 	d.applyEndpointEvents(now, d.registrar.Expire(now))
+	if !d.viewLost {
+		d.applyEndpointEvents(now, d.registrar.Reinstate(now))
+	}
 	d.retryWaiting(now)
 }
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -22,6 +22,7 @@
 	*Director
 	now     time.Time
 	effects []Effect
+	lastID  uint64
 }
 
 func options() Options {
--- /dev/null
+++ b/internal/director/restore_test.go
@@ -0,0 +1,133 @@
+package director
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"snipedyke/internal/registrar"
+)
+
+// published returns the entry of an endpoint of service desk as of a
+// publication.
+func published(i int, born int64, sequence uint64) registrar.Entry {
+	e := entry("desk", i)
+	e.Born, e.Sequence = born, sequence
+
+	return e
+}
+
+// newRestoredNode returns a node that knows the entries and has been told that
+// the store came back from an older copy. Before, departed is removed.
+func newRestoredNode(known []registrar.Entry, departed ...string) *node {
+	n := &node{Director: New(options()), now: start}
+	n.post(TableLoaded{table(1)})
+	n.post(EntriesListed{known})
+	n.post(ViewConfirmed{n.now})
+	for _, id := range departed {
+		n.post(EntryRemoved{id})
+	}
+	n.post(ViewRestored{})
+
+	return n
+}
+
+// sends returns how many of 60 concurrent requests each endpoint gets.
+func (n *node) sends() map[string]int {
+	sent := map[string]int{}
+	n.post(ViewConfirmed{n.now})
+	n.post(Ticked{})
+	first := n.lastID + 1
+	for range 60 {
+		n.lastID++
+		if d, ok := find[Dispatch](n.arrive(n.lastID, "/look/1")); ok {
+			sent[d.Endpoint]++
+		}
+	}
+	for id := first; id <= n.lastID; id++ {
+		n.post(AttemptFinished{ID: id, Result: Answered, Status: 200})
+	}
+
+	return sent
+}
+
+// Guards against new requests to an endpoint that drains, after the store came
+// back from a copy in which it does not.
+func TestDrainingEndpointGetsNoRequestsAfterRestore(t *testing.T) {
+	c := qt.New(t)
+	draining := published(0, 1, 8)
+	draining.Draining = true
+	for _, sequence := range []uint64{7, 8} {
+		n := newRestoredNode([]registrar.Entry{draining, published(1, 1, 3)})
+		list := EntriesListed{[]registrar.Entry{published(0, 1, sequence), published(1, 1, 3)}}
+		n.post(list)
+		c.Check(n.sends()[draining.ID], qt.Equals, 0, qt.Commentf("sequence %d", sequence))
+		// The history of the restored store may be lost too.
+		n.post(list)
+		c.Check(n.sends()[draining.ID], qt.Equals, 0, qt.Commentf("sequence %d, second list", sequence))
+	}
+}
+
+// Guards against new requests to an endpoint that has left, which a copy brings
+// back, and against losing an endpoint that had only been cut off.
+func TestDepartedEndpointGetsNoRequestsUntilItPublishes(t *testing.T) {
+	c := qt.New(t)
+	known := []registrar.Entry{published(0, 1, 8), published(1, 1, 3)}
+	for _, copied := range []registrar.Entry{published(0, 1, 8), published(0, 1, 7), published(0, 0, 9)} {
+		n := newRestoredNode(known, known[0].ID)
+		n.post(EntriesListed{[]registrar.Entry{copied, known[1]}})
+		c.Check(n.sends()[copied.ID], qt.Equals, 0)
+		n.post(EntryPut{published(0, 1, 9)})
+		c.Check(n.sends()[copied.ID] > 0, qt.IsTrue)
+
+		n = newRestoredNode(known, known[0].ID)
+		n.post(EntriesListed{[]registrar.Entry{copied, known[1]}})
+		n.post(EntryRemoved{copied.ID})
+		n.now = n.now.Add(time.Minute)
+		c.Check(n.sends()[copied.ID], qt.Equals, 0, qt.Commentf("removed again"))
+
+		// The entry of an endpoint that publishes without a change stays.
+		n = newRestoredNode(known, known[0].ID)
+		n.post(EntriesListed{[]registrar.Entry{copied, known[1]}})
+		c.Check(n.NeedsTick(), qt.IsTrue)
+		n.now = n.now.Add(time.Minute)
+		c.Check(n.sends()[copied.ID] > 0, qt.IsTrue, qt.Commentf("not removed again"))
+		c.Check(n.NeedsTick(), qt.IsFalse)
+	}
+}
+
+// Guards against losing a restarted endpoint of which the copy contains an
+// earlier incarnation, and against ignoring what the copy says that is newer.
+func TestNewerIncarnationIsUsedAfterRestore(t *testing.T) {
+	c := qt.New(t)
+	restarted := published(0, 2, 1)
+	gone := published(2, 1, 5)
+	n := newRestoredNode([]registrar.Entry{restarted, published(1, 1, 3), gone}, gone.ID)
+	earlier := published(0, 1, 90)
+	earlier.Draining = true
+	draining := published(1, 1, 4)
+	draining.Draining = true
+	n.post(EntriesListed{[]registrar.Entry{earlier, draining, published(2, 2, 1)}})
+	sent := n.sends()
+	c.Check(sent[restarted.ID] > 0, qt.IsTrue)
+	c.Check(sent[draining.ID], qt.Equals, 0)
+	c.Check(sent[gone.ID] > 0, qt.IsTrue)
+}
+
+// Guards against losing running endpoints that the copy lacks, and against
+// keeping those that do not publish again.
+func TestEndpointsMissingInCopyAreHeld(t *testing.T) {
+	c := qt.New(t)
+	draining := published(2, 1, 5)
+	draining.Draining = true
+	n := newRestoredNode([]registrar.Entry{published(0, 1, 8), published(1, 1, 3), draining})
+	n.post(EntriesListed{nil})
+	c.Check(n.Status(n.now).Endpoints, qt.Equals, 2, qt.Commentf("a draining endpoint is not held"))
+	n.post(EntryPut{published(1, 1, 4)})
+	c.Check(n.sends(), qt.HasLen, 2)
+	n.now = n.now.Add(registrar.HoldTime)
+	c.Check(n.sends(), qt.HasLen, 1)
+	c.Check(n.Status(n.now).Endpoints, qt.Equals, 1)
+	c.Check(n.NeedsTick(), qt.IsFalse)
+}
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -68,6 +68,7 @@
 	MessageRejected    = 719
 	MessageSendFailed  = 720
 	SettingsRejected   = 721
+	EntryOutdated      = 723
 )
 
 // Definition describes a log event.
@@ -144,6 +145,7 @@
 	{MessageRejected, hclog.Warn, "message from another node rejected", []string{"from", "error"}},
 	{MessageSendFailed, hclog.Warn, "message to another node could not be sent", []string{"to", "error"}},
 	{SettingsRejected, hclog.Error, "settings rejected", []string{"error"}},
+	{EntryOutdated, hclog.Info, "entry older than known ignored", []string{"endpoint", "service", "sequence", "known"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -4,6 +4,10 @@
 // Entries can expire during an outage of the service that publishes them,
 // although their endpoints are still running. The registrar therefore delays
 // the removal of entries until HoldTime after the connection is restored.
+//
+// The service can also come back from an older copy. What the copy says about an
+// endpoint may then be older than what the registrar knows, and is ignored until
+// the endpoint publishes again.
 package registrar
 
 import (
@@ -55,12 +59,17 @@
 	// Removed is reported for an endpoint, or an incarnation of it, that has
 	// ended and will not return.
 	Removed
+	// Outdated is reported for an entry of a restored copy that is ignored because
+	// it is older than what is known.
+	Outdated
 )
 
 // Event describes a change of one endpoint.
 type Event struct {
 	Change Change
 	Entry  Entry
+	// Known is the sequence number of the known entry, for Outdated.
+	Known uint64
 }
 
 // Registrar holds the endpoints. It is not safe for concurrent use.
@@ -73,29 +82,47 @@
 	held map[string]time.Time
 	// holdUntil is the end of the present hold period.
 	holdUntil time.Time
+
+	// restored reports whether the next list is the first of a restored copy.
+	restored bool
+	// outdated holds the ignored entries of known endpoints, as listed, and doubted
+	// those of departed endpoints. Later lists may contain them unchanged.
+	outdated, doubted map[string]Entry
+	// doubtUntil is the time from which the doubted entries are used.
+	doubtUntil time.Time
+	// departed holds the last entries of removed endpoints.
+	departed map[string]departure
 }
 
 // New returns an empty registrar.
 func New() *Registrar {
-	return &Registrar{entries: map[string]Entry{}, out: map[string]bool{}, held: map[string]time.Time{}}
+	return &Registrar{
+		entries: map[string]Entry{}, out: map[string]bool{}, held: map[string]time.Time{},
+		outdated: map[string]Entry{}, doubted: map[string]Entry{}, departed: map[string]departure{},
+	}
 }
 
 // Reconnected starts a hold period. It is called when the connection is
 // restored after an outage.
-func (r *Registrar) Reconnected(now time.Time) { r.holdUntil = now.Add(HoldTime) }
+func (r *Registrar) Reconnected(now time.Time) {
+	r.holdUntil = now.Add(HoldTime)
+	r.doubtUntil = now.Add(doubtTime)
+}
 
 // Put adds or updates the entry of an endpoint.
 func (r *Registrar) Put(e Entry) []Event {
 	delete(r.held, e.ID)
+	delete(r.departed, e.ID)
+	r.forgetCopy(e.ID)
 	old, known := r.entries[e.ID]
 	r.entries[e.ID] = e
 	switch {
 	case !known:
-		return []Event{{Added, e}}
+		return []Event{{Change: Added, Entry: e}}
 	case old.Born != e.Born || old.Address != e.Address || old.Service != e.Service:
-		return []Event{{Removed, old}, {Added, e}}
+		return []Event{{Change: Removed, Entry: old}, {Change: Added, Entry: e}}
 	case old.differs(e):
-		return []Event{{Updated, e}}
+		return []Event{{Change: Updated, Entry: e}}
 	default:
 		return nil
 	}
@@ -104,6 +131,7 @@
 // Remove removes an entry. During a hold period it delays the removal, unless
 // the endpoint is draining.
 func (r *Registrar) Remove(now time.Time, id string) []Event {
+	r.forgetCopy(id)
 	e, known := r.entries[id]
 	if !known {
 		return nil
@@ -115,10 +143,16 @@
 
 		return nil
 	}
-	delete(r.entries, id)
-	delete(r.held, id)
 
-	return []Event{{Removed, e}}
+	return r.remove(now, e)
+}
+
+func (r *Registrar) remove(now time.Time, e Entry) []Event {
+	delete(r.entries, e.ID)
+	delete(r.held, e.ID)
+	r.recordDeparture(now, e)
+
+	return []Event{{Change: Removed, Entry: e}}
 }
 
 // Replace adds or updates all entries of a complete list and removes those that
@@ -128,13 +162,19 @@
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
-		events = append(events, r.Put(e)...)
+		if r.isOutdated(now, e) {
+			events = append(events, r.ignore(e))
+		} else {
+			events = append(events, r.Put(e)...)
+		}
 	}
+	r.restored = false
 	for _, id := range r.ids() {
 		if !listed[id] {
 			events = append(events, r.Remove(now, id)...)
 		}
 	}
+	r.forgetUnlisted(listed)
 
 	return events
 }
@@ -144,17 +184,16 @@
 	var events []Event
 	for _, id := range r.ids() {
 		if until, held := r.held[id]; held && !now.Before(until) {
-			events = append(events, Event{Removed, r.entries[id]})
-			delete(r.entries, id)
-			delete(r.held, id)
+			events = append(events, r.remove(now, r.entries[id])...)
 		}
 	}
 
 	return events
 }
 
-// HasHeld reports whether the removal of any entry is delayed.
-func (r *Registrar) HasHeld() bool { return len(r.held) > 0 }
+// HasHeld reports whether the removal of any entry is delayed, or an entry of a
+// departed endpoint is ignored.
+func (r *Registrar) HasHeld() bool { return len(r.held) > 0 || len(r.doubted) > 0 }
 
 // ids returns the IDs of all entries in sorted order, so that the order of
 // events does not depend on map iteration.
