Keep data centres out of service that a restored store lacks

When the store came back from a copy that was older than an evacuation, nodes sent new requests to the data centre until the operator had written the entry again.

Once the operator has written it, a removal takes effect at once. A data centre that the copy shows as out is out, also if it had been back in service: sending no requests is the safe side until the operator removes the entry again. Event 728 reports each data centre that is held out.

Without the hold, TestDataCentreStaysOutAfterRestore found the data centre in use right after the restore; without the wait for a readable view, in use before the operator could write. It passes now, with -race.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -204,8 +204,8 @@
 func (d *Director) Active() int { return len(d.requests) }
 
 // NeedsTick reports whether a Ticked event is needed soon, because requests are
-// waiting, vanished entries are held or entries of departed endpoints are
-// doubted.
+// waiting, vanished entries are held, or entries or data centres are held back
+// after the store was restored.
 func (d *Director) NeedsTick() bool { return len(d.waiting) > 0 || d.registrar.HasHeld() }
 
 func (d *Director) setTable(t *router.Table) {
@@ -291,7 +291,16 @@
 			d.log(logger.CentreTakenOut, "centre", centre)
 		}
 	}
-	for _, centre := range d.registrar.SetOut(centres) {
+	back, held := d.registrar.SetOut(centres)
+	for _, centre := range held {
+		d.log(logger.CentreHeld, "centre", centre)
+	}
+	d.returnCentres(now, back)
+}
+
+// returnCentres uses data centres that are back in service.
+func (d *Director) returnCentres(now time.Time, centres []string) {
+	for _, centre := range centres {
 		d.log(logger.CentreRestored, "centre", centre)
 		// Its endpoints have had no requests for a while, and may be cold.
 		for _, id := range d.endpointIDs() {
@@ -345,12 +354,14 @@
 	return s
 }
 
-// handleTick drops held entries that have expired, uses entries that are no
-// longer doubted and retries the waiting requests.
+// handleTick drops held entries that have expired and retries the waiting
+// requests. While the view can be read, it also uses the entries and data centres
+// that are no longer held back.
 func (d *Director) handleTick(now time.Time) {
 	d.applyEndpointEvents(now, d.registrar.Expire(now))
 	if !d.viewLost {
 		d.applyEndpointEvents(now, d.registrar.Reinstate(now))
+		d.returnCentres(now, d.registrar.ReleaseCentres(now))
 	}
 	d.retryWaiting(now)
 }
--- a/internal/director/restore_test.go
+++ b/internal/director/restore_test.go
@@ -38,14 +38,17 @@
 	sent := map[string]int{}
 	n.post(ViewConfirmed{n.now})
 	n.post(Ticked{})
-	first := n.lastID + 1
+	var running []uint64
 	for range 60 {
 		n.lastID++
 		if d, ok := find[Dispatch](n.arrive(n.lastID, "/look/1")); ok {
 			sent[d.Endpoint]++
+			running = append(running, n.lastID)
+		} else {
+			n.post(CallerDisconnected{n.lastID})
 		}
 	}
-	for id := first; id <= n.lastID; id++ {
+	for _, id := range running {
 		n.post(AttemptFinished{ID: id, Result: Answered, Status: 200})
 	}
 
@@ -131,3 +134,57 @@
 	c.Check(n.Status(n.now).Endpoints, qt.Equals, 1)
 	c.Check(n.NeedsTick(), qt.IsFalse)
 }
+
+// Guards against new requests to a data centre that is out of service, after the
+// store came back from a copy that lacks this.
+func TestDataCentreStaysOutAfterRestore(t *testing.T) {
+	c := qt.New(t)
+	usable := func(n *node) bool { return len(n.sends()) > 0 }
+	restored := func() *node {
+		n := newRestoredNode(nil)
+		n.post(CentresOut{[]string{"kochi"}})
+		n.post(ViewRestored{})
+		n.post(CentresOut{nil})
+		n.post(EntriesListed{[]registrar.Entry{published(0, 1, 3)}})
+		c.Check(usable(n), qt.IsFalse)
+
+		return n
+	}
+	// The operator does not write it again.
+	n := restored()
+	n.post(CentresOut{[]string{"kollam"}})
+	n.now = n.now.Add(registrar.HoldTime - time.Millisecond)
+	c.Check(usable(n), qt.IsFalse)
+	n.now = n.now.Add(time.Millisecond)
+	c.Check(usable(n), qt.IsTrue)
+	c.Check(n.NeedsTick(), qt.IsFalse)
+
+	// The operator writes it again, and takes it back.
+	n = restored()
+	n.post(CentresOut{[]string{"kochi"}})
+	n.now = n.now.Add(time.Minute)
+	c.Check(usable(n), qt.IsFalse)
+	n = restored()
+	n.post(CentresOut{[]string{"kochi"}})
+	n.post(CentresOut{nil})
+	c.Check(usable(n), qt.IsTrue)
+
+	// The store is away again before the operator can write.
+	n = restored()
+	n.post(ViewLost{"down"})
+	n.now = n.now.Add(time.Minute)
+	n.post(Ticked{})
+	n.post(ViewReachable{})
+	c.Check(usable(n), qt.IsFalse)
+	n.now = n.now.Add(registrar.HoldTime)
+	c.Check(usable(n), qt.IsTrue)
+
+	// A data centre that the copy shows as out is not used.
+	n = newRestoredNode(nil)
+	n.post(CentresOut{[]string{"kochi"}})
+	n.post(EntriesListed{[]registrar.Entry{published(0, 1, 3)}})
+	n.now = n.now.Add(time.Minute)
+	c.Check(usable(n), qt.IsFalse)
+	n.post(CentresOut{nil})
+	c.Check(usable(n), qt.IsTrue)
+}
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -69,6 +69,7 @@
 	MessageSendFailed  = 720
 	SettingsRejected   = 721
 	EntryOutdated      = 723
+	CentreHeld         = 728
 )
 
 // Definition describes a log event.
@@ -146,6 +147,7 @@
 	{MessageSendFailed, hclog.Warn, "message to another node could not be sent", []string{"to", "error"}},
 	{SettingsRejected, hclog.Error, "settings rejected", []string{"error"}},
 	{EntryOutdated, hclog.Info, "entry older than known ignored", []string{"endpoint", "service", "sequence", "known"}},
+	{CentreHeld, hclog.Info, "data centre stays out of service until it is confirmed", []string{"centre"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -7,7 +7,8 @@
 //
 // The service can also come back from an older copy. What the copy says about an
 // endpoint may then be older than what the registrar knows, and is ignored until
-// the endpoint publishes again.
+// the endpoint publishes again. Data centres that the copy lacks stay out of
+// service until the end of the hold period.
 package registrar
 
 import (
@@ -83,8 +84,12 @@
 	// holdUntil is the end of the present hold period.
 	holdUntil time.Time
 
-	// restored reports whether the next list is the first of a restored copy.
-	restored bool
+	// restored and outRestored report whether the next list of entries and the next
+	// set of data centres are the first ones of a restored copy.
+	restored, outRestored bool
+	// heldOut is the set of data centres that were out of service before a
+	// restored copy that lacks them. It does not overlap out.
+	heldOut map[string]bool
 	// outdated holds the ignored entries of known endpoints, as listed, and doubted
 	// those of departed endpoints. Later lists may contain them unchanged.
 	outdated, doubted map[string]Entry
@@ -98,7 +103,7 @@
 func New() *Registrar {
 	return &Registrar{
 		entries: map[string]Entry{}, out: map[string]bool{}, held: map[string]time.Time{},
-		outdated: map[string]Entry{}, doubted: map[string]Entry{}, departed: map[string]departure{},
+		heldOut: map[string]bool{}, outdated: map[string]Entry{}, doubted: map[string]Entry{}, departed: map[string]departure{},
 	}
 }
 
@@ -191,9 +196,9 @@
 	return events
 }
 
-// HasHeld reports whether the removal of any entry is delayed, or an entry of a
-// departed endpoint is ignored.
-func (r *Registrar) HasHeld() bool { return len(r.held) > 0 || len(r.doubted) > 0 }
+// HasHeld reports whether the removal of any entry or the return of any data
+// centre is delayed, or an entry of a departed endpoint is ignored.
+func (r *Registrar) HasHeld() bool { return len(r.held)+len(r.heldOut)+len(r.doubted) > 0 }
 
 // ids returns the IDs of all entries in sorted order, so that the order of
 // events does not depend on map iteration.
@@ -207,32 +212,40 @@
 	return ids
 }
 
-// SetOut replaces the set of data centres that are out of service and returns
-// those that are back in service, in sorted order.
-func (r *Registrar) SetOut(centres []string) (back []string) {
+// SetOut replaces the set of data centres that are out of service. It returns
+// those that are back in service, and those that a restored copy lacks and that
+// stay out until the end of the hold period, both in sorted order.
+func (r *Registrar) SetOut(centres []string) (back, held []string) {
 	out := make(map[string]bool, len(centres))
 	for _, c := range centres {
 		out[c] = true
+		delete(r.heldOut, c)
 	}
 	for c := range r.out {
-		if !out[c] {
+		switch {
+		case out[c]:
+		case r.outRestored:
+			r.heldOut[c] = true
+			held = append(held, c)
+		default:
 			back = append(back, c)
 		}
 	}
 	slices.Sort(back)
-	r.out = out
+	slices.Sort(held)
+	r.out, r.outRestored = out, false
 
-	return back
+	return back, held
 }
 
 // Out reports whether a data centre is out of service.
-func (r *Registrar) Out(centre string) bool { return r.out[centre] }
+func (r *Registrar) Out(centre string) bool { return r.out[centre] || r.heldOut[centre] }
 
 // Usable reports whether an endpoint may be given new work.
 func (r *Registrar) Usable(id string) bool {
 	e, known := r.entries[id]
 
-	return known && !e.Draining && !r.out[e.DataCentre]
+	return known && !e.Draining && !r.Out(e.DataCentre)
 }
 
 // Len returns the number of entries.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -70,10 +70,13 @@
 	r := New()
 	r.Put(Entry{ID: "a", DataCentre: "kochi"})
 	r.Put(Entry{ID: "b", DataCentre: "kollam"})
-	c.Check(r.SetOut([]string{"kochi"}), qt.HasLen, 0)
+	back, _ := r.SetOut([]string{"kochi"})
+	c.Check(back, qt.HasLen, 0)
 	c.Check(r.Usable("a"), qt.IsFalse)
 	c.Check(r.Usable("b"), qt.IsTrue)
-	c.Check(r.SetOut(nil), qt.DeepEquals, []string{"kochi"})
+	back, held := r.SetOut(nil)
+	c.Check(back, qt.DeepEquals, []string{"kochi"})
+	c.Check(held, qt.HasLen, 0)
 	c.Check(r.Usable("a"), qt.IsTrue)
 }
 
--- a/internal/registrar/restore.go
+++ b/internal/registrar/restore.go
@@ -24,10 +24,11 @@
 }
 
 // Restored starts a hold period. It is called when the service has come back
-// from an older copy; the next call of Replace provides the entries of the copy.
+// from an older copy; the next calls of SetOut and Replace provide the content of
+// the copy.
 func (r *Registrar) Restored(now time.Time) {
 	r.Reconnected(now)
-	r.restored = true
+	r.restored, r.outRestored = true, true
 	clear(r.outdated)
 	clear(r.doubted)
 }
@@ -47,6 +48,18 @@
 	return events
 }
 
+// ReleaseCentres ends the delayed return of data centres if the hold period has
+// ended, and returns those that are back in service, in sorted order.
+func (r *Registrar) ReleaseCentres(now time.Time) (back []string) {
+	if len(r.heldOut) == 0 || now.Before(r.holdUntil) {
+		return nil
+	}
+	back = slices.Sorted(maps.Keys(r.heldOut))
+	clear(r.heldOut)
+
+	return back
+}
+
 // isOutdated reports whether a listed entry is older than what is known of the
 // endpoint.
 func (r *Registrar) isOutdated(now time.Time, e Entry) bool {
