--- a/internal/director/restore_test.go
+++ b/internal/director/restore_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"snipedyke/internal/registrar"
+	"snipedyke/internal/router"
 )
 
 // published returns the entry of an endpoint of service desk as of a
@@ -188,3 +189,35 @@
 	n.post(CentresOut{nil})
 	c.Check(usable(n), qt.IsTrue)
 }
+
+// Guards against accepting a key again that was revoked by a version of the
+// table which a restored store lacks, and against nodes that do not become ready
+// again because their version is newer.
+func TestRevokedKeyStaysRevokedAfterRestore(t *testing.T) {
+	c := qt.New(t)
+	revoked, err := router.New(router.Definition{
+		Version: 7, Services: []router.Service{{Name: "desk"}},
+		Routes: []router.Route{{Name: "look", Host: "h", Prefix: "/look/", Kind: router.Safe, Timeout: time.Second, LatencyTarget: time.Second, Attempts: 1, Shares: []router.Share{{Service: "desk", Weight: 1}}}},
+	})
+	c.Assert(err, qt.IsNil)
+	n := newNode()
+	n.post(TableLoaded{revoked})
+	n.post(ViewLost{"down"})
+	n.now = n.now.Add(options().KeyLease + time.Millisecond)
+	refuse, _ := find[Refuse](n.arrive(1, "/look/1"))
+	c.Check(refuse.Status, qt.Equals, 503, qt.Commentf("the view is too old to refuse for good"))
+	c.Check(n.Ready(), qt.IsFalse)
+	n.post(ViewRestored{})
+	n.post(TableLoaded{table(6)})
+	n.post(CentresOut{})
+	n.post(EntriesListed{[]registrar.Entry{published(0, 1, 3)}})
+	c.Check(n.Ready(), qt.IsFalse, qt.Commentf("the view is not confirmed yet"))
+	n.post(ViewConfirmed{n.now})
+	c.Check(n.Ready(), qt.IsTrue)
+	refuse, _ = find[Refuse](n.arrive(2, "/look/1"))
+	c.Check(refuse.Status, qt.Equals, 401)
+	c.Check(n.Table().Version(), qt.Equals, uint64(7))
+	n.post(TableLoaded{table(8)})
+	_, sent := find[Dispatch](n.arrive(3, "/look/1"))
+	c.Check(sent, qt.IsTrue)
+}
