--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -69,8 +69,10 @@
 	MessageSendFailed  = 720
 	SettingsRejected   = 721
 	ViewRestored       = 722
+	EntryOutdated      = 723
 	EndpointSilent     = 724
 	ShutdownCutOff     = 725
+	CentreHeld         = 728
 )
 
 // Definition describes a log event.
@@ -148,8 +150,10 @@
 	{MessageSendFailed, hclog.Warn, "message to another node could not be sent", []string{"to", "error"}},
 	{SettingsRejected, hclog.Error, "settings rejected", []string{"error"}},
 	{ViewRestored, hclog.Warn, "shared view restored from an older copy", []string{"era", "former", "revision", "formerRevision"}},
+	{EntryOutdated, hclog.Info, "entry older than known ignored", []string{"endpoint", "service", "sequence", "known"}},
 	{EndpointSilent, hclog.Info, "endpoint silent", []string{"request", "route", "endpoint", "silent", "relayed", "replaced"}},
 	{ShutdownCutOff, hclog.Warn, "shutdown cut off connections", []string{"connections", "waited"}},
+	{CentreHeld, hclog.Info, "data centre stays out of service until it is confirmed", []string{"centre"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -4,6 +4,11 @@
 // Entries can expire during an outage of the service that publishes them,
 // although their endpoints are still running. The registrar therefore delays
 // the removal of entries until HoldTime after the connection is restored.
+//
+// The service can also come back from an older copy. What the copy says about an
+// endpoint may then be older than what the registrar knows, and is ignored until
+// the endpoint publishes again. Data centres that the copy lacks stay out of
+// service until the end of the hold period.
 package registrar
 
 import (
@@ -22,7 +27,10 @@
 	ID string
 	// Born is the start time of the endpoint in Unix milliseconds, or zero. ID
 	// and Born together identify one incarnation.
-	Born       int64
+	Born int64
+	// Sequence is the number of times that the incarnation has published, or zero
+	// if it is not known. It rises also if nothing else changes.
+	Sequence   uint64
 	Service    string
 	Address    netip.AddrPort
 	DataCentre string
@@ -32,6 +40,14 @@
 	Cold time.Duration
 }
 
+// differs reports whether the entries differ in more than their sequence
+// numbers.
+func (e Entry) differs(other Entry) bool {
+	other.Sequence = e.Sequence
+
+	return e != other
+}
+
 // Change is the kind of change of an endpoint.
 type Change uint8
 
@@ -44,12 +60,17 @@
 	// Removed is reported for an endpoint, or an incarnation of it, that has
 	// ended and will not return.
 	Removed
+	// Outdated is reported for an entry of a restored copy that is ignored because
+	// it is older than what is known.
+	Outdated
 )
 
 // Event describes a change of one endpoint.
 type Event struct {
 	Change Change
 	Entry  Entry
+	// Known is the sequence number of the known entry, for Outdated.
+	Known uint64
 }
 
 // Registrar holds the endpoints. It is not safe for concurrent use.
@@ -62,29 +83,51 @@
 	held map[string]time.Time
 	// holdUntil is the end of the present hold period.
 	holdUntil time.Time
+
+	// restored and outRestored report whether the next list of entries and the next
+	// set of data centres are the first ones of a restored copy.
+	restored, outRestored bool
+	// heldOut is the set of data centres that were out of service before a
+	// restored copy that lacks them. It does not overlap out.
+	heldOut map[string]bool
+	// outdated holds the ignored entries of known endpoints, as listed, and doubted
+	// those of departed endpoints. Later lists may contain them unchanged.
+	outdated, doubted map[string]Entry
+	// doubtUntil is the time from which the doubted entries are used.
+	doubtUntil time.Time
+	// departed holds the last entries of removed endpoints.
+	departed map[string]departure
 }
 
 // New returns an empty registrar.
 func New() *Registrar {
-	return &Registrar{entries: map[string]Entry{}, out: map[string]bool{}, held: map[string]time.Time{}}
+	return &Registrar{
+		entries: map[string]Entry{}, out: map[string]bool{}, held: map[string]time.Time{},
+		heldOut: map[string]bool{}, outdated: map[string]Entry{}, doubted: map[string]Entry{}, departed: map[string]departure{},
+	}
 }
 
 // Reconnected starts a hold period. It is called when the connection is
 // restored after an outage.
-func (r *Registrar) Reconnected(now time.Time) { r.holdUntil = now.Add(HoldTime) }
+func (r *Registrar) Reconnected(now time.Time) {
+	r.holdUntil = now.Add(HoldTime)
+	r.doubtUntil = now.Add(doubtTime)
+}
 
 // Put adds or updates the entry of an endpoint.
 func (r *Registrar) Put(e Entry) []Event {
 	delete(r.held, e.ID)
+	delete(r.departed, e.ID)
+	r.forgetCopy(e.ID)
 	old, known := r.entries[e.ID]
 	r.entries[e.ID] = e
 	switch {
 	case !known:
-		return []Event{{Added, e}}
+		return []Event{{Change: Added, Entry: e}}
 	case old.Born != e.Born || old.Address != e.Address || old.Service != e.Service:
-		return []Event{{Removed, old}, {Added, e}}
-	case old != e:
-		return []Event{{Updated, e}}
+		return []Event{{Change: Removed, Entry: old}, {Change: Added, Entry: e}}
+	case old.differs(e):
+		return []Event{{Change: Updated, Entry: e}}
 	default:
 		return nil
 	}
@@ -93,6 +136,7 @@
 // Remove removes an entry. During a hold period it delays the removal, unless
 // the endpoint is draining.
 func (r *Registrar) Remove(now time.Time, id string) []Event {
+	r.forgetCopy(id)
 	e, known := r.entries[id]
 	if !known {
 		return nil
@@ -104,10 +148,16 @@
 
 		return nil
 	}
-	delete(r.entries, id)
-	delete(r.held, id)
 
-	return []Event{{Removed, e}}
+	return r.remove(now, e)
+}
+
+func (r *Registrar) remove(now time.Time, e Entry) []Event {
+	delete(r.entries, e.ID)
+	delete(r.held, e.ID)
+	r.recordDeparture(now, e)
+
+	return []Event{{Change: Removed, Entry: e}}
 }
 
 // Replace adds or updates all entries of a complete list and removes those that
@@ -117,13 +167,19 @@
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
-		events = append(events, r.Put(e)...)
+		if r.isOutdated(now, e) {
+			events = append(events, r.ignore(e))
+		} else {
+			events = append(events, r.Put(e)...)
+		}
 	}
+	r.restored = false
 	for _, id := range r.ids() {
 		if !listed[id] {
 			events = append(events, r.Remove(now, id)...)
 		}
 	}
+	r.forgetUnlisted(listed)
 
 	return events
 }
@@ -133,17 +189,16 @@
 	var events []Event
 	for _, id := range r.ids() {
 		if until, held := r.held[id]; held && !now.Before(until) {
-			events = append(events, Event{Removed, r.entries[id]})
-			delete(r.entries, id)
-			delete(r.held, id)
+			events = append(events, r.remove(now, r.entries[id])...)
 		}
 	}
 
 	return events
 }
 
-// HasHeld reports whether the removal of any entry is delayed.
-func (r *Registrar) HasHeld() bool { return len(r.held) > 0 }
+// HasHeld reports whether the removal of any entry or the return of any data
+// centre is delayed, or an entry of a departed endpoint is ignored.
+func (r *Registrar) HasHeld() bool { return len(r.held)+len(r.heldOut)+len(r.doubted) > 0 }
 
 // ids returns the IDs of all entries in sorted order, so that the order of
 // events does not depend on map iteration.
@@ -157,32 +212,40 @@
 	return ids
 }
 
-// SetOut replaces the set of data centres that are out of service and returns
-// those that are back in service, in sorted order.
-func (r *Registrar) SetOut(centres []string) (back []string) {
+// SetOut replaces the set of data centres that are out of service. It returns
+// those that are back in service, and those that a restored copy lacks and that
+// stay out until the end of the hold period, both in sorted order.
+func (r *Registrar) SetOut(centres []string) (back, held []string) {
 	out := make(map[string]bool, len(centres))
 	for _, c := range centres {
 		out[c] = true
+		delete(r.heldOut, c)
 	}
 	for c := range r.out {
-		if !out[c] {
+		switch {
+		case out[c]:
+		case r.outRestored:
+			r.heldOut[c] = true
+			held = append(held, c)
+		default:
 			back = append(back, c)
 		}
 	}
 	slices.Sort(back)
-	r.out = out
+	slices.Sort(held)
+	r.out, r.outRestored = out, false
 
-	return back
+	return back, held
 }
 
 // Out reports whether a data centre is out of service.
-func (r *Registrar) Out(centre string) bool { return r.out[centre] }
+func (r *Registrar) Out(centre string) bool { return r.out[centre] || r.heldOut[centre] }
 
 // Usable reports whether an endpoint may be given new work.
 func (r *Registrar) Usable(id string) bool {
 	e, known := r.entries[id]
 
-	return known && !e.Draining && !r.out[e.DataCentre]
+	return known && !e.Draining && !r.Out(e.DataCentre)
 }
 
 // Len returns the number of entries.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -70,10 +70,13 @@
 	r := New()
 	r.Put(Entry{ID: "a", DataCentre: "kochi"})
 	r.Put(Entry{ID: "b", DataCentre: "kollam"})
-	c.Check(r.SetOut([]string{"kochi"}), qt.HasLen, 0)
+	back, _ := r.SetOut([]string{"kochi"})
+	c.Check(back, qt.HasLen, 0)
 	c.Check(r.Usable("a"), qt.IsFalse)
 	c.Check(r.Usable("b"), qt.IsTrue)
-	c.Check(r.SetOut(nil), qt.DeepEquals, []string{"kochi"})
+	back, held := r.SetOut(nil)
+	c.Check(back, qt.DeepEquals, []string{"kochi"})
+	c.Check(held, qt.HasLen, 0)
 	c.Check(r.Usable("a"), qt.IsTrue)
 }
 
@@ -87,3 +90,13 @@
 	c.Check(r.Usable("a"), qt.IsFalse)
 	c.Check(r.Len(), qt.Equals, 2)
 }
+
+// An endpoint that publishes again without a change must not be reported as
+// updated, because an update marks it as cold again.
+func TestRepeatedPublicationIsNoChange(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	r.Put(Entry{ID: "a", Born: 1, Sequence: 4, Cold: time.Second})
+	c.Check(r.Put(Entry{ID: "a", Born: 1, Sequence: 5, Cold: time.Second}), qt.HasLen, 0)
+	c.Check(changes(r.Put(Entry{ID: "a", Born: 1, Sequence: 6})), qt.DeepEquals, []Change{Updated})
+}
