Take a refusal as proof only if it belongs to the request

A faulty server wrote an earlier refusal once more on a kept connection. A request that must not run twice was then sent to a second endpoint, or its caller got 503 (not run, try again), although the first endpoint was running it.

Status 421 and the statement that a request has not run were looked at before the attempt ID. A refusal without an ID on a reused connection, and one with another request's ID on a new connection, thus counted as proof. The cold time of skipped responses was recorded for the endpoint too, and of a chunked one the trailer was left on the connection, as was the answer behind a late 204 response.

A response must now carry the ID of the attempt. One without an ID is accepted as a refusal only on a new connection, on which nothing else was asked; otherwise the attempt is broken, so that an unrepeatable request ends with 502 and a repeatable one is retried. Status and cold time are taken from identified responses only. Late responses are skipped whole; one that ends with its connection is not read, since nothing can follow it.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -31,7 +31,7 @@
 
 // The reasons for which a response is not accepted.
 var (
-	errRequestMismatch = errors.New("response belongs to another request")
+	errRequestMismatch = errors.New("response may belong to another request")
 	errUnsealed        = errors.New("response has no seal of the endpoint")
 	errContentEncoded  = errors.New("response has a content encoding")
 	errNotStream       = errors.New("response does not resume the stream")
@@ -162,26 +162,51 @@
 			return a.failureResult(err)
 		}
 		m := a.call.f.opts.Protocol.ParseResponse(h)
-		a.finished.Cold, a.finished.Status = m.ColdRemaining, h.StatusCode()
-		if m.AttemptID != a.call.attemptID && m.AttemptID != "" && a.conn.reused {
-			// The response belongs to an earlier request on this connection.
-			if err := a.resp.ReadBody(a.conn.br, maxResponseBytes); err != nil {
-				return a.failureResult(err)
-			}
-
-			continue
+		if m.AttemptID == a.call.attemptID || m.AttemptID == "" || !a.conn.reused {
+			return a.handleResponse(m, end)
+		}
+		// The response belongs to an earlier request on this connection.
+		if err := a.skipBody(); err != nil {
+			return a.failureResult(err)
 		}
-
-		return a.handleResponse(m, end)
 	}
 
 	return a.failureResult(errRequestMismatch)
 }
 
+// skipBody skips the body of a response to an earlier request. It returns an
+// error if no other response can follow.
+func (a *attempt) skipBody() error {
+	switch {
+	case a.resp.Header.StatusCode() == http.StatusNoContent || a.resp.Header.StatusCode() == http.StatusNotModified:
+		return nil
+	case a.resp.Header.ContentLength() < -1:
+		// The body ends with the connection.
+		return errRequestMismatch
+	}
+
+	return a.readBody()
+}
+
+// identifies reports whether a response is known to belong to this attempt. An
+// endpoint echoes the ID of the attempt; a refusal may lack it. On a reused
+// connection, a response without an ID may belong to an earlier request.
+func (a *attempt) identifies(m ResponseMetadata) bool {
+	if m.AttemptID == "" {
+		return !a.conn.reused
+	}
+
+	return m.AttemptID == a.call.attemptID
+}
+
 // handleResponse validates the response header and reads the body, or the first
 // events of a stream.
 func (a *attempt) handleResponse(m ResponseMetadata, end time.Time) director.Result {
 	h := &a.resp.Header
+	if !a.identifies(m) {
+		return a.failureResult(errRequestMismatch)
+	}
+	a.finished.Cold, a.finished.Status = m.ColdRemaining, h.StatusCode()
 	switch {
 	case h.StatusCode() == http.StatusMisdirectedRequest:
 		return director.Misdirected
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -41,8 +41,10 @@
 }
 
 func (protocol) ParseResponse(h *fasthttp.ResponseHeader) ResponseMetadata {
+	cold, _ := time.ParseDuration(string(h.Peek("Cold")))
+
 	return ResponseMetadata{
-		AttemptID: string(h.Peek("Name")), Sealed: len(h.Peek("Seal")) > 0, Declined: len(h.Peek("Declined")) > 0,
+		AttemptID: string(h.Peek("Name")), Sealed: len(h.Peek("Seal")) > 0, Declined: len(h.Peek("Declined")) > 0, ColdRemaining: cold,
 	}
 }
 
@@ -154,7 +156,7 @@
 func start(t *testing.T, endpoints ...*endpoint) *system {
 	f, err := New(Options{
 		Director: director.Options{
-			Name: "n", KeyLease: time.Hour, FreshView: time.Hour, AssumedNodes: 1, RetryWindow: time.Minute, RetrySlack: 1000,
+			Name: "n", KeyLease: time.Hour, FreshView: time.Hour, AssumedNodes: 1, RetryWindow: time.Minute, RetrySlack: 1000, ColdSlack: 1,
 		},
 		Protocol: protocol{}, Logger: discardSink{}, Meter: discardSink{}, Callers: netip.MustParseAddrPort("127.0.0.1:0"),
 		Clock: time.Now, MaxBodyBytes: 1 << 20, MaxHeaderBytes: 8 << 10, MaxConnections: 100, GracePeriod: 30 * time.Second,
@@ -169,7 +171,7 @@
 		}
 	}
 	table, err := router.New(router.Definition{
-		Version: 1, Services: []router.Service{{Name: "s"}},
+		Version: 1, Services: []router.Service{{Name: "s", ColdRate: 1}},
 		Routes: []router.Route{
 			route("/safe/", router.Safe, false), route("/unsafe/", router.Unsafe, false),
 			withShortTimeout(route("/brief/", router.Unsafe, false)),
