Resume a stream only with the event that follows

A stream had begun and broke off, and the next endpoint did not go on with it. Callers found the text of an error in the middle of their stream, got events a second time, or saw a stream that ended as complete before its last event.

A second response was taken for the rest of the stream if its status was 200. Neither its content type nor the IDs of its events were looked at, and a response without any event ended the stream as complete.

The IDs of the events now have to increase within a response, over all of its attempts. A stream that resumes a response must have the content type of the response and begin with the successor of the last ID; where the IDs had gaps before, with a higher one. All else is a broken attempt of which nothing reaches the caller: the next attempt follows, or the caller's connection is cut. This includes a stream without events. The first endpoint may have broken off after the last event, but that cannot be told from an empty response, and the caller can resume by itself. Events without an ID are passed on as before, but a response with one is not resumed, as the event might be repeated. Text between numbered events that is not an event, such as the head of an error, breaks the stream too.

The new tests failed before: of the 17 cases of TestOnlyTheNextEventResumesAStream 13, such as "error" with the text of the error after event 4 and "empty" with "got: bool(true), want: bool(false)"; TestStreamWithoutIDsIsNotResumed with "data: a" twice; and both cases of TestStreamThatDoesNotGoOnIsCut with "got nil value but want non-nil". They pass now, three times in a row with the race detector.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -263,15 +264,25 @@
 	a.conn = nil
 }
 
-// beginStream reads the first events of a stream.
+// beginStream reads the first events of a stream. A stream that resumes a
+// response has the content type of the response and begins with the event that
+// follows the last one. That the response was already complete cannot be known,
+// so a stream without events does not resume it.
 func (a *attempt) beginStream(end time.Time) director.Result {
+	order := a.call.order
+	if a.dispatch.Resume {
+		if mediaType(&a.resp.Header) != a.call.mediaType {
+			return a.failureResult(errNotStream)
+		}
+		order = order.resumed()
+	}
 	a.resp.StreamBody = true
 	if err := a.resp.ReadBody(a.conn.br, 0); err != nil {
 		return a.failureResult(err)
 	}
-	stream := &eventReader{r: a.resp.BodyStream()}
+	stream := &eventReader{r: a.resp.BodyStream(), order: order}
 	events, err := stream.next()
-	if err != nil && (!errors.Is(err, io.EOF) || !a.dispatch.Resume) {
+	if err != nil {
 		return a.failureResult(err)
 	}
 	if a.call.f.opts.Clock().After(a.dispatch.Deadline) || a.conn.SetDeadline(end) != nil {
@@ -283,6 +294,13 @@
 	return director.Answered
 }
 
+// mediaType returns the content type in lower case without parameters.
+func mediaType(h *fasthttp.ResponseHeader) string {
+	t, _, _ := strings.Cut(string(h.ContentType()), ";")
+
+	return strings.ToLower(strings.TrimSpace(t))
+}
+
 // streamBody is the body of a streamed response. If an attempt fails, it
 // continues with the stream of the next attempt.
 type streamBody struct {
@@ -300,6 +318,7 @@
 // relayStream begins a streamed response to the caller.
 func (c *call) relayStream(ctx *fasthttp.RequestCtx, a *attempt) {
 	copyHeader(&ctx.Response.Header, &a.resp.Header)
+	c.mediaType = mediaType(&a.resp.Header)
 	body := &streamBody{call: c, attempt: a}
 	body.buffer(a.firstEvents)
 	ctx.Response.SetBodyStream(body, -1)
@@ -307,7 +326,7 @@
 
 // buffer makes events available to Read and records the ID of the last one.
 func (b *streamBody) buffer(events []byte) {
-	b.pending = events
+	b.pending, b.call.order = events, b.attempt.stream.order
 	if id := lastEventID(events); id != nil {
 		b.call.lastEventID = append(b.call.lastEventID[:0], id...)
 	}
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -29,6 +29,11 @@
 	effects chan director.Effect
 	// lastEventID is the ID of the last event passed to the caller, or empty.
 	lastEventID []byte
+	// order checks the events of a streamed response. It includes those passed to
+	// the caller.
+	order eventOrder
+	// mediaType is the content type of a streamed response.
+	mediaType string
 	// response is the complete response of the last attempt, or nil.
 	response *fasthttp.Response
 
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -15,19 +15,29 @@
 	buf []byte
 	// returned is the number of bytes returned by the last call of next.
 	returned int
+	// order checks the events. It includes those returned by next.
+	order eventOrder
 }
 
-// next returns all complete events that have been read, at least one. The result
-// is valid until the next call. The error is io.EOF if the stream ended after a
-// complete event, and io.ErrUnexpectedEOF if it ended within one.
+// next returns all complete events that have been read and follow each other, at
+// least one. The result is valid until the next call. The error is io.EOF if the
+// stream ended after a complete event, and io.ErrUnexpectedEOF if it ended within
+// one or resumed a response without any event.
 func (e *eventReader) next() ([]byte, error) {
 	e.buf = append(e.buf[:0], e.buf[e.returned:]...)
 	e.returned = 0
 	for {
 		if end := lastEventEnd(e.buf); end > 0 {
-			e.returned = end
+			order := e.order
+			n, err := order.accept(e.buf[:end])
+			if err != nil {
+				return nil, err
+			}
+			if !order.resuming {
+				e.returned, e.order = n, order
 
-			return e.buf[:end], nil
+				return e.buf[:n], nil
+			}
 		}
 		if len(e.buf) >= maxEventBytes {
 			return nil, io.ErrShortBuffer
@@ -40,7 +50,7 @@
 		if n > 0 {
 			continue
 		}
-		if err == io.EOF && len(e.buf) > 0 {
+		if err == io.EOF && (len(e.buf) > 0 || e.order.resuming) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
