--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -31,7 +32,7 @@
 
 // The reasons for which a response is not accepted.
 var (
-	errRequestMismatch = errors.New("response belongs to another request")
+	errRequestMismatch = errors.New("response may belong to another request")
 	errUnsealed        = errors.New("response has no seal of the endpoint")
 	errContentEncoded  = errors.New("response has a content encoding")
 	errNotStream       = errors.New("response does not resume the stream")
@@ -196,26 +197,51 @@
 			return a.failureResult(err)
 		}
 		m := a.call.f.opts.Protocol.ParseResponse(h)
-		a.finished.Cold, a.finished.Status = m.ColdRemaining, h.StatusCode()
-		if m.AttemptID != a.call.attemptID && m.AttemptID != "" && a.conn.reused {
-			// The response belongs to an earlier request on this connection.
-			if err := a.resp.ReadBody(a.conn.br, maxResponseBytes); err != nil {
-				return a.failureResult(err)
-			}
-
-			continue
+		if m.AttemptID == a.call.attemptID || m.AttemptID == "" || !a.conn.reused {
+			return a.handleResponse(m)
+		}
+		// The response belongs to an earlier request on this connection.
+		if err := a.skipBody(); err != nil {
+			return a.failureResult(err)
 		}
-
-		return a.handleResponse(m)
 	}
 
 	return a.failureResult(errRequestMismatch)
 }
 
+// skipBody skips the body of a response to an earlier request. It returns an
+// error if no other response can follow.
+func (a *attempt) skipBody() error {
+	switch {
+	case a.resp.Header.StatusCode() == http.StatusNoContent || a.resp.Header.StatusCode() == http.StatusNotModified:
+		return nil
+	case a.resp.Header.ContentLength() < -1:
+		// The body ends with the connection.
+		return errRequestMismatch
+	}
+
+	return a.readBody()
+}
+
+// identifies reports whether a response is known to belong to this attempt. An
+// endpoint echoes the ID of the attempt; a refusal may lack it. On a reused
+// connection, a response without an ID may belong to an earlier request.
+func (a *attempt) identifies(m ResponseMetadata) bool {
+	if m.AttemptID == "" {
+		return !a.conn.reused
+	}
+
+	return m.AttemptID == a.call.attemptID
+}
+
 // handleResponse validates the response header and reads the body, or the first
 // events of a stream.
 func (a *attempt) handleResponse(m ResponseMetadata) director.Result {
 	h := &a.resp.Header
+	if !a.identifies(m) {
+		return a.failureResult(errRequestMismatch)
+	}
+	a.finished.Cold, a.finished.Status = m.ColdRemaining, h.StatusCode()
 	switch {
 	case h.StatusCode() == http.StatusMisdirectedRequest:
 		return director.Misdirected
@@ -273,15 +299,25 @@
 	a.conn = nil
 }
 
-// beginStream reads the first events of a stream.
+// beginStream reads the first events of a stream. A stream that resumes a
+// response has the content type of the response and begins with the event that
+// follows the last one. That the response was already complete cannot be known,
+// so a stream without events does not resume it.
 func (a *attempt) beginStream() director.Result {
+	order := a.call.order
+	if a.dispatch.Resume {
+		if mediaType(&a.resp.Header) != a.call.mediaType {
+			return a.failureResult(errNotStream)
+		}
+		order = order.resumed()
+	}
 	a.resp.StreamBody = true
 	if err := a.resp.ReadBody(a.conn.br, 0); err != nil {
 		return a.failureResult(err)
 	}
-	stream := &eventReader{r: a.resp.BodyStream()}
+	stream := &eventReader{r: a.resp.BodyStream(), order: order}
 	events, err := stream.next()
-	if err != nil && (!errors.Is(err, io.EOF) || !a.dispatch.Resume) {
+	if err != nil {
 		return a.failureResult(err)
 	}
 	a.patience = 0
@@ -297,6 +333,13 @@
 	return director.Answered
 }
 
+// mediaType returns the content type in lower case without parameters.
+func mediaType(h *fasthttp.ResponseHeader) string {
+	t, _, _ := strings.Cut(string(h.ContentType()), ";")
+
+	return strings.ToLower(strings.TrimSpace(t))
+}
+
 // streamBody is the body of a streamed response. If an attempt fails, it
 // continues with the stream of the next attempt.
 type streamBody struct {
@@ -314,6 +357,7 @@
 // relayStream begins a streamed response to the caller.
 func (c *call) relayStream(ctx *fasthttp.RequestCtx, a *attempt) {
 	copyHeader(&ctx.Response.Header, &a.resp.Header)
+	c.mediaType = mediaType(&a.resp.Header)
 	body := &streamBody{call: c, attempt: a}
 	body.buffer(a.firstEvents)
 	ctx.Response.SetBodyStream(body, -1)
@@ -321,7 +365,7 @@
 
 // buffer makes events available to Read and records the ID of the last one.
 func (b *streamBody) buffer(events []byte) {
-	b.pending = events
+	b.pending, b.call.order = events, b.attempt.stream.order
 	if id := lastEventID(events); id != nil {
 		b.call.lastEventID = append(b.call.lastEventID[:0], id...)
 	}
