Check in the soak that no answer is cut off

The soak passed while answers of callers were cut off: it compared what arrived with what the servers had sent, but took a connection that ended early for the effect of some fault.

An attempt that a server ran and whose connection ends without a complete response is now a violation, unless its node was killed or paused, or a server crashed, left or cut off responses meanwhile. Shutdowns, reloads, manifests and store faults are no excuse, and neither is a new fault: a server sends nothing for 1.2 s and then continues.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -74,18 +74,20 @@
 	resp, err := c.client.Do(r)
 	if err == nil {
 		o.status = resp.StatusCode
-		c.checkResponse(id, path, resp)
+		err = c.checkResponse(id, path, resp)
 	}
+	o.cut = err != nil && ctx.Err() == nil
 	o.ended = time.Now()
 	c.soaker.history.setOutcome(id, o)
 }
 
 // checkResponse compares a response with what the servers send for the request.
-func (c *caller) checkResponse(id, path string, resp *http.Response) {
+// It returns the error of reading the body, if any.
+func (c *caller) checkResponse(id, path string, resp *http.Response) error {
 	body, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return
+		return err
 	}
 	if !standin.HasSeal(resp, id) {
 		c.soaker.history.AddViolation("%s received a success response that no server sent for it", id)
@@ -103,4 +105,6 @@
 	case err != nil && !strings.HasPrefix(want, string(body)):
 		c.soaker.history.AddViolation("%s received wrong events before its stream broke", id)
 	}
+
+	return err
 }
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -16,10 +16,11 @@
 	s.faultCount++
 	n := s.nodes[s.rng.IntN(len(s.nodes))]
 	length := time.Duration(500+s.rng.IntN(4000)) * time.Millisecond
-	switch kind := s.rng.IntN(12); kind {
+	switch kind := s.rng.IntN(14); kind {
 	case 0:
 		s.logFault("kill", n.index, 0)
 		s.history.MarkDisturbed(n.index, time.Now().Add(time.Second))
+		s.history.MarkCuts(n.index, time.Second)
 		n.signal(syscall.SIGKILL, true)
 	case 1:
 		s.logFault("stop", n.index, 0)
@@ -28,6 +29,7 @@
 	case 2:
 		s.logFault("pause", n.index, length)
 		s.history.MarkDisturbed(n.index, time.Now().Add(length))
+		s.history.MarkCuts(n.index, length+time.Second)
 		n.signal(syscall.SIGSTOP, false)
 		time.AfterFunc(length, func() { n.signal(syscall.SIGCONT, false) })
 	case 3:
@@ -66,9 +68,17 @@
 			s.history.mu.Unlock()
 			s.recordPublishError(s.publishManifest(!revoked))
 		}
+	case 12, 13:
+		server := s.randomServer()
+		s.logFault("server "+server.ID()+" is silent", -1, silenceLength)
+		server.Silence(silenceLength)
 	}
 }
 
+// silenceLength is the time for which a server is silent. Its requests can still
+// be answered in time.
+const silenceLength = 1200 * time.Millisecond
+
 // logFault writes a line about a fault to Options.Output. The node is -1 for
 // faults of the store, of a server or of the manifest.
 func (s *Soaker) logFault(what string, node int, length time.Duration) {
@@ -85,6 +95,13 @@
 	}
 }
 
+// markAllCuts records that a server cuts off connections for a time.
+func (s *Soaker) markAllCuts(length time.Duration) {
+	for _, n := range s.nodes {
+		s.history.MarkCuts(n.index, length)
+	}
+}
+
 func (s *Soaker) markAllDisturbed(length time.Duration) {
 	for _, n := range s.nodes {
 		s.history.MarkDisturbed(n.index, time.Now().Add(length))
@@ -107,6 +124,7 @@
 	switch s.rng.IntN(4) {
 	case 0:
 		f.Break = 0.5
+		s.markAllCuts(length)
 	case 1:
 		f.Decline = 0.7
 	case 2:
@@ -145,6 +163,7 @@
 		s.history.MarkEndpointLeft(server.ID())
 		time.AfterFunc(drainTime, func() {
 			s.store.DeleteServer(server.ID())
+			s.markAllCuts(time.Second)
 			server.Crash()
 		})
 		s.recordPublishError(s.addServer(loopbackAnyPort))
@@ -152,6 +171,7 @@
 		return
 	}
 	s.logFault("server crashes "+server.ID(), -1, 0)
+	s.markAllCuts(time.Second)
 	server.Crash()
 	time.AfterFunc(expiryTime, func() { s.store.DeleteServer(server.ID()) })
 	s.recordPublishError(s.addServer(server.Addr()))
--- a/internal/soaker/history.go
+++ b/internal/soaker/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,10 +18,15 @@
 	sent           time.Time
 	// status is 0 if no response arrived.
 	status int
-	ended  time.Time
-	node   int
+	// cut reports whether the connection ended without a complete response.
+	cut   bool
+	ended time.Time
+	node  int
 }
 
+// period is a period of time.
+type period struct{ from, to time.Time }
+
 // History records the requests that callers sent and endpoints ran, and checks
 // them against the service guarantees. Its methods are safe for concurrent use.
 type History struct {
@@ -34,13 +40,16 @@
 	// endpoint, revokedAt the time when it acknowledged the removal of the key.
 	leftAt    map[string]time.Time
 	revokedAt time.Time
+	// cuts holds, for each node, the periods in which its connections, or those
+	// of servers, may be cut off.
+	cuts map[int][]period
 }
 
 // NewHistory returns an empty history.
 func NewHistory() *History {
 	return &History{
 		runs: map[string][]standin.Run{}, outcomes: map[string]outcome{},
-		disturbedUntil: map[int]time.Time{}, leftAt: map[string]time.Time{},
+		disturbedUntil: map[int]time.Time{}, leftAt: map[string]time.Time{}, cuts: map[int][]period{},
 	}
 }
 
@@ -60,6 +69,15 @@
 	}
 }
 
+// MarkCuts records that, from now on for a time, connections of a node may be
+// cut off by a fault.
+func (h *History) MarkCuts(node int, length time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	h.cuts[node] = append(h.cuts[node], period{now, now.Add(length)})
+}
+
 // MarkEndpointLeft records that the departure of an endpoint was acknowledged
 // now.
 func (h *History) MarkEndpointLeft(id string) {
@@ -122,6 +140,9 @@
 				violations = append(violations, fmt.Sprintf("%s ran at %s but its caller received status %d", request, runs[0].Server, o.status))
 			}
 		}
+		if o.cut && !h.cutExpected(o) {
+			violations = append(violations, fmt.Sprintf("%s ran at %s but its connection to node %d was cut off after %s", request, runs[0].Server, o.node, o.ended.Sub(o.sent)))
+		}
 		for _, r := range runs {
 			undisturbed := r.At.Sub(h.disturbedUntil[o.node]) > recoveryTime
 			if left, leaves := h.leftAt[r.Server]; leaves && undisturbed && r.At.Sub(left) > drainBound {
@@ -136,6 +157,12 @@
 	return violations
 }
 
+// cutExpected reports whether a fault may have cut off the attempt. Shutdowns,
+// reloads, manifests and silent servers are no such faults.
+func (h *History) cutExpected(o outcome) bool {
+	return slices.ContainsFunc(h.cuts[o.node], func(p period) bool { return o.sent.Before(p.to) && p.from.Before(o.ended) })
+}
+
 // SuccessRate returns the ratio of the attempts sent between two times that
 // succeeded, and the number of these attempts. Attempts that were refused with
 // status 401 because their key was revoked are correct and not counted.
--- a/internal/soaker/history_test.go
+++ b/internal/soaker/history_test.go
@@ -57,6 +57,18 @@
 			h.MarkDisturbed(0, now)
 			h.AddRun(run("r", now))
 		}, "with a key that was revoked"},
+		"cut off": {func(h *History) {
+			h.setOutcome("r", outcome{cut: true, sent: now.Add(-time.Second), ended: now})
+			h.AddRun(run("r", now))
+			h.MarkDisturbed(0, now)
+			h.MarkCuts(1, time.Second)
+		}, "was cut off after 1s"},
+		"cut off before it ran": {func(h *History) { h.setOutcome("r", outcome{cut: true, sent: now.Add(-time.Second), ended: now}) }, ""},
+		"cut off by a fault": {func(h *History) {
+			h.MarkCuts(0, time.Second)
+			h.setOutcome("r", outcome{cut: true, sent: now.Add(-time.Second), ended: time.Now()})
+			h.AddRun(run("r", now))
+		}, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := NewHistory()
