Deliver the last response before a connection is reset

A caller that had sent its next request before it received `Connection: close`, as pipelining callers do, could see "connection reset by peer" in the middle of its response at a shutdown.

Closing a socket with unread bytes resets it, and the kernel discards what the caller has not yet received. The node now ends its output first and discards input until the caller closes, for at most a second, if there are unread bytes after a response. A connection that is closed as idle has none, and one that exceeds the limit of connections is not waited for.

--- a/internal/forwarder/callerconn.go
+++ b/internal/forwarder/callerconn.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -111,8 +112,15 @@
 	return n, err
 }
 
+// lingerTimeout limits the time to deliver the last response to a caller that
+// has sent more than was read.
+const lingerTimeout = time.Second
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
+	if c.state.Load() == connActive && c.hasUnread() {
+		c.linger()
+	}
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
@@ -120,9 +128,20 @@
 	return c.Conn.Close()
 }
 
+// linger ends the output and discards input until the caller closes the
+// connection. Closing it with unread bytes would reset it, and discard what the
+// caller has not yet received of the last response.
+func (c *callerConn) linger() {
+	conn, ok := c.Conn.(*net.TCPConn)
+	if !ok || conn.CloseWrite() != nil || conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 // closeIfIdle closes the connection if it is idle, and reports whether it is
-// closed. A connection with unread bytes is left open: closing would reset it,
-// and discard what the caller has not yet received of the last response.
+// closed. A connection with unread bytes is left open: its next request is about
+// to be read.
 func (c *callerConn) closeIfIdle() bool {
 	switch c.state.Load() {
 	case connActive:
--- a/internal/forwarder/shutdown_test.go
+++ b/internal/forwarder/shutdown_test.go
@@ -39,6 +39,38 @@
 	c.Check(<-s.done, qt.IsNil)
 }
 
+// Guards against a response that is lost because the connection is reset, when
+// the caller has sent another request before it learned that the node closes the
+// connection.
+func TestUnreadRequestDoesNotResetTheResponse(t *testing.T) {
+	c := qt.New(t)
+	// The response fits into the socket buffer of the node, but not into that of
+	// the caller.
+	large := strings.Repeat("x", 1<<20)
+	working, finish := make(chan bool), make(chan bool)
+	s := start(t, newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+		working <- true
+		<-finish
+
+		return reply(conn, r, 200, large)
+	}))
+	call := s.dial(c)
+	c.Assert(call.Conn.(*net.TCPConn).SetReadBuffer(16<<10), qt.IsNil)
+	call.send("GET", "/safe/x", "r1", "")
+	<-working
+	call.send("GET", "/safe/x", "r2", "")
+	s.stop()
+	for s.Ready() {
+		continue
+	}
+	finish <- true
+	// The node has closed the connection by then.
+	c.Check(<-s.done, qt.IsNil)
+	_, body, err := call.receive()
+	c.Assert(err, qt.IsNil)
+	c.Check(len(body), qt.Equals, len(large))
+}
+
 // interruptedConn calls onRead after it has read data, before Read returns.
 type interruptedConn struct {
 	net.Conn
