Ask another endpoint if one declines to resume a stream

A caller's stream was cut off because the endpoint that was to resume it was too busy, although another one was not: the refusal used up the last of the route's attempts.

A stream that has begun can no longer be refused, and an endpoint that declines has not run it. Up to three of them no longer count towards the attempts. The retry budget limits them as before.

TestEndpointThatDeclinesToResumeIsNoAttempt got 1 attempt before, want 4.

--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -52,7 +52,7 @@
 // allowReplacement reports whether another endpoint can take over a request from
 // that of the attempt in progress, and uses up the retry budget if it can.
 func (d *Director) allowReplacement(now time.Time, req *request) bool {
-	if !req.route.Repeatable() || len(req.tried)+1 >= req.route.Attempts || req.expiresAt.Sub(now) < minAttemptTime {
+	if !req.route.Repeatable() || req.attemptsUsed()+1 >= req.route.Attempts || req.expiresAt.Sub(now) < minAttemptTime {
 		return false
 	}
 	if _, isolated := d.isolator.Isolated(now, req.Need.SharedParts); isolated {
@@ -93,6 +93,9 @@
 		d.handleAnswered(now, req, e, f)
 	case Declined:
 		req.tried = append(req.tried, e.entry.ID)
+		if req.relayed {
+			req.declined++
+		}
 		d.retry(now, req, f, ReasonDeclined)
 	case Misdirected, Unreached:
 		req.unreachedCount++
@@ -208,7 +211,7 @@
 
 		return
 	}
-	if len(req.tried) >= req.route.Attempts || !req.replaced && !d.mayRetry(now, req.service) {
+	if req.attemptsUsed() >= req.route.Attempts || !req.replaced && !d.mayRetry(now, req.service) {
 		d.fail(now, req, reason)
 
 		return
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -21,6 +21,9 @@
 	// maxUnreached limits the number of endpoints that a request tries without
 	// reaching one.
 	maxUnreached = 4
+	// maxDeclined limits the number of endpoints that decline to resume a stream
+	// without using up its attempts.
+	maxDeclined = 3
 	// A request waits for an endpoint for at most its target divided by
 	// waitDivisor before it is refused.
 	waitDivisor = 8
@@ -67,6 +70,8 @@
 	// tried holds the endpoints that have declined the request or may have run
 	// it.
 	tried []string
+	// declined is the number of endpoints that declined to resume the stream.
+	declined int
 	// unreachedCount is the number of attempts that did not reach an endpoint.
 	unreachedCount int
 	// endpoint is the endpoint of the attempt in progress, or nil.
@@ -95,6 +100,11 @@
 	queued, wasQueued bool
 }
 
+// attemptsUsed returns the number of attempts that count towards those of the
+// route. A stream that has begun can no longer be refused, so a few endpoints that
+// decline to resume it do not count.
+func (r *request) attemptsUsed() int { return len(r.tried) - min(r.declined, maxDeclined) }
+
 // class returns the request's class for shedding.
 func (r *request) class() admitter.Class {
 	c := admitter.Class{Route: r.route.Priority}
--- a/internal/director/silence_test.go
+++ b/internal/director/silence_test.go
@@ -133,3 +133,27 @@
 		}
 	}
 }
+
+// Guards against cutting off a stream because an endpoint is too busy to resume
+// it, while another one is not; and against asking endpoints without limit.
+func TestEndpointThatDeclinesToResumeIsNoAttempt(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	for i := range 5 {
+		n.post(EntryPut{entry("model", 3+i)})
+	}
+	n.arrive(1, "/draft/1")
+	effects := n.post(AttemptFinished{ID: 1, Result: Broken, Relayed: true})
+	declined := 0
+	for ; ; declined++ {
+		d, resumed := find[Dispatch](effects)
+		if !resumed {
+			break
+		}
+		c.Check(d.Resume, qt.IsTrue)
+		effects = n.post(AttemptFinished{ID: 1, Result: Declined, Status: 503, Relayed: true})
+	}
+	_, aborted := find[Abort](effects)
+	c.Check(aborted, qt.IsTrue)
+	c.Check(declined, qt.Equals, 4)
+}
