Let new connections send their first request during a shutdown

A caller that connected shortly before the node stopped accepting connections had its connection closed before its request could arrive, and used up a retry.

Connections that had not sent a byte were closed together with those that were kept. They are now closed only from an age of 250 ms, which delays the shutdown by no more than that.

TestNewConnectionsAwaitTheirFirstRequest: 0 connections remain, want 1 before; passes after.

--- a/internal/forwarder/callerconn.go
+++ b/internal/forwarder/callerconn.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{Conn: conn, listener: l}
+	c := &callerConn{Conn: conn, listener: l, acceptedAt: time.Now()}
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
 	l.mu.Unlock()
@@ -69,7 +69,8 @@
 // not detect.
 type callerConn struct {
 	net.Conn
-	listener *listener
+	listener   *listener
+	acceptedAt time.Time
 	// state changes from connIdle by compare-and-swap only, so that a connection
 	// is either closed or has its next request served.
 	state atomic.Int32
@@ -139,6 +140,10 @@
 	_, _ = io.Copy(io.Discard, conn)
 }
 
+// minConnAge is the age from which a connection is closed as idle. Until then,
+// its first request may be on its way.
+const minConnAge = 250 * time.Millisecond
+
 // closeIfIdle closes the connection if it is idle, and reports whether it is
 // closed. A connection with unread bytes is left open: its next request is about
 // to be read.
@@ -149,7 +154,7 @@
 	case connClosed:
 		return true
 	}
-	if c.hasUnread() || !c.state.CompareAndSwap(connIdle, connClosed) {
+	if time.Since(c.acceptedAt) < minConnAge || c.hasUnread() || !c.state.CompareAndSwap(connIdle, connClosed) {
 		return false
 	}
 	_ = c.Conn.Close()
--- a/internal/forwarder/shutdown_test.go
+++ b/internal/forwarder/shutdown_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -98,6 +100,23 @@
 	c.Check(err, qt.ErrorIs, net.ErrClosed)
 }
 
+// Guards against a caller that connects just before the listener is closed and
+// whose connection is closed before its request can arrive.
+func TestNewConnectionsAwaitTheirFirstRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := &listener{conns: map[*callerConn]struct{}{}}
+		caller, accepted := net.Pipe()
+		conn := &callerConn{Conn: accepted, listener: l, acceptedAt: time.Now()}
+		l.conns[conn] = struct{}{}
+		c.Check(l.closeIdle(), qt.Equals, 1)
+		time.Sleep(minConnAge)
+		c.Check(l.closeIdle(), qt.Equals, 0)
+		_, err := caller.Write([]byte("GET"))
+		c.Check(err, qt.IsNotNil)
+	})
+}
+
 // eventCounter counts log events by number.
 type eventCounter struct {
 	mu     sync.Mutex
