Read data that has arrived when a deadline passes

What callers saw: on a host that was slow for a moment, requests were given up or ended with 504 although the endpoint's answer had arrived in time.

Cause: once a read deadline has passed, net.Conn.Read fails without trying the socket. If the process does not run for a while, the deadline passes while the answer lies in the receive buffer, and the sound endpoint is taken for silent.

Change: after a timeout, endpointConn.Read looks at the socket. If a read would return at once, the attempt goes on without asking the director. At the end of the attempt, there are 100 ms to read what has arrived, once, so that a response that trickles in does not outlast the timeout. The hasUnread of a caller's connection becomes a function for both kinds of connections.

Measured: without the look at the socket, both cases of TestDataThatHasArrivedIsReadAfterDeadline fail with "read tcp ...: i/o timeout" in place of the answer. They pass with the change, with the other tests about silent endpoints 20 times in a row with the race detector.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -24,6 +24,9 @@
 	// responseMargin is the additional time that a response is awaited after
 	// the deadline sent to the endpoint.
 	responseMargin = 100 * time.Millisecond
+	// lateReadTimeout is the time in which data that has arrived by the end of an
+	// attempt is read.
+	lateReadTimeout = 100 * time.Millisecond
 	// streamIdleTimeout is the time without an event after which a resumable
 	// stream is resumed at another endpoint if one can take over.
 	streamIdleTimeout = 1200 * time.Millisecond
@@ -53,6 +56,9 @@
 	// zero if it goes on until the end.
 	end      time.Time
 	patience time.Duration
+	// lateEnd is the end of the additional time for reading data that had arrived
+	// by end, or zero if there was none.
+	lateEnd time.Time
 	// givenUp reports whether the director has given up the attempt.
 	givenUp bool
 
@@ -152,9 +158,20 @@
 }
 
 // continueAfterTimeout reports whether the attempt goes on after a read or write
-// has timed out, and extends the deadline if it does.
-func (a *attempt) continueAfterTimeout() bool {
-	if a.patience == 0 || !time.Now().Before(a.end) {
+// has timed out, and extends the deadline if it does. An endpoint whose data has
+// arrived is not silent.
+func (a *attempt) continueAfterTimeout(arrived bool) bool {
+	now := time.Now()
+	switch {
+	case !now.Before(a.end):
+		if a.lateEnd.IsZero() {
+			a.lateEnd = now.Add(lateReadTimeout)
+		}
+
+		return arrived && now.Before(a.lateEnd) && a.conn.SetDeadline(a.lateEnd) == nil
+	case arrived:
+		return a.extendDeadline() == nil
+	case a.patience == 0:
 		return false
 	}
 	// Post carries out GiveUp before it returns.
--- a/internal/forwarder/callerconn.go
+++ b/internal/forwarder/callerconn.go
@@ -130,7 +130,7 @@
 	case connClosed:
 		return true
 	}
-	if c.hasUnread() || !c.state.CompareAndSwap(connIdle, connClosed) {
+	if socketState(c.Conn) == dispatcher.SocketReadable || !c.state.CompareAndSwap(connIdle, connClosed) {
 		return false
 	}
 	_ = c.Conn.Close()
@@ -138,19 +138,6 @@
 	return true
 }
 
-// hasUnread reports whether the connection has bytes that have not been read.
-func (c *callerConn) hasUnread() bool {
-	raw := dispatcher.RawConn(c.Conn)
-	if raw == nil {
-		return false
-	}
-	state := dispatcher.SocketClosed
-	// Read would wait for the read that is in progress.
-	_ = raw.Control(func(fd uintptr) { state = dispatcher.PeekSocket(fd) })
-
-	return state == dispatcher.SocketReadable
-}
-
 // watch calls onClose if the caller disconnects before unwatch is called.
 func (c *callerConn) watch(onClose func()) {
 	if c.hasPeeked {
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -43,8 +43,9 @@
 	net.Conn
 	br *bufio.Reader
 	// onTimeout reports whether a read or write that has exceeded its deadline
-	// goes on. It is nil while the connection is idle.
-	onTimeout func() bool
+	// goes on. arrived reports whether a read would return at once. It is nil while
+	// the connection is idle.
+	onTimeout func(arrived bool) bool
 	// lastUsed is the time at which the last response ended. idleTimeout is the
 	// time that the connection may be kept idle.
 	lastUsed    time.Time
@@ -58,7 +59,9 @@
 func (c *endpointConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		if n > 0 || !c.goesOn(err) {
+		// A read after the deadline fails without trying the socket, which may
+		// hold data that arrived in time if the process did not run meanwhile.
+		if n > 0 || !isTimeout(err) || !c.goesOn(socketState(c.Conn) != dispatcher.SocketIdle) {
 			return n, err
 		}
 	}
@@ -70,14 +73,27 @@
 	for {
 		n, err := c.Conn.Write(p[written:])
 		written += n
-		if written == len(p) || !c.goesOn(err) {
+		if written == len(p) || !isTimeout(err) || !c.goesOn(false) {
 			return written, err
 		}
 	}
 }
 
-func (c *endpointConn) goesOn(err error) bool {
-	return c.onTimeout != nil && isTimeout(err) && c.onTimeout()
+func (c *endpointConn) goesOn(arrived bool) bool {
+	return c.onTimeout != nil && c.onTimeout(arrived)
+}
+
+// socketState returns the state of a connection, even if its deadline has passed
+// or another goroutine is reading from it.
+func socketState(conn net.Conn) dispatcher.SocketState {
+	raw := dispatcher.RawConn(conn)
+	if raw == nil {
+		return dispatcher.SocketIdle
+	}
+	state := dispatcher.SocketClosed
+	_ = raw.Control(func(fd uintptr) { state = dispatcher.PeekSocket(fd) })
+
+	return state
 }
 
 // pool holds idle connections to endpoints.
--- a/internal/forwarder/silence_test.go
+++ b/internal/forwarder/silence_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"snipedyke/internal/dispatcher"
 )
 
 // Guards against ending an answer because its only endpoint is silent for a
@@ -115,3 +117,35 @@
 	c.Assert(e.requests(), qt.HasLen, 1)
 	c.Check(e.body[0] == body, qt.IsTrue)
 }
+
+// Guards against taking an endpoint for silent whose data has arrived, because
+// the process did not run for a while.
+func TestDataThatHasArrivedIsReadAfterDeadline(t *testing.T) {
+	for name, left := range map[string]time.Duration{"silent": time.Minute, "end of attempt": -time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = ln.Close() }()
+			conn, err := net.Dial("tcp", ln.Addr().String())
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = conn.Close() }()
+			peer, err := ln.Accept()
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = peer.Close() }()
+			_, err = peer.Write([]byte("answer"))
+			c.Assert(err, qt.IsNil)
+			for dispatcher.ConnState(conn) != dispatcher.SocketReadable {
+				continue
+			}
+			e := &endpointConn{Conn: conn}
+			a := &attempt{conn: e, end: time.Now().Add(left)}
+			e.onTimeout = a.continueAfterTimeout
+			c.Assert(e.SetDeadline(time.Now().Add(-time.Millisecond)), qt.IsNil)
+			answer := make([]byte, 6)
+			_, err = io.ReadFull(e, answer)
+			c.Check(err, qt.IsNil)
+			c.Check(string(answer), qt.Equals, "answer")
+		})
+	}
+}
