Repeat a dial whose timeout came late

What callers saw: after a moment in which the host did not run the process, requests got 503, and operators saw sound endpoints suspended and treated as cold.

Cause: if the 250 ms to connect have passed when the process runs again, Go's dialer closes the socket and reports a timeout, also if the connection was established meanwhile. The attempt then ends as not having reached its endpoint.

Change: a dial that ends 20 ms or more after its timeout is repeated once. A sound endpoint then connects within a few milliseconds; one that cannot be reached costs another 250 ms.

Measured: a dial that is held up for 500 ms before it connects. Without the repetition, TestLateDialIsRepeated gets 503 in place of 200; with it, the test passes, 10 times in a row with the race detector.

--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -20,6 +20,9 @@
 	// dialTimeout limits the time to connect. Connecting takes a few
 	// milliseconds, and a lost SYN packet is retransmitted only after a second.
 	dialTimeout = 250 * time.Millisecond
+	// lateDial is the delay of a timeout from which the process is taken to have
+	// been suspended.
+	lateDial = 20 * time.Millisecond
 	// unackedTimeout is the maximum time that sent data may remain unacknowledged
 	// by the endpoint's host. A sound host may be silent for a second or so, and
 	// retransmissions may take as long again to get through.
@@ -133,7 +136,7 @@
 		}
 		_ = c.Close()
 	}
-	conn, err := p.dialer.Dial("tcp", address.String())
+	conn, err := p.dial(address)
 	if err != nil {
 		return nil, err
 	}
@@ -144,6 +147,19 @@
 	return c, nil
 }
 
+// dial connects to an address. It repeats a dial that ends much later than its
+// timeout: the process did not run for a while, and the dialer reports a timeout
+// even if the connection was established meanwhile.
+func (p *pool) dial(address netip.AddrPort) (net.Conn, error) {
+	start := time.Now()
+	conn, err := p.dialer.Dial("tcp", address.String())
+	if err != nil && time.Since(start) >= dialTimeout+lateDial {
+		return p.dialer.Dial("tcp", address.String())
+	}
+
+	return conn, err
+}
+
 // pop removes and returns the most recently used connection, or returns nil if
 // there is none.
 func (p *pool) pop(address netip.AddrPort) *endpointConn {
--- a/internal/forwarder/silence_test.go
+++ b/internal/forwarder/silence_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -149,3 +150,28 @@
 		})
 	}
 }
+
+// Guards against suspending a sound endpoint because the process did not run
+// while it connected.
+func TestLateDialIsRepeated(t *testing.T) {
+	c := qt.New(t)
+	e := newEndpoint(t, respondOK)
+	suspended := make(chan time.Duration, 1)
+	suspended <- 2 * dialTimeout
+	call := startWith(t, func(f *Forwarder) {
+		control := f.pool.dialer.Control
+		f.pool.dialer.Control = func(network, address string, raw syscall.RawConn) error {
+			select {
+			case d := <-suspended:
+				<-time.After(d)
+			default:
+			}
+
+			return control(network, address, raw)
+		}
+	}, e).dial(c)
+	call.send("POST", "/quick/x", "r1", "")
+	resp, _, err := call.receive()
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.StatusCode, qt.Equals, 200)
+}
