Reserve the place for which a silent endpoint is given up

What callers saw: where several requests waited for silent endpoints and one place was left elsewhere, one was moved there, and the others got 502 or had their streams cut off 1 s later, although their endpoints would have gone on.

Cause: the check before GiveUp reserved nothing. All requests that stalled before the first given-up attempt had ended saw the same free slot, or the same request allowed to a cold endpoint.

Change: GiveUp reserves the place of the next attempt: it counts as running at the endpoint, with its prompt tokens, and with the pacer of a cold endpoint. At the end of the attempt the reservation is released, also if the caller has disconnected, and the retry is sent there if the endpoint is still usable. Otherwise it is placed as before. Each reservation ends with its attempt, so that no load remains.

Measured: without the reservation, TestStreamsAreNotGivenUpForTheSamePlace and TestRequestsAreNotGivenUpForTheSameSlot fail, as both requests are given up and one is lost ("unexpected length ... []uint64{0x1, 0x2}", 1 request left of 2). Both pass with the change.

--- a/internal/director/change_test.go
+++ b/internal/director/change_test.go
@@ -38,6 +38,8 @@
 	// attempt is the attempt in progress, or nil.
 	attempt                          *Dispatch
 	relayed, gone, cancelled, mayRun bool
+	// givenUp reports whether the attempt in progress has been given up.
+	givenUp bool
 	// final is the effect that ended the request, or nil.
 	final Effect
 }
@@ -62,6 +64,11 @@
 		case Abort:
 			r := n.end(e.ID, e)
 			n.Assert(r.relayed || r.gone, qt.IsTrue, qt.Commentf("%d was aborted before its answer", e.ID))
+		case GiveUp:
+			r := n.requests[e.ID]
+			n.Assert(r.attempt, qt.IsNotNil)
+			n.Assert(r.givenUp || r.gone || !r.attempt.Route.Repeatable(), qt.IsFalse, qt.Commentf("%d was given up", e.ID))
+			r.givenUp = true
 		case Cancel:
 			n.Assert(n.requests[e.ID].attempt, qt.IsNotNil)
 			n.requests[e.ID].cancelled = true
@@ -181,6 +188,10 @@
 	case r.attempt != nil && r.attempt.Route.Kind == router.Stream && !r.relayed && n.IntN(2) == 0:
 		r.relayed = true
 		n.check(n.post(ResponseStarted{ID: id, Wait: time.Duration(n.IntN(200)) * time.Millisecond}))
+	case r.givenUp:
+		n.finish(id, TimedOut)
+	case r.attempt != nil && n.IntN(3) == 0:
+		n.check(n.post(AttemptStalled{ID: id, Silent: time.Second, Relayed: r.relayed}))
 	case r.attempt != nil:
 		n.finish(id, pick(n.Rand, Answered, Declined, Misdirected, Unreached, Broken, TimedOut))
 	case n.NeedsTick():
@@ -196,7 +207,7 @@
 	if r.cancelled && result != Answered {
 		result = Cancelled
 	}
-	r.attempt = nil
+	r.attempt, r.givenUp = nil, false
 	r.mayRun = r.mayRun || result == Broken || result == TimedOut
 	n.check(n.post(AttemptFinished{ID: id, Result: result, Status: pick(n.Rand, 200, 200, 500), Relayed: r.relayed, Took: 100 * time.Millisecond}))
 }
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -138,6 +138,9 @@
 	}
 }
 
+// current reports whether an endpoint has not been removed.
+func (d *Director) current(e *endpoint) bool { return d.endpoints[e.entry.ID] == e }
+
 // usable reports whether an endpoint can receive a request now.
 func (d *Director) usable(now time.Time, e *endpoint) bool {
 	if !d.registrar.Usable(e.entry.ID) || now.Before(e.suspendedUntil) {
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -91,7 +91,7 @@
 // the other nodes. It is zero after the endpoint's entry was removed: the other
 // nodes would count its last requests for an endpoint that starts with its ID.
 func (d *Director) ownLoad(e *endpoint) chooser.Load {
-	if d.endpoints[e.entry.ID] != e {
+	if !d.current(e) {
 		return chooser.Load{}
 	}
 
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -37,11 +37,11 @@
 // can take over. Otherwise the attempt goes on, as the endpoint may be sound.
 func (d *Director) handleStalled(now time.Time, s AttemptStalled) {
 	req := d.requests[s.ID]
-	if req == nil || req.endpoint == nil || req.callerGone {
+	if req == nil || req.endpoint == nil || req.callerGone || req.replaced {
 		return
 	}
 	req.relayed = req.relayed || s.Relayed
-	req.replaced = d.allowReplacement(now, req)
+	req.replaced = d.reserveReplacement(now, req)
 	if req.replaced {
 		d.emit(GiveUp{ID: req.ID})
 	}
@@ -49,32 +49,13 @@
 		"silent", s.Silent.String(), "relayed", req.relayed, "replaced", req.replaced)
 }
 
-// allowReplacement reports whether another endpoint can take over a request from
-// that of the attempt in progress, and uses up the retry budget if it can.
-func (d *Director) allowReplacement(now time.Time, req *request) bool {
-	if !req.route.Repeatable() || len(req.tried)+1 >= req.route.Attempts || req.expiresAt.Sub(now) < minAttemptTime {
-		return false
-	}
-	if _, isolated := d.isolator.Isolated(now, req.Need.SharedParts); isolated {
-		return false
-	}
-	cached := req.prefixCached
-	e, _ := d.choose(now, req)
-	req.prefixCached = cached
-	if e != nil && d.engineOf(req) != nil && !req.relayed {
-		e = d.admit(now, req, e)
-	}
-
-	return e != nil && d.mayRetry(now, req.service)
-}
-
 // handleFinished handles the end of an attempt.
 func (d *Director) handleFinished(now time.Time, f AttemptFinished) {
 	req := d.requests[f.ID]
 	if req == nil {
 		return
 	}
-	e := d.release(req)
+	e, reserved := d.release(req), d.releaseReservation(req)
 	req.relayed = req.relayed || f.Relayed
 	req.longestPause = max(req.longestPause, f.LongestPause)
 	req.lastCause = f.Cause
@@ -93,7 +74,7 @@
 		d.handleAnswered(now, req, e, f)
 	case Declined:
 		req.tried = append(req.tried, e.entry.ID)
-		d.retry(now, req, f, ReasonDeclined)
+		d.retry(now, req, f, ReasonDeclined, reserved)
 	case Misdirected, Unreached:
 		req.unreachedCount++
 		if req.unreachedCount >= maxUnreached {
@@ -110,7 +91,7 @@
 
 			return
 		}
-		d.retry(now, req, f, failureReason(f.Result))
+		d.retry(now, req, f, failureReason(f.Result), reserved)
 	case Cancelled:
 		d.abandon(req, ReasonGone)
 	}
@@ -197,9 +178,9 @@
 	return s.retryBudget.AllowRetry(now)
 }
 
-// retry sends a request to another endpoint if the attempts of its route and
-// the retry budget allow it.
-func (d *Director) retry(now time.Time, req *request, f AttemptFinished, reason Reason) {
+// retry sends a request to another endpoint, that of its reservation if there is
+// one, if the attempts of its route and the retry budget allow it.
+func (d *Director) retry(now time.Time, req *request, f AttemptFinished, reason Reason, reserved *reservation) {
 	if d.failIsolated(now, req) {
 		return
 	}
@@ -223,5 +204,14 @@
 	d.emit(Count{Counter: CounterRetries, Label: label})
 	d.log(logger.RequestRetried, "request", req.Name, "route", req.route.Name, "endpoint", req.tried[len(req.tried)-1],
 		"result", f.Result.String(), "cause", f.Cause, "took", f.Took.String(), "parts", formatParts(req.Need.SharedParts), "relayed", req.relayed)
+	if reserved != nil && d.current(reserved.endpoint) && d.takes(now, req, reserved.endpoint) {
+		req.prefixCached = reserved.prefixCached
+		if reserved.holder != nil && !d.current(reserved.holder) {
+			reserved.holder = nil
+		}
+		d.dispatch(now, req, reserved.endpoint, reserved.holder)
+
+		return
+	}
 	d.place(now, req)
 }
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -72,8 +72,10 @@
 	// endpoint is the endpoint of the attempt in progress, or nil.
 	endpoint *endpoint
 	// replaced reports whether the attempt in progress has been given up for
-	// another one, which the retry budget already includes.
+	// another one, which the retry budget already includes. reserved is then the
+	// place of that attempt; otherwise it is nil.
 	replaced bool
+	reserved *reservation
 	// waitUntil, if not zero, extends the time for which the request may wait for
 	// an endpoint.
 	waitUntil time.Time
@@ -291,7 +293,7 @@
 func (d *Director) candidates(now time.Time, req *request) []*chooser.Engine {
 	d.candidateBuffer = d.candidateBuffer[:0]
 	for _, e := range req.service.endpoints {
-		if e != req.endpoint && d.usable(now, e) && !contains(req.tried, e.entry.ID) && d.regionAllowed(req, e) {
+		if d.takes(now, req, e) {
 			d.candidateBuffer = append(d.candidateBuffer, e.load)
 		}
 	}
@@ -299,6 +301,12 @@
 	return d.candidateBuffer
 }
 
+// takes reports whether an endpoint of the request's service can receive the
+// request now.
+func (d *Director) takes(now time.Time, req *request, e *endpoint) bool {
+	return e != req.endpoint && d.usable(now, e) && !contains(req.tried, e.entry.ID) && d.regionAllowed(req, e)
+}
+
 // regionAllowed reports whether a request may run in an endpoint's region.
 func (d *Director) regionAllowed(req *request, e *endpoint) bool {
 	region := d.opts.Regions[e.entry.DataCentre]
--- a/internal/director/silence_test.go
+++ b/internal/director/silence_test.go
@@ -133,3 +133,70 @@
 		}
 	}
 }
+
+// silentPair returns a node with requests 1 and 2 at draining engines, and the
+// only other engine, which is idle.
+func silentPair() (*node, *endpoint) {
+	n := newNode()
+	for id := uint64(1); id <= 2; id++ {
+		n.post(Arrived{Request{ID: id, Name: "r", Host: "h", Path: "/draft/1", Key: "key", Deadline: 6 * time.Second}})
+	}
+	n.now = n.now.Add(time.Second)
+	n.post(ViewConfirmed{n.now})
+	used := []string{n.requests[1].endpoint.entry.ID, n.requests[2].endpoint.entry.ID}
+	var other *endpoint
+	for _, id := range n.endpointIDs() {
+		e := n.endpoints[id]
+		switch {
+		case e.entry.Service != "model":
+		case contains(used, id):
+			draining := e.entry
+			draining.Draining = true
+			n.post(EntryPut{Entry: draining})
+		case other == nil:
+			other = e
+		default:
+			n.post(EntryRemoved{ID: id})
+		}
+	}
+
+	return n, other
+}
+
+// replaceSilent reports both endpoints silent, ends the attempts that are given
+// up, and checks that only one is, and that no request is lost.
+func (n *node) replaceSilent(c *qt.C, relayed bool) {
+	var givenUp []uint64
+	for id := uint64(1); id <= 2; id++ {
+		if n.stall(c, id, relayed) {
+			givenUp = append(givenUp, id)
+		}
+	}
+	for _, id := range givenUp {
+		n.post(AttemptFinished{ID: id, Result: TimedOut, Relayed: relayed})
+	}
+	n.now = n.now.Add(maxMoveWait + time.Millisecond)
+	n.post(Ticked{})
+	c.Check(givenUp, qt.HasLen, 1)
+	c.Check(n.Active(), qt.Equals, 2)
+}
+
+// Guards against streams that are given up for the same place at a cold
+// endpoint, which cuts off all but one.
+func TestStreamsAreNotGivenUpForTheSamePlace(t *testing.T) {
+	n, other := silentPair()
+	entry := other.entry
+	entry.Cold = 3 * time.Second
+	n.post(EntryPut{Entry: entry})
+	other.coldPacer.Limit, other.coldPacer.Window = 1, 2*coldWindow
+	n.replaceSilent(qt.New(t), true)
+}
+
+// Guards against requests that are given up for the same slot, all but one of
+// which then fail.
+func TestRequestsAreNotGivenUpForTheSameSlot(t *testing.T) {
+	n, other := silentPair()
+	other.load.Own.Running = 3
+	n.services["model"].estimator.RecordRunTime(10 * time.Second)
+	n.replaceSilent(qt.New(t), false)
+}
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -6,7 +6,10 @@
 // that fails many of its requests: without it retries could double the load.
 package pacer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Pacer allows at most Limit requests in any sliding window of length Window.
 // The zero value allows none.
@@ -36,6 +39,13 @@
 	}
 }
 
+// Withdraw removes a request that was recorded for the given time but not sent.
+func (p *Pacer) Withdraw(at time.Time) {
+	if i := slices.IndexFunc(p.sent, at.Equal); i >= 0 {
+		p.sent = slices.Delete(p.sent, i, i+1)
+	}
+}
+
 // Budget bounds the retries in a sliding window to a fraction of the requests.
 type Budget struct {
 	// Window is the length of the sliding window of requests and retries.
