Record the use of prompt parts when a request is sent

What engines were told: to fetch the shared parts of a prompt from an engine that had not received them.

Cause: choosing an engine recorded it as the last one to use the prompt parts of the request, also if the request was then not admitted, or if the choice was only made to find out whether another engine could take over from a silent one.

Change: the director records the use when it dispatches a request, for the engine that receives it.

Measured: with the use recorded by the choice, TestCacheHolderHasReceivedThePrompt gets the address of the engine that was only considered (10.0.5.1:80 in place of 10.0.5.0:80), and passes with the change.

--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -394,7 +394,7 @@
 
 // holder returns the engine other than e that most probably has the shared
 // parts in its cache: the one that this node used last, or else the one with
-// the highest rank, which the other nodes use. It also records the use of e.
+// the highest rank, which the other nodes use.
 func (s *Splitter) holder(now time.Time, n Need, e *Engine, engines []*Engine) *Engine {
 	var lastUsed, highest *Engine
 	last, known := s.partUses[n.SharedHash]
@@ -410,7 +410,6 @@
 			highest = other
 		}
 	}
-	s.recordUse(now, n.SharedHash, e)
 	if lastUsed != nil {
 		return lastUsed
 	}
@@ -418,8 +417,12 @@
 	return highest
 }
 
-// recordUse records that an engine has used a part.
-func (s *Splitter) recordUse(now time.Time, part uint64, e *Engine) {
+// RecordUse records that a request is sent to an engine, which then caches the
+// shared parts of its prompt.
+func (s *Splitter) RecordUse(now time.Time, n Need, e *Engine) {
+	if !n.Long() || n.SharedHash == 0 {
+		return
+	}
 	if s.partUses == nil {
 		s.partUses = map[uint64]partUse{}
 	}
@@ -433,7 +436,7 @@
 			clear(s.partUses)
 		}
 	}
-	s.partUses[part] = partUse{engine: e.ID, at: now}
+	s.partUses[n.SharedHash] = partUse{engine: e.ID, at: now}
 }
 
 // rank returns the engine's rendezvous hash for the shared parts of a request.
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -341,6 +341,7 @@
 	d.markChanged(e)
 	if req.usesEngine {
 		req.service.splitter.AddRunning(req.Need, 1)
+		req.service.splitter.RecordUse(now, req.Need, e.load)
 	}
 	account := ""
 	if req.account != nil {
--- a/internal/director/silence_test.go
+++ b/internal/director/silence_test.go
@@ -6,7 +6,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"snipedyke/internal/chooser"
 	"snipedyke/internal/logger"
+	"snipedyke/pkg/encoder"
 )
 
 // stall reports that the endpoint of a request is silent. It returns whether the
@@ -200,3 +202,31 @@
 	n.services["model"].estimator.RecordRunTime(10 * time.Second)
 	n.replaceSilent(qt.New(t), false)
 }
+
+// Guards against fetching the cache of a prompt from an engine that was
+// considered for a request but has not received it.
+func TestCacheHolderHasReceivedThePrompt(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	send := func(id uint64) Dispatch {
+		need := chooser.Need{PromptTokens: 3000, SharedTokens: 2800, SharedHash: 7, SharedParts: []uint64{7}}
+		d, sent := find[Dispatch](n.post(Arrived{Request{ID: id, Name: "r", Host: "h", Path: "/draft/1", Key: "key", Need: need}}))
+		c.Assert(sent, qt.IsTrue)
+
+		return d
+	}
+	first := send(1)
+	n.useUpBudget(1)
+	c.Assert(n.stall(c, 1, false), qt.IsFalse)
+	// All engines are busy but the one that ranks last for the prompt.
+	others := encoder.LoadSum{Nodes: 5}
+	for _, e := range n.endpoints {
+		if e.entry.Address == first.Address || e.entry.Address == first.CacheHolder {
+			others.Loads = append(others.Loads, encoder.Load{Endpoint: e.number, Running: 40})
+		}
+	}
+	n.post(OthersLoadReplaced{others})
+	second := send(2)
+	c.Assert(second.Address, qt.Not(qt.Equals), first.CacheHolder)
+	c.Check(second.CacheHolder, qt.Equals, first.Address)
+}
