Read the response of an endpoint that answers before it has read the request

What callers saw: a request that must not run twice got 502 in place of a retry or 503 if its endpoint refused it without reading its body and closed the connection.

Cause: the write then fails, and the response, which had arrived before the reset, was not read. The attempt counted as broken, after which the request may have run.

Change: if the write of a request fails and a response has arrived, it is read, for at most 100 ms. A response that ends with its connection does not count, as a reset that the write has reported looks like its end, and neither does a stream. The connection is never reused: the endpoint may still wait for the rest of the request.

Measured: with a body of 8 MB, TestEarlyRefusalIsRead gets 502 in place of the 503 and of a complete 400 before the change, and passes with it, 15 times in a row with the race detector. Without the check of the length, two of its cases fail, as a response that was cut off is relayed with 200.

A refusal is found when the write fails. If the endpoint keeps the connection open and does not read, that is at the end of the attempt.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"snipedyke/internal/director"
+	"snipedyke/internal/dispatcher"
 	"snipedyke/internal/router"
 )
 
@@ -27,17 +28,25 @@
 	// lateReadTimeout is the time in which data that has arrived by the end of an
 	// attempt is read.
 	lateReadTimeout = 100 * time.Millisecond
+	// earlyReadTimeout is the time in which a response is read that has arrived
+	// before the request was written.
+	earlyReadTimeout = 100 * time.Millisecond
 	// streamIdleTimeout is the time without an event after which a resumable
 	// stream is resumed at another endpoint if one can take over.
 	streamIdleTimeout = 1200 * time.Millisecond
 )
 
+// identityLength is the ContentLength of a response whose body ends with its
+// connection.
+const identityLength = -2
+
 // The reasons for which a response is not accepted.
 var (
 	errRequestMismatch = errors.New("response belongs to another request")
 	errUnsealed        = errors.New("response has no seal of the endpoint")
 	errContentEncoded  = errors.New("response has a content encoding")
 	errNotStream       = errors.New("response does not resume the stream")
+	errPartlySent      = errors.New("response to a part of the request")
 )
 
 // writerPool holds buffers for writing requests.
@@ -61,6 +70,9 @@
 	lateEnd time.Time
 	// givenUp reports whether the director has given up the attempt.
 	givenUp bool
+	// partlySent reports whether the write of the request has failed. The end of
+	// the connection then does not end a response.
+	partlySent bool
 
 	// stream reads the events of a streamed response, or is nil.
 	stream *eventReader
@@ -139,12 +151,36 @@
 		return director.Unreached
 	}
 	if err := a.write(left); err != nil {
-		return a.failureResult(err)
+		return a.readEarly(err)
 	}
 
 	return a.read()
 }
 
+// readEarly reads the response of an endpoint that has answered a request before
+// it was written. Any other result than a refusal or a complete response is that
+// of the failed write. The connection is not reused, as the endpoint may still
+// wait for the rest of the request.
+func (a *attempt) readEarly(err error) director.Result {
+	result := a.failureResult(err)
+	if a.givenUp || socketState(a.conn.Conn) != dispatcher.SocketReadable {
+		return result
+	}
+	cause := a.finished.Cause
+	a.partlySent, a.patience, a.end = true, 0, time.Now().Add(earlyReadTimeout)
+	if a.extendDeadline() != nil {
+		return result
+	}
+	switch early := a.read(); early {
+	case director.Answered, director.Declined, director.Misdirected:
+		return early
+	default:
+		a.finished.Cause = cause
+
+		return result
+	}
+}
+
 // extendDeadline sets the deadline of the connection for the next data.
 func (a *attempt) extendDeadline() error {
 	deadline := a.end
@@ -244,6 +280,8 @@
 		return a.failureResult(errUnsealed)
 	case len(h.ContentEncoding()) > 0:
 		return a.failureResult(errContentEncoded)
+	case a.partlySent && (h.ContentLength() == identityLength || a.dispatch.Route.Kind == router.Stream && h.StatusCode() == http.StatusOK):
+		return a.failureResult(errPartlySent)
 	}
 	if a.dispatch.Route.Kind == router.Stream && h.StatusCode() == http.StatusOK {
 		return a.beginStream()
@@ -282,7 +320,7 @@
 // closes it if the endpoint asked for that.
 func (a *attempt) releaseConn() {
 	a.call.setEndpointConn(nil)
-	if a.resp.Header.ConnectionClose() {
+	if a.partlySent || a.resp.Header.ConnectionClose() {
 		_ = a.conn.Close()
 	} else {
 		a.call.f.pool.put(a.dispatch.Address, a.conn, time.Now(), &a.resp.Header, a.dispatch.MaxIdle)
--- a/internal/forwarder/framing_test.go
+++ b/internal/forwarder/framing_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -78,3 +79,46 @@
 		})
 	}
 }
+
+// Guards against losing the response of an endpoint that answers before it has
+// read the request and closes the connection, and against taking the reset of
+// that connection for the end of a response.
+func TestEarlyRefusalIsRead(t *testing.T) {
+	for name, test := range map[string]struct {
+		path, response string
+		status         int
+	}{
+		"refusal":           {"/unsafe/x", "HTTP/1.1 503 Full\r\nName: r1\r\nDeclined: 1\r\nContent-Length: 0\r\n\r\n", 503},
+		"answer":            {"/unsafe/x", "HTTP/1.1 400 Bad\r\nName: r1\r\nSeal: s\r\nContent-Length: 3\r\n\r\nbad", 400},
+		"cut off":           {"/unsafe/x", "HTTP/1.1 400 Bad\r\nName: r1\r\nSeal: s\r\nContent-Length: 3\r\n\r\nba", 502},
+		"without length":    {"/unsafe/x", unframedHead + "body", 502},
+		"stream":            {"/stream/x", unframedHead + events(1, 4), 502},
+		"of other request":  {"/unsafe/x", "HTTP/1.1 400 Bad\r\nName: r2\r\nSeal: s\r\nContent-Length: 3\r\n\r\nbad", 502},
+		"without a newline": {"/unsafe/x", "HTTP/1.1 503 Full", 502},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = ln.Close() }()
+			go func() {
+				for {
+					conn, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = conn.Read(make([]byte, 256))
+					_, _ = io.WriteString(conn, test.response)
+					_ = conn.Close()
+				}
+			}()
+			body := strings.Repeat("x", 8<<20)
+			e := &endpoint{addr: ln.Addr().(*net.TCPAddr).AddrPort()}
+			call := startWith(t, func(f *Forwarder) { f.server.MaxRequestBodySize = len(body) }, e).dial(c)
+			call.send("POST", test.path, "r1", body)
+			resp, _, err := call.receive()
+			c.Assert(err, qt.IsNil)
+			c.Check(resp.StatusCode, qt.Equals, test.status)
+		})
+	}
+}
