Do not blame the endpoint for an attempt that the node was late to send

What operators saw: a sound endpoint was suspended and treated as cold, and got no requests, because the deadline of a request had passed before the node wrote it.

Cause: such an attempt ended as unreached, like a failed dial.

Change: it ends with the new result "unsent", which leaves the state of the endpoint as it is.

Measured: the clock advances by a minute while the first request connects.

--- a/internal/director/change_test.go
+++ b/internal/director/change_test.go
@@ -193,7 +193,7 @@
 	case r.attempt != nil && n.IntN(3) == 0:
 		n.check(n.post(AttemptStalled{ID: id, Silent: time.Second, Relayed: r.relayed}))
 	case r.attempt != nil:
-		n.finish(id, pick(n.Rand, Answered, Declined, Misdirected, Unreached, Broken, TimedOut))
+		n.finish(id, pick(n.Rand, Answered, Declined, Misdirected, Unreached, Unsent, Broken, TimedOut))
 	case n.NeedsTick():
 		n.check(n.post(Ticked{}))
 	default:
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -107,11 +107,14 @@
 	TimedOut
 	// Cancelled is an attempt that the director cancelled.
 	Cancelled
+	// Unsent is an attempt whose deadline passed before any byte was sent, through
+	// no fault of the endpoint.
+	Unsent
 )
 
 // String returns the name of the result.
 func (r Result) String() string {
-	names := [...]string{"answered", "declined", "misdirected", "unreached", "broken", "silent", "cancelled"}
+	names := [...]string{"answered", "declined", "misdirected", "unreached", "broken", "silent", "cancelled", "unsent"}
 	if int(r) < len(names) {
 		return names[r]
 	}
@@ -333,4 +336,4 @@
 }
 
 // Results lists all results.
-var Results = []Result{Answered, Declined, Misdirected, Unreached, Broken, TimedOut, Cancelled}
+var Results = []Result{Answered, Declined, Misdirected, Unreached, Broken, TimedOut, Cancelled, Unsent}
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -75,7 +75,7 @@
 	case Declined:
 		req.tried = append(req.tried, e.entry.ID)
 		d.retry(now, req, f, ReasonDeclined, reserved)
-	case Misdirected, Unreached:
+	case Misdirected, Unreached, Unsent:
 		req.unreachedCount++
 		if req.unreachedCount >= maxUnreached {
 			d.fail(now, req, ReasonNoEndpoint)
@@ -122,7 +122,7 @@
 		d.isolator.RecordEnded(now, e.number)
 	case Broken, TimedOut:
 		e.recordOutcome(true)
-	case Cancelled:
+	case Cancelled, Unsent:
 	}
 	if f.Cold > 0 {
 		d.markCold(now, e, f.Cold)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -140,7 +140,7 @@
 	a.conn = conn
 	left := a.dispatch.Deadline.Sub(a.call.f.opts.Clock())
 	if !a.call.setEndpointConn(conn) || left <= 0 {
-		return director.Unreached
+		return director.Unsent
 	}
 	a.end = time.Now().Add(left + responseMargin)
 	if !a.dispatch.FirstByteDeadline.IsZero() {
@@ -148,7 +148,7 @@
 	}
 	conn.onTimeout = a.continueAfterTimeout
 	if a.extendDeadline() != nil {
-		return director.Unreached
+		return director.Unsent
 	}
 	if err := a.write(left); err != nil {
 		return a.readEarly(err)
--- a/internal/forwarder/silence_test.go
+++ b/internal/forwarder/silence_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -175,3 +176,24 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(resp.StatusCode, qt.Equals, 200)
 }
+
+// Guards against suspending a sound endpoint because the node was late.
+func TestLateNodeDoesNotSuspendEndpoint(t *testing.T) {
+	c := qt.New(t)
+	var late atomic.Int64
+	call := startWith(t, func(f *Forwarder) {
+		f.opts.Clock = func() time.Time { return time.Now().Add(time.Duration(late.Load())) }
+		control := f.pool.dialer.Control
+		f.pool.dialer.Control = func(network, address string, raw syscall.RawConn) error {
+			late.Store(int64(time.Minute))
+
+			return control(network, address, raw)
+		}
+	}, newEndpoint(t, respondOK)).dial(c)
+	for _, status := range []int{503, 200} {
+		call.send("POST", "/quick/x", "r1", "")
+		resp, _, err := call.receive()
+		c.Assert(err, qt.IsNil)
+		c.Check(resp.StatusCode, qt.Equals, status)
+	}
+}
