Let a broken stream wait again if its next endpoint is not reached

What callers saw: a stream that had broken off and then found an endpoint was cut off at once if that one could not be reached, although another would have been usable a moment later.

Cause: the time to wait, 1 s, counts from the end of the broken attempt. A request that is sent near its end, or whose dial takes long, has none left afterwards.

Change: the time begins anew after an attempt that has not reached its endpoint.

Measured: TestBrokenStreamWaitsAgainAfterUnreachedEndpoint fails before, as the stream is aborted ("value is not false", got true), and passes with the change.

--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -82,6 +82,9 @@
 
 			return
 		}
+		if !req.waitUntil.IsZero() {
+			req.waitUntil = now.Add(maxMoveWait)
+		}
 		d.place(now, req)
 	case Broken, TimedOut:
 		req.mayHaveRun = true
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -25,8 +25,8 @@
 	// waitDivisor before it is refused.
 	waitDivisor = 8
 	// maxMoveWait is how long a request waits for an endpoint after its stream has
-	// broken off, or after its endpoint was given up. Refusing it would cut off
-	// or lose an answer.
+	// broken off, or after its endpoint was given up, and again after each endpoint
+	// that it does not reach then. Refusing it would cut off or lose an answer.
 	maxMoveWait = time.Second
 	// minAttemptTime is the least remaining time for which an attempt is still
 	// made.
--- a/internal/director/silence_test.go
+++ b/internal/director/silence_test.go
@@ -230,3 +230,26 @@
 	c.Assert(second.Address, qt.Not(qt.Equals), first.CacheHolder)
 	c.Check(second.CacheHolder, qt.Equals, first.Address)
 }
+
+// Guards against cutting off a stream because the endpoint that was to resume it
+// is not reached, and the time to wait for another one has passed.
+func TestBrokenStreamWaitsAgainAfterUnreachedEndpoint(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	_, sent := find[Dispatch](n.post(Arrived{Request{ID: 1, Name: "r1", Host: "h", Path: "/draft/1", Key: "key", Deadline: 5 * time.Second}}))
+	c.Assert(sent, qt.IsTrue)
+	n.now = n.now.Add(time.Second)
+	next, resumed := find[Dispatch](n.post(AttemptFinished{ID: 1, Result: Broken, Relayed: true}))
+	c.Assert(resumed, qt.IsTrue)
+	for id, e := range n.endpoints {
+		if id != next.Endpoint {
+			e.suspendedUntil = n.now.Add(maxMoveWait * 3 / 2)
+		}
+	}
+	n.now = n.now.Add(maxMoveWait + time.Millisecond)
+	_, aborted := find[Abort](n.post(AttemptFinished{ID: 1, Result: Unreached}))
+	c.Assert(aborted, qt.IsFalse)
+	n.now = n.now.Add(maxMoveWait / 2)
+	_, resumed = find[Dispatch](n.post(Ticked{}))
+	c.Check(resumed, qt.IsTrue)
+}
