--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -28,8 +28,8 @@
 	// waitDivisor before it is refused.
 	waitDivisor = 8
 	// maxMoveWait is how long a request waits for an endpoint after its stream has
-	// broken off, or after its endpoint was given up. Refusing it would cut off
-	// or lose an answer.
+	// broken off, or after its endpoint was given up, and again after each endpoint
+	// that it does not reach then. Refusing it would cut off or lose an answer.
 	maxMoveWait = time.Second
 	// minAttemptTime is the least remaining time for which an attempt is still
 	// made.
@@ -77,8 +77,10 @@
 	// endpoint is the endpoint of the attempt in progress, or nil.
 	endpoint *endpoint
 	// replaced reports whether the attempt in progress has been given up for
-	// another one, which the retry budget already includes.
+	// another one, which the retry budget already includes. reserved is then the
+	// place of that attempt; otherwise it is nil.
 	replaced bool
+	reserved *reservation
 	// waitUntil, if not zero, extends the time for which the request may wait for
 	// an endpoint.
 	waitUntil time.Time
@@ -301,7 +303,7 @@
 func (d *Director) candidates(now time.Time, req *request) []*chooser.Engine {
 	d.candidateBuffer = d.candidateBuffer[:0]
 	for _, e := range req.service.endpoints {
-		if e != req.endpoint && d.usable(now, e) && !contains(req.tried, e.entry.ID) && d.regionAllowed(req, e) {
+		if d.takes(now, req, e) {
 			d.candidateBuffer = append(d.candidateBuffer, e.load)
 		}
 	}
@@ -309,6 +311,12 @@
 	return d.candidateBuffer
 }
 
+// takes reports whether an endpoint of the request's service can receive the
+// request now.
+func (d *Director) takes(now time.Time, req *request, e *endpoint) bool {
+	return e != req.endpoint && d.usable(now, e) && !contains(req.tried, e.entry.ID) && d.regionAllowed(req, e)
+}
+
 // regionAllowed reports whether a request may run in an endpoint's region.
 func (d *Director) regionAllowed(req *request, e *endpoint) bool {
 	region := d.opts.Regions[e.entry.DataCentre]
@@ -343,6 +351,7 @@
 	d.markChanged(e)
 	if req.usesEngine {
 		req.service.splitter.AddRunning(req.Need, 1)
+		req.service.splitter.RecordUse(now, req.Need, e.load)
 	}
 	account := ""
 	if req.account != nil {
--- a/internal/director/silence_test.go
+++ b/internal/director/silence_test.go
@@ -6,7 +6,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"snipedyke/internal/chooser"
 	"snipedyke/internal/logger"
+	"snipedyke/pkg/encoder"
 )
 
 // stall reports that the endpoint of a request is silent. It returns whether the
@@ -157,3 +159,121 @@
 	c.Check(aborted, qt.IsTrue)
 	c.Check(declined, qt.Equals, 4)
 }
+
+// silentPair returns a node with requests 1 and 2 at draining engines, and the
+// only other engine, which is idle.
+func silentPair() (*node, *endpoint) {
+	n := newNode()
+	for id := uint64(1); id <= 2; id++ {
+		n.post(Arrived{Request{ID: id, Name: "r", Host: "h", Path: "/draft/1", Key: "key", Deadline: 6 * time.Second}})
+	}
+	n.now = n.now.Add(time.Second)
+	n.post(ViewConfirmed{n.now})
+	used := []string{n.requests[1].endpoint.entry.ID, n.requests[2].endpoint.entry.ID}
+	var other *endpoint
+	for _, id := range n.endpointIDs() {
+		e := n.endpoints[id]
+		switch {
+		case e.entry.Service != "model":
+		case contains(used, id):
+			draining := e.entry
+			draining.Draining = true
+			n.post(EntryPut{Entry: draining})
+		case other == nil:
+			other = e
+		default:
+			n.post(EntryRemoved{ID: id})
+		}
+	}
+
+	return n, other
+}
+
+// replaceSilent reports both endpoints silent, ends the attempts that are given
+// up, and checks that only one is, and that no request is lost.
+func (n *node) replaceSilent(c *qt.C, relayed bool) {
+	var givenUp []uint64
+	for id := uint64(1); id <= 2; id++ {
+		if n.stall(c, id, relayed) {
+			givenUp = append(givenUp, id)
+		}
+	}
+	for _, id := range givenUp {
+		n.post(AttemptFinished{ID: id, Result: TimedOut, Relayed: relayed})
+	}
+	n.now = n.now.Add(maxMoveWait + time.Millisecond)
+	n.post(Ticked{})
+	c.Check(givenUp, qt.HasLen, 1)
+	c.Check(n.Active(), qt.Equals, 2)
+}
+
+// Guards against streams that are given up for the same place at a cold
+// endpoint, which cuts off all but one.
+func TestStreamsAreNotGivenUpForTheSamePlace(t *testing.T) {
+	n, other := silentPair()
+	entry := other.entry
+	entry.Cold = 3 * time.Second
+	n.post(EntryPut{Entry: entry})
+	other.coldPacer.Limit, other.coldPacer.Window = 1, 2*coldWindow
+	n.replaceSilent(qt.New(t), true)
+}
+
+// Guards against requests that are given up for the same slot, all but one of
+// which then fail.
+func TestRequestsAreNotGivenUpForTheSameSlot(t *testing.T) {
+	n, other := silentPair()
+	other.load.Own.Running = 3
+	n.services["model"].estimator.RecordRunTime(10 * time.Second)
+	n.replaceSilent(qt.New(t), false)
+}
+
+// Guards against fetching the cache of a prompt from an engine that was
+// considered for a request but has not received it.
+func TestCacheHolderHasReceivedThePrompt(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	send := func(id uint64) Dispatch {
+		need := chooser.Need{PromptTokens: 3000, SharedTokens: 2800, SharedHash: 7, SharedParts: []uint64{7}}
+		d, sent := find[Dispatch](n.post(Arrived{Request{ID: id, Name: "r", Host: "h", Path: "/draft/1", Key: "key", Need: need}}))
+		c.Assert(sent, qt.IsTrue)
+
+		return d
+	}
+	first := send(1)
+	n.useUpBudget(1)
+	c.Assert(n.stall(c, 1, false), qt.IsFalse)
+	// All engines are busy but the one that ranks last for the prompt.
+	others := encoder.LoadSum{Nodes: 5}
+	for _, e := range n.endpoints {
+		if e.entry.Address == first.Address || e.entry.Address == first.CacheHolder {
+			others.Loads = append(others.Loads, encoder.Load{Endpoint: e.number, Running: 40})
+		}
+	}
+	n.post(OthersLoadReplaced{others})
+	second := send(2)
+	c.Assert(second.Address, qt.Not(qt.Equals), first.CacheHolder)
+	c.Check(second.CacheHolder, qt.Equals, first.Address)
+}
+
+// Guards against cutting off a stream because the endpoint that was to resume it
+// is not reached, and the time to wait for another one has passed.
+func TestBrokenStreamWaitsAgainAfterUnreachedEndpoint(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	_, sent := find[Dispatch](n.post(Arrived{Request{ID: 1, Name: "r1", Host: "h", Path: "/draft/1", Key: "key", Deadline: 5 * time.Second}}))
+	c.Assert(sent, qt.IsTrue)
+	n.now = n.now.Add(time.Second)
+	next, resumed := find[Dispatch](n.post(AttemptFinished{ID: 1, Result: Broken, Relayed: true}))
+	c.Assert(resumed, qt.IsTrue)
+	for id, e := range n.endpoints {
+		if id != next.Endpoint {
+			e.suspendedUntil = n.now.Add(maxMoveWait * 3 / 2)
+		}
+	}
+	n.now = n.now.Add(maxMoveWait + time.Millisecond)
+	_, aborted := find[Abort](n.post(AttemptFinished{ID: 1, Result: Unreached}))
+	c.Assert(aborted, qt.IsFalse)
+	n.now = n.now.Add(maxMoveWait / 2)
+	_, resumed = find[Dispatch](n.post(Ticked{}))
+	c.Check(resumed, qt.IsTrue)
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"snipedyke/internal/director"
+	"snipedyke/internal/dispatcher"
 	"snipedyke/internal/router"
 )
 
@@ -25,17 +26,28 @@
 	// responseMargin is the additional time that a response is awaited after
 	// the deadline sent to the endpoint.
 	responseMargin = 100 * time.Millisecond
+	// lateReadTimeout is the time in which data that has arrived by the end of an
+	// attempt is read.
+	lateReadTimeout = 100 * time.Millisecond
+	// earlyReadTimeout is the time in which a response is read that has arrived
+	// before the request was written.
+	earlyReadTimeout = 100 * time.Millisecond
 	// streamIdleTimeout is the time without an event after which a resumable
 	// stream is resumed at another endpoint if one can take over.
 	streamIdleTimeout = 1200 * time.Millisecond
 )
 
+// identityLength is the ContentLength of a response whose body ends with its
+// connection.
+const identityLength = -2
+
 // The reasons for which a response is not accepted.
 var (
 	errRequestMismatch = errors.New("response may belong to another request")
 	errUnsealed        = errors.New("response has no seal of the endpoint")
 	errContentEncoded  = errors.New("response has a content encoding")
 	errNotStream       = errors.New("response does not resume the stream")
+	errPartlySent      = errors.New("response to a part of the request")
 )
 
 // writerPool holds buffers for writing requests.
@@ -54,8 +66,14 @@
 	// zero if it goes on until the end.
 	end      time.Time
 	patience time.Duration
+	// lateEnd is the end of the additional time for reading data that had arrived
+	// by end, or zero if there was none.
+	lateEnd time.Time
 	// givenUp reports whether the director has given up the attempt.
 	givenUp bool
+	// partlySent reports whether the write of the request has failed. The end of
+	// the connection then does not end a response.
+	partlySent bool
 
 	// stream reads the events of a streamed response, or is nil.
 	stream *eventReader
@@ -123,7 +141,7 @@
 	a.conn = conn
 	left := a.dispatch.Deadline.Sub(a.call.f.opts.Clock())
 	if !a.call.setEndpointConn(conn) || left <= 0 {
-		return director.Unreached
+		return director.Unsent
 	}
 	a.end = time.Now().Add(left + responseMargin)
 	if !a.dispatch.FirstByteDeadline.IsZero() {
@@ -131,15 +149,39 @@
 	}
 	conn.onTimeout = a.continueAfterTimeout
 	if a.extendDeadline() != nil {
-		return director.Unreached
+		return director.Unsent
 	}
 	if err := a.write(left); err != nil {
-		return a.failureResult(err)
+		return a.readEarly(err)
 	}
 
 	return a.read()
 }
 
+// readEarly reads the response of an endpoint that has answered a request before
+// it was written. Any other result than a refusal or a complete response is that
+// of the failed write. The connection is not reused, as the endpoint may still
+// wait for the rest of the request.
+func (a *attempt) readEarly(err error) director.Result {
+	result := a.failureResult(err)
+	if a.givenUp || socketState(a.conn.Conn) != dispatcher.SocketReadable {
+		return result
+	}
+	cause := a.finished.Cause
+	a.partlySent, a.patience, a.end = true, 0, time.Now().Add(earlyReadTimeout)
+	if a.extendDeadline() != nil {
+		return result
+	}
+	switch early := a.read(); early {
+	case director.Answered, director.Declined, director.Misdirected:
+		return early
+	default:
+		a.finished.Cause = cause
+
+		return result
+	}
+}
+
 // extendDeadline sets the deadline of the connection for the next data.
 func (a *attempt) extendDeadline() error {
 	deadline := a.end
@@ -153,9 +195,20 @@
 }
 
 // continueAfterTimeout reports whether the attempt goes on after a read or write
-// has timed out, and extends the deadline if it does.
-func (a *attempt) continueAfterTimeout() bool {
-	if a.patience == 0 || !time.Now().Before(a.end) {
+// has timed out, and extends the deadline if it does. An endpoint whose data has
+// arrived is not silent.
+func (a *attempt) continueAfterTimeout(arrived bool) bool {
+	now := time.Now()
+	switch {
+	case !now.Before(a.end):
+		if a.lateEnd.IsZero() {
+			a.lateEnd = now.Add(lateReadTimeout)
+		}
+
+		return arrived && now.Before(a.lateEnd) && a.conn.SetDeadline(a.lateEnd) == nil
+	case arrived:
+		return a.extendDeadline() == nil
+	case a.patience == 0:
 		return false
 	}
 	// Post carries out GiveUp before it returns.
@@ -253,6 +306,8 @@
 		return a.failureResult(errUnsealed)
 	case len(h.ContentEncoding()) > 0:
 		return a.failureResult(errContentEncoded)
+	case a.partlySent && (h.ContentLength() == identityLength || a.dispatch.Route.Kind == router.Stream && h.StatusCode() == http.StatusOK):
+		return a.failureResult(errPartlySent)
 	}
 	if a.dispatch.Route.Kind == router.Stream && h.StatusCode() == http.StatusOK {
 		return a.beginStream()
@@ -291,7 +346,7 @@
 // closes it if the endpoint asked for that.
 func (a *attempt) releaseConn() {
 	a.call.setEndpointConn(nil)
-	if a.resp.Header.ConnectionClose() {
+	if a.partlySent || a.resp.Header.ConnectionClose() {
 		_ = a.conn.Close()
 	} else {
 		a.call.f.pool.put(a.dispatch.Address, a.conn, time.Now(), &a.resp.Header, a.dispatch.MaxIdle)
--- a/internal/forwarder/callerconn.go
+++ b/internal/forwarder/callerconn.go
@@ -119,7 +119,7 @@
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
-	if c.state.Load() == connActive && c.hasUnread() {
+	if c.state.Load() == connActive && socketState(c.Conn) == dispatcher.SocketReadable {
 		c.linger()
 	}
 	c.listener.mu.Lock()
@@ -154,7 +154,7 @@
 	case connClosed:
 		return true
 	}
-	if time.Since(c.acceptedAt) < minConnAge || c.hasUnread() || !c.state.CompareAndSwap(connIdle, connClosed) {
+	if time.Since(c.acceptedAt) < minConnAge || socketState(c.Conn) == dispatcher.SocketReadable || !c.state.CompareAndSwap(connIdle, connClosed) {
 		return false
 	}
 	_ = c.Conn.Close()
@@ -162,19 +162,6 @@
 	return true
 }
 
-// hasUnread reports whether the connection has bytes that have not been read.
-func (c *callerConn) hasUnread() bool {
-	raw := dispatcher.RawConn(c.Conn)
-	if raw == nil {
-		return false
-	}
-	state := dispatcher.SocketClosed
-	// Read would wait for the read that is in progress.
-	_ = raw.Control(func(fd uintptr) { state = dispatcher.PeekSocket(fd) })
-
-	return state == dispatcher.SocketReadable
-}
-
 // watch calls onClose if the caller disconnects before unwatch is called.
 func (c *callerConn) watch(onClose func()) {
 	if c.hasPeeked {
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -20,6 +20,9 @@
 	// dialTimeout limits the time to connect. Connecting takes a few
 	// milliseconds, and a lost SYN packet is retransmitted only after a second.
 	dialTimeout = 250 * time.Millisecond
+	// lateDial is the delay of a timeout from which the process is taken to have
+	// been suspended.
+	lateDial = 20 * time.Millisecond
 	// unackedTimeout is the maximum time that sent data may remain unacknowledged
 	// by the endpoint's host. A sound host may be silent for a second or so, and
 	// retransmissions may take as long again to get through.
@@ -43,8 +46,9 @@
 	net.Conn
 	br *bufio.Reader
 	// onTimeout reports whether a read or write that has exceeded its deadline
-	// goes on. It is nil while the connection is idle.
-	onTimeout func() bool
+	// goes on. arrived reports whether a read would return at once. It is nil while
+	// the connection is idle.
+	onTimeout func(arrived bool) bool
 	// lastUsed is the time at which the last response ended. idleTimeout is the
 	// time that the connection may be kept idle.
 	lastUsed    time.Time
@@ -58,7 +62,9 @@
 func (c *endpointConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		if n > 0 || !c.goesOn(err) {
+		// A read after the deadline fails without trying the socket, which may
+		// hold data that arrived in time if the process did not run meanwhile.
+		if n > 0 || !isTimeout(err) || !c.goesOn(socketState(c.Conn) != dispatcher.SocketIdle) {
 			return n, err
 		}
 	}
@@ -70,14 +76,27 @@
 	for {
 		n, err := c.Conn.Write(p[written:])
 		written += n
-		if written == len(p) || !c.goesOn(err) {
+		if written == len(p) || !isTimeout(err) || !c.goesOn(false) {
 			return written, err
 		}
 	}
 }
 
-func (c *endpointConn) goesOn(err error) bool {
-	return c.onTimeout != nil && isTimeout(err) && c.onTimeout()
+func (c *endpointConn) goesOn(arrived bool) bool {
+	return c.onTimeout != nil && c.onTimeout(arrived)
+}
+
+// socketState returns the state of a connection, even if its deadline has passed
+// or another goroutine is reading from it.
+func socketState(conn net.Conn) dispatcher.SocketState {
+	raw := dispatcher.RawConn(conn)
+	if raw == nil {
+		return dispatcher.SocketIdle
+	}
+	state := dispatcher.SocketClosed
+	_ = raw.Control(func(fd uintptr) { state = dispatcher.PeekSocket(fd) })
+
+	return state
 }
 
 // pool holds idle connections to endpoints.
@@ -117,7 +136,7 @@
 		}
 		_ = c.Close()
 	}
-	conn, err := p.dialer.Dial("tcp", address.String())
+	conn, err := p.dial(address)
 	if err != nil {
 		return nil, err
 	}
@@ -128,6 +147,19 @@
 	return c, nil
 }
 
+// dial connects to an address. It repeats a dial that ends much later than its
+// timeout: the process did not run for a while, and the dialer reports a timeout
+// even if the connection was established meanwhile.
+func (p *pool) dial(address netip.AddrPort) (net.Conn, error) {
+	start := time.Now()
+	conn, err := p.dialer.Dial("tcp", address.String())
+	if err != nil && time.Since(start) >= dialTimeout+lateDial {
+		return p.dialer.Dial("tcp", address.String())
+	}
+
+	return conn, err
+}
+
 // pop removes and returns the most recently used connection, or returns nil if
 // there is none.
 func (p *pool) pop(address netip.AddrPort) *endpointConn {
--- a/internal/forwarder/silence_test.go
+++ b/internal/forwarder/silence_test.go
@@ -5,10 +5,14 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"snipedyke/internal/dispatcher"
 )
 
 // Guards against ending an answer because its only endpoint is silent for a
@@ -115,3 +119,81 @@
 	c.Assert(e.requests(), qt.HasLen, 1)
 	c.Check(e.body[0] == body, qt.IsTrue)
 }
+
+// Guards against taking an endpoint for silent whose data has arrived, because
+// the process did not run for a while.
+func TestDataThatHasArrivedIsReadAfterDeadline(t *testing.T) {
+	for name, left := range map[string]time.Duration{"silent": time.Minute, "end of attempt": -time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = ln.Close() }()
+			conn, err := net.Dial("tcp", ln.Addr().String())
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = conn.Close() }()
+			peer, err := ln.Accept()
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = peer.Close() }()
+			_, err = peer.Write([]byte("answer"))
+			c.Assert(err, qt.IsNil)
+			for dispatcher.ConnState(conn) != dispatcher.SocketReadable {
+				continue
+			}
+			e := &endpointConn{Conn: conn}
+			a := &attempt{conn: e, end: time.Now().Add(left)}
+			e.onTimeout = a.continueAfterTimeout
+			c.Assert(e.SetDeadline(time.Now().Add(-time.Millisecond)), qt.IsNil)
+			answer := make([]byte, 6)
+			_, err = io.ReadFull(e, answer)
+			c.Check(err, qt.IsNil)
+			c.Check(string(answer), qt.Equals, "answer")
+		})
+	}
+}
+
+// Guards against suspending a sound endpoint because the process did not run
+// while it connected.
+func TestLateDialIsRepeated(t *testing.T) {
+	c := qt.New(t)
+	e := newEndpoint(t, respondOK)
+	suspended := make(chan time.Duration, 1)
+	suspended <- 2 * dialTimeout
+	call := startWith(t, func(f *Forwarder) {
+		control := f.pool.dialer.Control
+		f.pool.dialer.Control = func(network, address string, raw syscall.RawConn) error {
+			select {
+			case d := <-suspended:
+				<-time.After(d)
+			default:
+			}
+
+			return control(network, address, raw)
+		}
+	}, e).dial(c)
+	call.send("POST", "/quick/x", "r1", "")
+	resp, _, err := call.receive()
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.StatusCode, qt.Equals, 200)
+}
+
+// Guards against suspending a sound endpoint because the node was late.
+func TestLateNodeDoesNotSuspendEndpoint(t *testing.T) {
+	c := qt.New(t)
+	var late atomic.Int64
+	call := startWith(t, func(f *Forwarder) {
+		f.opts.Clock = func() time.Time { return time.Now().Add(time.Duration(late.Load())) }
+		control := f.pool.dialer.Control
+		f.pool.dialer.Control = func(network, address string, raw syscall.RawConn) error {
+			late.Store(int64(time.Minute))
+
+			return control(network, address, raw)
+		}
+	}, newEndpoint(t, respondOK)).dial(c)
+	for _, status := range []int{503, 200} {
+		call.send("POST", "/quick/x", "r1", "")
+		resp, _, err := call.receive()
+		c.Assert(err, qt.IsNil)
+		c.Check(resp.StatusCode, qt.Equals, status)
+	}
+}
