Send no response on connections without a request

A caller that connected and sent its first request more than 10 s later found a 408 on the connection, which it could take for the response to that request. The HTTP server answers the timeout of the first byte of a new connection, unlike that of later requests.

Such a connection is now closed without a response. Requests of which a part has arrived in time get 408 as before.

TestConnectionWithoutRequestGetsNoResponse got the 408 before, want nothing.

--- a/internal/forwarder/callerconn.go
+++ b/internal/forwarder/callerconn.go
@@ -106,6 +106,10 @@
 		c.state.Store(connIdle)
 	}
 	n, err := c.Conn.Read(p)
+	if n == 0 && isTimeout(err) && c.state.Load() == connIdle {
+		// The HTTP server responds with 408 to a new connection without a request.
+		return 0, io.EOF
+	}
 	if n > 0 && !c.state.CompareAndSwap(connIdle, connActive) && c.state.Load() == connClosed {
 		return 0, net.ErrClosed
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -291,3 +291,13 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(resp.StatusCode, qt.Equals, 504)
 }
+
+// Guards against a response on a connection that has not sent a request, which its
+// caller would take for the response to the next one.
+func TestConnectionWithoutRequestGetsNoResponse(t *testing.T) {
+	c := qt.New(t)
+	s := startWith(t, func(f *Forwarder) { f.server.ReadTimeout = 10 * time.Millisecond })
+	got, err := io.ReadAll(s.dial(c))
+	c.Assert(err, qt.IsNil)
+	c.Check(string(got), qt.Equals, "")
+}
