Outlast temporary errors of accept

A node that ran out of file descriptors ended, and cut off all requests in progress. If the readiness server met the error instead, that server ended silently, and the node stayed out of rotation until its next restart. The same holds for the metrics, the administration API and the callers' interface of the own interface, whose end stops the node.

fasthttp takes each error of Accept other than a timeout as permanent: also EMFILE, ENFILE, ENOBUFS, ENOMEM, ECONNABORTED, EPROTO and pending network errors, which all pass.

acceptor.Listener waits 5 to 100 ms after a failure, logs event 730 and goes on until it is closed; Close ends the wait. All HTTP listeners use it. The messenger has such a loop already.

Without the retry, the test of the forwarder failed with "Run returned with a request in progress: forwarder: serve callers: cannot serve: accept tcp: too many open files", and that of the acceptor with "accept: too many open files".

--- a/internal/administrator/administrator.go
+++ b/internal/administrator/administrator.go
@@ -23,6 +23,7 @@
 
 	"github.com/gofiber/fiber/v3"
 
+	"snipedyke/internal/acceptor"
 	"snipedyke/internal/logger"
 )
 
@@ -84,6 +85,7 @@
 
 // New returns an administrator, which serves no calls before Run.
 func New(opts Options) *Administrator {
+	opts.Listener = acceptor.New(opts.Listener, "administration", opts.Logger)
 	a := &Administrator{opts: opts, token: sha256.Sum256([]byte(opts.Token))}
 	a.app = fiber.New(fiber.Config{
 		BodyLimit: maxBodySize, Concurrency: maxConnections, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"snipedyke/internal/acceptor"
 	"snipedyke/internal/configurer"
 	"snipedyke/internal/director"
 	"snipedyke/internal/exchanger"
@@ -102,11 +103,11 @@
 		Output: n.logWriter, Format: logger.Format(s.Log.Format), Level: hclog.LevelFromString(s.Log.Level), Node: s.Name,
 	}), n.logWriter)
 	var err error
-	if n.readiness, err = listen("readiness", s.Readiness); err != nil {
+	if n.readiness, err = n.listen("readiness", s.Readiness); err != nil {
 		return nil, err
 	}
 	if s.Metrics.IsValid() {
-		if n.metrics, err = listen("metrics", s.Metrics); err != nil {
+		if n.metrics, err = n.listen("metrics", s.Metrics); err != nil {
 			return nil, errors.Join(err, n.readiness.Close())
 		}
 	}
@@ -144,6 +145,16 @@
 	return n, nil
 }
 
+// listen returns a listener whose failures to accept are logged.
+func (n *RoutingNode) listen(name string, address netip.AddrPort) (net.Listener, error) {
+	l, err := listen(name, address)
+	if err != nil {
+		return nil, err
+	}
+
+	return acceptor.New(l, name, n.logger), nil
+}
+
 // directorOptions converts settings to the options of a director.
 func directorOptions(s configurer.Routing) director.Options {
 	return director.Options{
@@ -213,8 +224,8 @@
 	server := fasthttp.Server{
 		Handler: handler, ReadTimeout: httpReadTimeout, NoDefaultServerHeader: true, Logger: hclog.NewNullLogger().StandardLogger(&hclog.StandardLoggerOptions{}),
 	}
-	// Serve returns an error when Run closes the listener at shutdown. Run logs
-	// the shutdown itself.
+	// Serve returns once Run has closed the listener at shutdown. Run logs the
+	// shutdown itself.
 	_ = server.Serve(l)
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"snipedyke/internal/acceptor"
 	"snipedyke/internal/director"
 	"snipedyke/internal/logger"
 	"snipedyke/pkg/encoder"
@@ -95,7 +96,7 @@
 	}
 	f := &Forwarder{
 		opts: opts, pool: newPool(), director: director.New(opts.Director), calls: map[uint64]*call{}, streamIdleTimeout: streamIdleTimeout,
-		listener: &listener{Listener: ln, conns: map[*callerConn]struct{}{}},
+		listener: &listener{Listener: acceptor.New(ln, "callers", opts.Logger), conns: map[*callerConn]struct{}{}},
 	}
 	f.server = &fasthttp.Server{
 		Handler:                      f.serve,
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -6,10 +6,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"snipedyke/internal/acceptor"
 )
 
 func respondOK(conn net.Conn, r *http.Request) bool {
@@ -291,3 +294,54 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(resp.StatusCode, qt.Equals, 504)
 }
+
+// exhaustedListener closes its second connection and reports that the process
+// has no file descriptor left.
+type exhaustedListener struct {
+	net.Listener
+	accepted int
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if l.accepted++; err != nil || l.accepted != 2 {
+		return conn, err
+	}
+	_ = conn.Close()
+
+	return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+}
+
+// Guards against a node that ends, and cuts off all requests, because it has no
+// descriptor for a connection.
+func TestNodeOutlastsLackOfDescriptors(t *testing.T) {
+	c := qt.New(t)
+	working, finish := make(chan bool), make(chan bool)
+	e := newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+		working <- true
+		<-finish
+
+		return reply(conn, r, 200, "answer")
+	})
+	s := startWith(t, func(f *Forwarder) {
+		l := f.listener.Listener.(*acceptor.Listener)
+		l.Listener = &exhaustedListener{Listener: l.Listener}
+	}, e)
+	call := s.dial(c)
+	call.send("POST", "/unsafe/x", "r1", "")
+	<-working
+	_, _ = s.dial(c).Read(make([]byte, 1))
+	next := s.dial(c)
+	next.send("POST", "/unsafe/x", "r2", "")
+	select {
+	case <-working:
+	case err := <-s.done:
+		c.Fatalf("Run returned with a request in progress: %v", err)
+	}
+	close(finish)
+	for _, call := range []*caller{call, next} {
+		_, body, err := call.receive()
+		c.Assert(err, qt.IsNil)
+		c.Check(body, qt.Equals, "answer")
+	}
+}
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"snipedyke/internal/acceptor"
 	"snipedyke/internal/dispatcher"
 	"snipedyke/pkg/encoder"
 )
@@ -26,7 +27,7 @@
 		return nil, err
 	}
 
-	return &callerListener{Listener: ln, writeTimeout: opts.WriteTimeout, maxOpen: int64(opts.MaxConnections)}, nil
+	return &callerListener{Listener: acceptor.New(ln, "callers", opts.Logger), writeTimeout: opts.WriteTimeout, maxOpen: int64(opts.MaxConnections)}, nil
 }
 
 // callerListener limits the number of connections and the time of each write.
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -16,6 +16,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/valyala/fasthttp"
 
+	"snipedyke/internal/acceptor"
 	"snipedyke/internal/dispatcher"
 	"snipedyke/internal/issuer"
 	"snipedyke/internal/reducer"
@@ -67,6 +68,8 @@
 	// StreamHeaderDelay is the time after which the header of a streamed answer
 	// is sent even if there is no event yet, to keep the connection alive; 10 s.
 	StreamHeaderDelay time.Duration
+	// Logger writes the failures to accept a connection. It has no default.
+	Logger acceptor.Logger
 }
 
 // Listener serves callers.
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -73,6 +73,7 @@
 	EndpointSilent     = 724
 	ShutdownCutOff     = 725
 	CentreHeld         = 728
+	AcceptFailed       = 730
 )
 
 // Definition describes a log event.
@@ -154,6 +155,7 @@
 	{EndpointSilent, hclog.Info, "endpoint silent", []string{"request", "route", "endpoint", "silent", "relayed", "replaced"}},
 	{ShutdownCutOff, hclog.Warn, "shutdown cut off connections", []string{"connections", "waited"}},
 	{CentreHeld, hclog.Info, "data centre stays out of service until it is confirmed", []string{"centre"}},
+	{AcceptFailed, hclog.Warn, "connection could not be accepted", []string{"listener", "error"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -142,6 +142,7 @@
 		calls:   make(map[uint64]*call),
 		issuer:  issuer.New(opts.Reducer.Self, opts.Reducer.Incarnation, opts.Reducer.Secret),
 	}
+	opts.Listener.Logger = opts.Logger
 	l, err := listener.New(opts.Listener, n)
 	if err != nil {
 		return nil, &Error{Op: "listen for callers", Kind: KindListen, Err: err}
