Serve the connection accepted last before the shutdown ends

A request on a connection that was accepted just as the listener was closed could be passed to an endpoint after Run had returned, and was lost as the process ended.

The shutdown counted the connections as soon as it had closed the listener. A connection that had left the accept of the kernel, but was not yet known to the listener, was not counted.

The shutdown now waits until the HTTP server has returned from its accept loop before it counts. By then each accepted connection is known, and one with an unread request counts as active. The wait is bounded by the grace period.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -135,7 +135,7 @@
 	})
 	select {
 	case <-ctx.Done():
-		f.shutdown()
+		f.shutdown(served)
 	case <-served:
 	}
 	wg.Wait()
@@ -148,13 +148,20 @@
 
 // shutdown stops accepting connections after drainDelay, and then waits until
 // the requests in progress are answered and their responses are written, or the
-// grace period ends.
-func (f *Forwarder) shutdown() {
+// grace period ends. The channel served is closed when the HTTP server accepts no
+// more connections.
+func (f *Forwarder) shutdown(served <-chan struct{}) {
 	start := time.Now()
 	f.shuttingDown.Store(true)
 	f.Post(director.ShutdownRequested{})
 	time.Sleep(drainDelay)
 	_ = f.listener.Close()
+	// A connection that has just been accepted may not be known to the listener
+	// before.
+	select {
+	case <-served:
+	case <-time.After(f.opts.GracePeriod - exitMargin - time.Since(start)):
+	}
 	for {
 		remaining, waited := f.listener.closeIdle(), time.Since(start)
 		if remaining == 0 {
--- a/internal/forwarder/shutdown_test.go
+++ b/internal/forwarder/shutdown_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -98,3 +99,56 @@
 	defer events.mu.Unlock()
 	c.Check(events.counts[logger.ShutdownCutOff], qt.Equals, 1)
 }
+
+// lateListener returns the connection that it accepts only after it has been
+// closed.
+type lateListener struct {
+	net.Listener
+	closed chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		<-l.closed
+		// The shutdown goes on.
+		<-time.After(5 * tickInterval)
+	}
+
+	return conn, err
+}
+
+func (l *lateListener) Close() error {
+	close(l.closed)
+
+	return l.Listener.Close()
+}
+
+// Guards against a shutdown that ends before it has served the connection that
+// was accepted last.
+func TestShutdownWaitsForConnectionAcceptedLast(t *testing.T) {
+	c := qt.New(t)
+	working, finish := make(chan bool), make(chan bool)
+	s := startWith(t, func(f *Forwarder) {
+		f.listener.Listener = &lateListener{f.listener.Listener, make(chan struct{})}
+	}, newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+		working <- true
+		<-finish
+
+		return respondOK(conn, r)
+	}))
+	call := s.dial(c)
+	call.send("POST", "/unsafe/x", "r1", "")
+	s.stop()
+	<-working
+	select {
+	case err := <-s.done:
+		c.Fatalf("the shutdown ended with a request in progress: %v", err)
+	case <-time.After(10 * tickInterval):
+	}
+	close(finish)
+	_, body, err := call.receive()
+	c.Assert(err, qt.IsNil)
+	c.Check(body, qt.Equals, "answer to r1")
+	c.Check(<-s.done, qt.IsNil)
+}
