Hold data centres that a copy lacks for 5 s

After the store had come back from a copy without an evacuation, a node sent requests to the data centre again 2.2 s later, unless the operator had written the evacuation again by then. The 2.2 s are the time in which running endpoints publish again; they say nothing of operators.

The hold of data centres has a time of its own, 5 s, which is the time that an evacuation may take to be in force. An operator's write ends it, as before. A centre that was taken back while the store was away is out for these 5 s.

The new test failed before with "2.2s after the restore: unexpected length" (3 requests to desk-0) and passes. The former test uses the new time.

--- a/internal/director/restore_test.go
+++ b/internal/director/restore_test.go
@@ -154,7 +154,7 @@
 	// The operator does not write it again.
 	n := restored()
 	n.post(CentresOut{[]string{"kollam"}})
-	n.now = n.now.Add(registrar.HoldTime - time.Millisecond)
+	n.now = n.now.Add(registrar.CentreHoldTime - time.Millisecond)
 	c.Check(usable(n), qt.IsFalse)
 	n.now = n.now.Add(time.Millisecond)
 	c.Check(usable(n), qt.IsTrue)
@@ -177,7 +177,7 @@
 	n.post(Ticked{})
 	n.post(ViewReachable{})
 	c.Check(usable(n), qt.IsFalse)
-	n.now = n.now.Add(registrar.HoldTime)
+	n.now = n.now.Add(registrar.CentreHoldTime)
 	c.Check(usable(n), qt.IsTrue)
 
 	// A data centre that the copy shows as out is not used.
@@ -190,6 +190,24 @@
 	c.Check(usable(n), qt.IsTrue)
 }
 
+// Guards against requests to a data centre between the end of the hold of entries
+// and the operator's repeated write, which may come 5 s after the restore.
+func TestDataCentreStaysOutUntilOperatorWritesAgain(t *testing.T) {
+	c := qt.New(t)
+	n := newRestoredNode(nil)
+	n.post(CentresOut{[]string{"kochi"}})
+	n.post(ViewRestored{})
+	n.post(CentresOut{nil})
+	n.post(EntriesListed{[]registrar.Entry{published(0, 1, 3)}})
+	for range 49 {
+		n.now = n.now.Add(100 * time.Millisecond)
+		c.Assert(n.sends(), qt.HasLen, 0, qt.Commentf("%s after the restore", n.now.Sub(start)))
+	}
+	n.post(CentresOut{[]string{"kochi"}})
+	n.now = n.now.Add(time.Minute)
+	c.Check(n.sends(), qt.HasLen, 0)
+}
+
 // Guards against accepting a key again that was revoked by a version of the
 // table which a restored store lacks, and against nodes that do not become ready
 // again because their version is newer.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -8,7 +8,7 @@
 // The service can also come back from an older copy. What the copy says about an
 // endpoint may then be older than what the registrar knows, and is ignored until
 // the endpoint publishes again. Data centres that the copy lacks stay out of
-// service until the end of the hold period.
+// service for CentreHoldTime.
 package registrar
 
 import (
@@ -21,6 +21,11 @@
 // the connection is restored. Running endpoints publish again within 2 s.
 const HoldTime = 2200 * time.Millisecond
 
+// CentreHoldTime is how long a data centre that a restored copy lacks stays out of
+// service, unless it is taken out again before. Operators can take as long to
+// write again as a data centre may take to go out of service.
+const CentreHoldTime = 5 * time.Second
+
 // Entry is the information that an endpoint publishes about itself.
 type Entry struct {
 	// ID is unique among the running endpoints.
@@ -81,8 +86,9 @@
 	// held maps the IDs of entries whose removal is delayed to the time at
 	// which they are removed.
 	held map[string]time.Time
-	// holdUntil is the end of the present hold period.
-	holdUntil time.Time
+	// holdUntil is the end of the present hold period, and centresHeldUntil the
+	// time at which the data centres of heldOut return.
+	holdUntil, centresHeldUntil time.Time
 
 	// restored and outRestored report whether the next list of entries and the next
 	// set of data centres are the first ones of a restored copy.
@@ -111,6 +117,7 @@
 // restored after an outage.
 func (r *Registrar) Reconnected(now time.Time) {
 	r.holdUntil = now.Add(HoldTime)
+	r.centresHeldUntil = now.Add(CentreHoldTime)
 	r.doubtUntil = now.Add(doubtTime)
 }
 
@@ -214,7 +221,7 @@
 
 // SetOut replaces the set of data centres that are out of service. It returns
 // those that are back in service, and those that a restored copy lacks and that
-// stay out until the end of the hold period, both in sorted order.
+// stay out for CentreHoldTime, both in sorted order.
 func (r *Registrar) SetOut(centres []string) (back, held []string) {
 	out := make(map[string]bool, len(centres))
 	for _, c := range centres {
--- a/internal/registrar/restore.go
+++ b/internal/registrar/restore.go
@@ -48,10 +48,10 @@
 	return events
 }
 
-// ReleaseCentres ends the delayed return of data centres if the hold period has
-// ended, and returns those that are back in service, in sorted order.
+// ReleaseCentres ends the delayed return of data centres if CentreHoldTime has
+// passed, and returns those that are back in service, in sorted order.
 func (r *Registrar) ReleaseCentres(now time.Time) (back []string) {
-	if len(r.heldOut) == 0 || now.Before(r.holdUntil) {
+	if len(r.heldOut) == 0 || now.Before(r.centresHeldUntil) {
 		return nil
 	}
 	back = slices.Sorted(maps.Keys(r.heldOut))
