Use ignored entries of known endpoints in the end

A node knew an endpoint by an entry with a later incarnation or a larger sequence number than any that the endpoint had published, as written by another writer. When the store came back from an older copy, the sound entry in it was ignored for good: it counted as older, and an endpoint that publishes without a change causes no further event.

An ignored entry of a known endpoint now ends like that of a departed one. The service removes an entry after three missed publications, so if it is still there after doubtTime, the endpoint publishes it. An incarnation that is known to drain stays draining for ten minutes, since a drain is not undone.

TestSoundEntryOfCopyIsUsedInTheEnd failed before ("value is not true" for the pending end, and the other writer's entry in place of the sound one) and passes. TestIgnoredEntryEndsWithItsRemoval passes before and after; it bounds the change.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -99,8 +99,9 @@
 	// outdated holds the ignored entries of known endpoints, as listed, and doubted
 	// those of departed endpoints. Later lists may contain them unchanged.
 	outdated, doubted map[string]Entry
-	// doubtUntil is the time from which the doubted entries are used.
-	doubtUntil time.Time
+	// doubtUntil is the time from which the outdated and doubted entries are used,
+	// and drainUntil that for incarnations that are known to drain.
+	doubtUntil, drainUntil time.Time
 	// departed holds the last entries of removed endpoints.
 	departed map[string]departure
 }
@@ -204,8 +205,10 @@
 }
 
 // HasHeld reports whether the removal of any entry or the return of any data
-// centre is delayed, or an entry of a departed endpoint is ignored.
-func (r *Registrar) HasHeld() bool { return len(r.held)+len(r.heldOut)+len(r.doubted) > 0 }
+// centre is delayed, or an entry of a restored copy is ignored.
+func (r *Registrar) HasHeld() bool {
+	return len(r.held)+len(r.heldOut)+len(r.doubted)+len(r.outdated) > 0
+}
 
 // ids returns the IDs of all entries in sorted order, so that the order of
 // events does not depend on map iteration.
--- a/internal/registrar/restore.go
+++ b/internal/registrar/restore.go
@@ -11,8 +11,8 @@
 	// restored copy contains. By then the service has removed it, unless the
 	// endpoint is running: entries expire after three missed publications.
 	doubtTime = 6 * time.Second
-	// departureTime is how long a departed incarnation is remembered, and
-	// maxDepartures how many are remembered.
+	// departureTime is how long a departed incarnation is remembered, and that a
+	// known one drains; maxDepartures is how many departed ones are remembered.
 	departureTime = 10 * time.Minute
 	maxDepartures = 4096
 )
@@ -29,21 +29,31 @@
 func (r *Registrar) Restored(now time.Time) {
 	r.Reconnected(now)
 	r.restored, r.outRestored = true, true
+	r.drainUntil = now.Add(departureTime)
 	clear(r.outdated)
 	clear(r.doubted)
 }
 
-// Reinstate uses the entries of departed endpoints that a restored copy
-// contains and that have not been removed in time. Such an endpoint had left, or
-// its entry had expired, but it publishes again without a change.
+// Reinstate uses the ignored entries of a restored copy that have not been removed
+// or replaced in time. An endpoint of such an entry runs and publishes without a
+// change, so what was known of it was not its own, or its entry had expired. An
+// incarnation that is known to drain does not become ready again before
+// departureTime.
 func (r *Registrar) Reinstate(now time.Time) []Event {
-	if len(r.doubted) == 0 || now.Before(r.doubtUntil) {
+	if len(r.doubted)+len(r.outdated) == 0 || now.Before(r.doubtUntil) {
 		return nil
 	}
 	var events []Event
 	for _, id := range slices.Sorted(maps.Keys(r.doubted)) {
 		events = append(events, r.Put(r.doubted[id])...)
 	}
+	for _, id := range slices.Sorted(maps.Keys(r.outdated)) {
+		e, known := r.outdated[id], r.entries[id]
+		if known.Draining && known.Born == e.Born && now.Before(r.drainUntil) {
+			continue
+		}
+		events = append(events, r.Put(e)...)
+	}
 
 	return events
 }
--- a/internal/registrar/restore_test.go
+++ b/internal/registrar/restore_test.go
@@ -129,3 +129,50 @@
 	events := r.Replace(start.Add(time.Second), []Entry{{ID: "0"}, last})
 	c.Check(changes(events), qt.DeepEquals, []Change{Added, Outdated})
 }
+
+// Guards against a sound endpoint that stays unused after a restore, since an entry
+// of another writer with a large sequence number was known before.
+func TestSoundEntryOfCopyIsUsedInTheEnd(t *testing.T) {
+	c := qt.New(t)
+	sound := Entry{ID: "e", Born: 1, Sequence: 5, Service: "s"}
+	drains := Entry{ID: "e", Born: 1, Sequence: 1 << 53, Service: "s", Draining: true}
+	for known, wait := range map[Entry]time.Duration{
+		{ID: "e", Born: 1, Sequence: 1 << 53, Service: "other"}:           doubtTime,
+		{ID: "e", Born: 2, Sequence: 1, Service: "other"}:                 doubtTime,
+		{ID: "e", Born: 2, Sequence: 1, Service: "other", Draining: true}: doubtTime,
+		drains: departureTime,
+	} {
+		r := New()
+		r.Put(sound)
+		r.Put(known)
+		r.Restored(start)
+		// The endpoint publishes without a change, which is no event. The store is
+		// listed again each second.
+		for at := time.Duration(0); at < wait; at += time.Second {
+			r.Replace(start.Add(at), []Entry{sound})
+			r.Reinstate(start.Add(at))
+			c.Assert(r.entries["e"], qt.Equals, known, qt.Commentf("after %s", at))
+		}
+		c.Check(r.HasHeld(), qt.IsTrue)
+		r.Reinstate(start.Add(wait))
+		c.Check(r.entries["e"], qt.Equals, sound)
+		c.Check(r.Usable("e"), qt.IsTrue)
+		r.Replace(start.Add(wait), []Entry{sound})
+		c.Check(r.Usable("e"), qt.IsTrue)
+		c.Check(r.HasHeld(), qt.IsFalse)
+	}
+}
+
+// Guards against an endpoint that stays in use after a restore, although the store
+// no longer has an entry of it that is ignored.
+func TestIgnoredEntryEndsWithItsRemoval(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	r.Put(Entry{ID: "e", Born: 1, Sequence: 8, Draining: true})
+	r.Restored(start)
+	r.Replace(start, []Entry{{ID: "e", Born: 1, Sequence: 5}})
+	r.Remove(start.Add(time.Second), "e")
+	r.Reinstate(start.Add(time.Hour))
+	c.Check(r.Len(), qt.Equals, 0)
+	c.Check(r.HasHeld(), qt.IsFalse)
+}
