Take the endpoints' publication interval from the settings

An entry of a restored copy was ignored for a fixed 6 s, by which time the service removes the entries of endpoints that have left. It does so after three missed publications, and their interval is a setting of the platform that nodes did not read. Where endpoints publish each 5 s, an endpoint that had left was used again from 6 s on, up to 9 s before its entry expired.

The settings have an optional field "publication", which the template fills in, 1.2 s without it, and entries are ignored for five intervals. A reload changes it from the next hold period on.

TestDepartedEndpointStaysOutUntilItsEntryExpires failed with the fixed time ("interval 5s: got 30, want 0" requests) and passes.

--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -149,7 +149,7 @@
 	return director.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Regions: s.Regions,
 		KeyLease:  time.Duration(keyLeaseFraction * float64(s.RevocationTimeout)),
-		FreshView: freshViewAge, AssumedNodes: assumedNodes,
+		FreshView: freshViewAge, AssumedNodes: assumedNodes, PublicationInterval: s.PublicationInterval,
 		ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack,
 		RetryWindow: s.RetryWindow, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
 	}
--- a/internal/configurer/routing.go
+++ b/internal/configurer/routing.go
@@ -27,6 +27,9 @@
 	Store netip.AddrPort
 	// RevocationTimeout is the time after which no node may accept a revoked key.
 	RevocationTimeout time.Duration
+	// PublicationInterval is the time between two publications of an endpoint. A
+	// file that does not set it gets defaultPublicationInterval.
+	PublicationInterval time.Duration
 	// Grace bounds a graceful shutdown.
 	Grace time.Duration
 	// ColdFactor and ColdSlack limit the requests per second to an endpoint in
@@ -47,19 +50,24 @@
 
 // Accepted ranges.
 const (
-	minRevocationTimeout = time.Second
-	maxRevocationTimeout = time.Hour
-	maxFactor            = 100
-	maxSlack             = 1e6
-	minMemory            = 32
-	maxMemory            = 1 << 20
-	minDescriptors       = 256
-	maxDescriptors       = 1 << 20
-	maxDataCentres       = 256
-	maxSeeds             = 16
-	maxSeedAddress       = 64
+	minRevocationTimeout   = time.Second
+	maxRevocationTimeout   = time.Hour
+	minPublicationInterval = 100 * time.Millisecond
+	maxPublicationInterval = time.Minute
+	maxFactor              = 100
+	maxSlack               = 1e6
+	minMemory              = 32
+	maxMemory              = 1 << 20
+	minDescriptors         = 256
+	maxDescriptors         = 1 << 20
+	maxDataCentres         = 256
+	maxSeeds               = 16
+	maxSeedAddress         = 64
 )
 
+// defaultPublicationInterval is that of the platform's endpoints.
+const defaultPublicationInterval = 1200 * time.Millisecond
+
 // File is the content of a settings file, which is either Settings or Routing.
 type File interface{ file() }
 
@@ -110,6 +118,11 @@
 		Memory:            int(o.Int("memory", minMemory, maxMemory)),
 		Descriptors:       int(o.Int("descriptors", minDescriptors, maxDescriptors)),
 		Log:               Log{Level: "info", Format: "json"},
+
+		PublicationInterval: defaultPublicationInterval,
+	}
+	if o.Has("publication") {
+		s.PublicationInterval = o.Duration("publication", minPublicationInterval, maxPublicationInterval)
 	}
 	for _, text := range o.Names("seeds", 0, maxSeeds, maxSeedAddress) {
 		seed, err := netip.ParseAddrPort(text)
--- a/internal/configurer/routing_test.go
+++ b/internal/configurer/routing_test.go
@@ -29,6 +29,10 @@
 	c.Check(s.Regions["kollam"], qt.Equals, "kerala")
 	c.Check(s.RevocationTimeout, qt.Equals, 5*time.Second)
 	c.Check(s.RetrySlack, qt.Equals, 52.0)
+	c.Check(s.PublicationInterval, qt.Equals, 1200*time.Millisecond)
+	short, err := ParseFile("f", []byte(strings.Replace(sampleRoutingSettings(c), `"publication": "1200ms",`, "", 1)))
+	c.Assert(err, qt.IsNil)
+	c.Check(short.(Routing).PublicationInterval, qt.Equals, defaultPublicationInterval, qt.Commentf("optional field"))
 }
 
 // Guards against invalid settings whose error message does not name the field.
@@ -37,6 +41,7 @@
 	for field, change := range map[string][2]string{
 		"callers":     {`"10.1.0.19:8740"`, `"nowhere"`},
 		"withdrawal":  {`"5000ms"`, `"soon"`},
+		"publication": {`"1200ms"`, `"1ms"`},
 		"memory":      {`284`, `-1`},
 		"seeds":       {`"10.2.0.13:8748"`, `"seed"`},
 		"store":       {`"10.200.1.7:8742"`, `7`},
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -26,6 +26,8 @@
 	// FreshView is the maximum age of the view at which an unknown route or key
 	// is refused permanently. With an older view, callers are asked to retry.
 	FreshView time.Duration
+	// PublicationInterval is the time between two publications of an endpoint.
+	PublicationInterval time.Duration
 	// Name is the node's name.
 	Name string
 	// AssumedNodes is the number of nodes assumed to share the limits of the fleet
@@ -97,7 +99,7 @@
 // New returns a director without routes or endpoints.
 func New(opts Options) *Director {
 	return &Director{
-		opts: opts, registrar: registrar.New(),
+		opts: opts, registrar: registrar.New(opts.PublicationInterval),
 		endpoints: map[string]*endpoint{}, services: map[string]*service{},
 		requests: map[uint64]*request{}, endpointsByNumber: map[uint32]*endpoint{}, fleet: fleet{assumedNodes: opts.AssumedNodes},
 	}
@@ -148,6 +150,7 @@
 		d.markViewLost(now, e.Cause)
 	case OptionsChanged:
 		d.opts = e.Options
+		d.registrar.SetPublicationInterval(d.opts.PublicationInterval)
 		for _, s := range d.services {
 			s.retryBudget.Window, s.retryBudget.Ratio = d.opts.RetryWindow, d.opts.RetryRatio
 		}
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -30,6 +30,7 @@
 		Name: "n1", DataCentre: "kochi", Regions: map[string]string{"kochi": "kerala", "kollam": "kerala"},
 		KeyLease: 3800 * time.Millisecond, FreshView: 3500 * time.Millisecond, AssumedNodes: 6,
 		ColdFactor: 1.5, ColdSlack: 5, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 52,
+		PublicationInterval: 1200 * time.Millisecond,
 	}
 }
 
--- a/internal/director/restore_test.go
+++ b/internal/director/restore_test.go
@@ -101,6 +101,28 @@
 	}
 }
 
+// Guards against requests to a departed endpoint whose entry in the copy has not
+// expired yet, since endpoints publish rarely or their interval has changed.
+func TestDepartedEndpointStaysOutUntilItsEntryExpires(t *testing.T) {
+	c := qt.New(t)
+	known := []registrar.Entry{published(0, 1, 8), published(1, 1, 3)}
+	for _, interval := range []time.Duration{time.Second, 5 * time.Second} {
+		slow := options()
+		slow.PublicationInterval = interval
+		n := &node{Director: New(options()), now: start}
+		n.post(OptionsChanged{slow})
+		n.post(TableLoaded{table(1)})
+		n.post(EntriesListed{known})
+		n.post(EntryRemoved{known[0].ID})
+		n.post(ViewRestored{})
+		n.post(EntriesListed{known})
+		n.now = n.now.Add(3*interval + time.Second)
+		c.Check(n.sends()[known[0].ID], qt.Equals, 0, qt.Commentf("interval %s", interval))
+		n.now = n.now.Add(2 * interval)
+		c.Check(n.sends()[known[0].ID] > 0, qt.IsTrue, qt.Commentf("interval %s", interval))
+	}
+}
+
 // Guards against losing a restarted endpoint of which the copy contains an
 // earlier incarnation, and against ignoring what the copy says that is newer.
 func TestNewerIncarnationIsUsedAfterRestore(t *testing.T) {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -80,7 +80,9 @@
 
 // Registrar holds the endpoints. It is not safe for concurrent use.
 type Registrar struct {
-	entries map[string]Entry
+	// publicationInterval is the time between two publications of an endpoint.
+	publicationInterval time.Duration
+	entries             map[string]Entry
 	// out is the set of data centres that are out of service.
 	out map[string]bool
 	// held maps the IDs of entries whose removal is delayed to the time at
@@ -106,20 +108,25 @@
 	departed map[string]departure
 }
 
-// New returns an empty registrar.
-func New() *Registrar {
+// New returns an empty registrar for endpoints that publish at the interval.
+func New(publicationInterval time.Duration) *Registrar {
 	return &Registrar{
-		entries: map[string]Entry{}, out: map[string]bool{}, held: map[string]time.Time{},
+		publicationInterval: publicationInterval,
+		entries:             map[string]Entry{}, out: map[string]bool{}, held: map[string]time.Time{},
 		heldOut: map[string]bool{}, outdated: map[string]Entry{}, doubted: map[string]Entry{}, departed: map[string]departure{},
 	}
 }
 
+// SetPublicationInterval sets the interval at which endpoints publish. It applies
+// from the next hold period.
+func (r *Registrar) SetPublicationInterval(interval time.Duration) { r.publicationInterval = interval }
+
 // Reconnected starts a hold period. It is called when the connection is
 // restored after an outage.
 func (r *Registrar) Reconnected(now time.Time) {
 	r.holdUntil = now.Add(HoldTime)
 	r.centresHeldUntil = now.Add(CentreHoldTime)
-	r.doubtUntil = now.Add(doubtTime)
+	r.doubtUntil = now.Add(doubtedPublications * r.publicationInterval)
 }
 
 // Put adds or updates the entry of an endpoint.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -7,6 +7,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
+const publicationInterval = 1200 * time.Millisecond
+
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func changes(events []Event) []Change {
@@ -23,7 +25,7 @@
 // again.
 func TestExpiredEntriesAreHeldAfterOutage(t *testing.T) {
 	c := qt.New(t)
-	r := New()
+	r := New(publicationInterval)
 	r.Put(Entry{ID: "lives"})
 	r.Put(Entry{ID: "gone"})
 	r.Put(Entry{ID: "drains", Draining: true})
@@ -48,7 +50,7 @@
 // removed.
 func TestRemovalIsImmediateWithoutOutage(t *testing.T) {
 	c := qt.New(t)
-	r := New()
+	r := New(publicationInterval)
 	r.Put(Entry{ID: "a"})
 	c.Check(changes(r.Remove(start, "a")), qt.DeepEquals, []Change{Removed})
 	c.Check(r.Usable("a"), qt.IsFalse)
@@ -58,7 +60,7 @@
 // because the new incarnation has none of the earlier one's state.
 func TestRestartIsANewIncarnation(t *testing.T) {
 	c := qt.New(t)
-	r := New()
+	r := New(publicationInterval)
 	r.Put(Entry{ID: "a", Born: 1})
 	c.Check(changes(r.Put(Entry{ID: "a", Born: 1, Cold: time.Second})), qt.DeepEquals, []Change{Updated})
 	c.Check(changes(r.Put(Entry{ID: "a", Born: 2})), qt.DeepEquals, []Change{Removed, Added})
@@ -67,7 +69,7 @@
 // Endpoints in a data centre that is out of service must get no work.
 func TestDataCentreOut(t *testing.T) {
 	c := qt.New(t)
-	r := New()
+	r := New(publicationInterval)
 	r.Put(Entry{ID: "a", DataCentre: "kochi"})
 	r.Put(Entry{ID: "b", DataCentre: "kollam"})
 	back, _ := r.SetOut([]string{"kochi"})
@@ -83,7 +85,7 @@
 // Entries that a complete list does not contain must be removed.
 func TestListReplacesEntries(t *testing.T) {
 	c := qt.New(t)
-	r := New()
+	r := New(publicationInterval)
 	r.Put(Entry{ID: "a"})
 	r.Put(Entry{ID: "b"})
 	c.Check(changes(r.Replace(start, []Entry{{ID: "b"}, {ID: "c"}})), qt.DeepEquals, []Change{Added, Removed})
@@ -95,7 +97,7 @@
 // updated, because an update marks it as cold again.
 func TestRepeatedPublicationIsNoChange(t *testing.T) {
 	c := qt.New(t)
-	r := New()
+	r := New(publicationInterval)
 	r.Put(Entry{ID: "a", Born: 1, Sequence: 4, Cold: time.Second})
 	c.Check(r.Put(Entry{ID: "a", Born: 1, Sequence: 5, Cold: time.Second}), qt.HasLen, 0)
 	c.Check(changes(r.Put(Entry{ID: "a", Born: 1, Sequence: 6})), qt.DeepEquals, []Change{Updated})
--- a/internal/registrar/restore.go
+++ b/internal/registrar/restore.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// doubtTime is how long the entry of a departed endpoint is ignored that a
-	// restored copy contains. By then the service has removed it, unless the
+	// doubtedPublications is the number of publications for whose time an entry of
+	// a restored copy is ignored. By then the service has removed it, unless the
 	// endpoint is running: entries expire after three missed publications.
-	doubtTime = 6 * time.Second
+	doubtedPublications = 5
 	// departureTime is how long a departed incarnation is remembered, and that a
 	// known one drains; maxDepartures is how many departed ones are remembered.
 	departureTime = 10 * time.Minute
--- a/internal/registrar/restore_test.go
+++ b/internal/registrar/restore_test.go
@@ -75,7 +75,7 @@
 	}
 	for seed := range uint64(500) {
 		random := rand.New(rand.NewPCG(seed, 0))
-		f := &fleet{Registrar: New(), now: start, running: map[string]Entry{}, stored: map[string]Entry{}, saved: map[string]Entry{}}
+		f := &fleet{Registrar: New(publicationInterval), now: start, running: map[string]Entry{}, stored: map[string]Entry{}, saved: map[string]Entry{}}
 		check := func() {
 			for _, id := range ids {
 				e, running := f.running[id]
@@ -108,7 +108,7 @@
 			check()
 		}
 		f.Expire(f.now.Add(HoldTime))
-		f.Reinstate(f.now.Add(doubtTime))
+		f.Reinstate(f.now.Add(doubtedPublications * publicationInterval))
 		check()
 		c.Assert(f.HasHeld(), qt.IsFalse)
 	}
@@ -117,7 +117,7 @@
 // Guards against a memory of departed endpoints that grows without bound.
 func TestDeparturesAreBounded(t *testing.T) {
 	c := qt.New(t)
-	r := New()
+	r := New(publicationInterval)
 	for i := range maxDepartures + 10 {
 		id := fmt.Sprint(i)
 		r.Put(Entry{ID: id})
@@ -137,12 +137,12 @@
 	sound := Entry{ID: "e", Born: 1, Sequence: 5, Service: "s"}
 	drains := Entry{ID: "e", Born: 1, Sequence: 1 << 53, Service: "s", Draining: true}
 	for known, wait := range map[Entry]time.Duration{
-		{ID: "e", Born: 1, Sequence: 1 << 53, Service: "other"}:           doubtTime,
-		{ID: "e", Born: 2, Sequence: 1, Service: "other"}:                 doubtTime,
-		{ID: "e", Born: 2, Sequence: 1, Service: "other", Draining: true}: doubtTime,
+		{ID: "e", Born: 1, Sequence: 1 << 53, Service: "other"}:           doubtedPublications * publicationInterval,
+		{ID: "e", Born: 2, Sequence: 1, Service: "other"}:                 doubtedPublications * publicationInterval,
+		{ID: "e", Born: 2, Sequence: 1, Service: "other", Draining: true}: doubtedPublications * publicationInterval,
 		drains: departureTime,
 	} {
-		r := New()
+		r := New(publicationInterval)
 		r.Put(sound)
 		r.Put(known)
 		r.Restored(start)
@@ -167,7 +167,7 @@
 // no longer has an entry of it that is ignored.
 func TestIgnoredEntryEndsWithItsRemoval(t *testing.T) {
 	c := qt.New(t)
-	r := New()
+	r := New(publicationInterval)
 	r.Put(Entry{ID: "e", Born: 1, Sequence: 8, Draining: true})
 	r.Restored(start)
 	r.Replace(start, []Entry{{ID: "e", Born: 1, Sequence: 5}})
