Follow a store whose era goes back for good

If the store was rebuilt and counted its eras anew, or its answers no longer had an era after some that had one, every call counted as an answer of an older copy and failed. All nodes lost the shared view for good, refused keys once its lease had ended, and only a restart brought them back.

An older era, or none, is still refused, and a malformed one still fails the call. But a node makes one call at a time, so an answer that comes late from a lost copy is a single one: after 15 successive such answers, which take about 5 s, the store counts as rebuilt, and the node lists it like a restored one (event 722 with an era below the former). Keys are accepted by the lost view until its lease ends, as in any outage. A relayed view of a higher era that was confirmed before the node's own no longer causes a list, since speakers may notice later.

TestNodesFollowRebuiltStore failed before (e1: write 18 in place of 21, on each node) and passes, for eras 4 to 1 and 4 to none; it also checks that no view is confirmed in the first 3 s and that a later restore is followed.

--- a/internal/follower/era_test.go
+++ b/internal/follower/era_test.go
@@ -148,3 +148,45 @@
 		c.Check(f.View().Revision, qt.Equals, uint64(12))
 	})
 }
+
+// Guards against nodes that refuse each answer for good, because the store has been
+// rebuilt and counts its eras anew or has none any more.
+func TestNodesFollowRebuiltStore(t *testing.T) {
+	for _, era := range []uint64{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			f := newModelFleet(1, 3)
+			f.store.era = 4
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			for i := range 20 {
+				f.store.write(fmt.Sprint("e", i%4), false)
+			}
+			go f.run(ctx)
+			time.Sleep(5 * time.Second)
+			f.check(c, "before")
+			f.store.rebuild(era)
+			rebuilt := time.Now()
+			f.store.write("e1", false)
+			time.Sleep(3 * time.Second)
+			for i, n := range f.nodes {
+				confirmed, _ := n.state()
+				c.Check(confirmed.After(rebuilt), qt.IsFalse, qt.Commentf("node %d", i))
+			}
+			time.Sleep(9 * time.Second)
+			f.check(c, "rebuilt")
+			f.store.write("e2", false)
+			time.Sleep(time.Second)
+			f.check(c, "written")
+			for i, n := range f.nodes {
+				_, restored := n.state()
+				c.Check(restored, qt.Equals, 1, qt.Commentf("node %d", i))
+			}
+			f.store.restore(3)
+			time.Sleep(3 * time.Second)
+			f.check(c, "restored")
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -25,7 +25,7 @@
 var ErrIncomplete = errors.New("follower: changes are incomplete")
 
 // errOlderEra is the failure of a call whose answer is of an older era than an
-// earlier answer.
+// earlier answer, or of none after one with an era.
 var errOlderEra = errors.New("follower: answer is of an older era of the store")
 
 // Source reads the shared view.
@@ -47,7 +47,7 @@
 type View struct {
 	// Era rises each time that the store comes back from an older copy. Such a
 	// store gives revisions out again, so revisions are comparable within one
-	// era only. It is zero if the store has no eras.
+	// era only. It is zero if the answer has no era.
 	Era uint64
 	// Revision is the revision after which to watch.
 	Revision uint64
@@ -144,6 +144,10 @@
 	// is as long as the list took, so that lists take up at most half of a narrow
 	// link.
 	maxListDelay = 800 * time.Millisecond
+	// maxOlderAnswers is the number of successive answers of an older era after
+	// which the store counts as rebuilt. A node makes one call at a time, so a
+	// late answer is a single one, and the calls take about 5 s.
+	maxOlderAnswers = 15
 	// minRetryDelay and maxRetryDelay bound the delay after a repeated failure.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
@@ -158,9 +162,11 @@
 	// era and revision identify the state of the store that the view holds.
 	// revision is zero before the first list.
 	era, revision uint64
-	// storeEra is the newest era that an answer of the store had. If it is newer
-	// than era, the view is that of a lost copy.
+	// storeEra is the newest era that an answer of the store had, since the store
+	// was rebuilt last. If it differs from era, the view is that of a lost copy.
 	storeEra uint64
+	// olderAnswers is the number of successive answers of an older era.
+	olderAnswers int
 	// confirmed is the last time at which the view was known to be complete.
 	confirmed time.Time
 	// relayed reports whether the last confirmation came from another node, and
@@ -174,7 +180,7 @@
 	listed bool
 	// behind reports whether the changes after revision cannot be had from the
 	// relaying node or by a watch, so that the next call must be a list. It is
-	// true while storeEra is newer than era.
+	// true while storeEra differs from era.
 	behind bool
 	// wake receives a value when behind becomes true.
 	wake chan struct{}
@@ -276,13 +282,16 @@
 
 // checkEra compares the era of an answer of the store with those before it. It
 // returns errOlderEra if the answer must be ignored. If the answer shows a newer
-// era than that of the view, behind becomes true.
+// era than that of the view, or that the store has been rebuilt, behind becomes
+// true.
 func (f *Follower) checkEra(view View) error {
-	if view.Era < f.storeEra {
+	if view.Era < f.storeEra && f.olderAnswers < maxOlderAnswers {
+		f.olderAnswers++
+
 		return errOlderEra
 	}
-	f.storeEra = view.Era
-	if f.storeEra > f.era {
+	f.storeEra, f.olderAnswers = view.Era, 0
+	if f.storeEra != f.era {
 		f.behind = true
 	}
 
@@ -344,7 +353,7 @@
 	f.mu.Lock()
 	err = f.checkEra(view)
 	repeated := err == nil && f.listed
-	if err == nil && (!repeated || view.Era > f.era || view.Revision >= f.revision) {
+	if err == nil && (!repeated || view.Era != f.era || view.Revision >= f.revision) {
 		f.applyList(view)
 		f.confirm(sent)
 	}
@@ -356,10 +365,10 @@
 	return err
 }
 
-// applyList replaces the view by a full list. A list of a newer era may lack what
+// applyList replaces the view by a full list. A list of another era may lack what
 // was in the view, so the director is told before.
 func (f *Follower) applyList(view View) {
-	if f.revision > 0 && view.Era > f.era {
+	if f.revision > 0 && view.Era != f.era {
 		f.opts.Post(director.ViewRestored{})
 		f.opts.Logger.Event(logger.ViewRestored, "era", view.Era, "former", f.era, "revision", view.Revision, "formerRevision", f.revision)
 	} else {
--- a/internal/follower/model_test.go
+++ b/internal/follower/model_test.go
@@ -116,6 +116,14 @@
 	s.notify()
 }
 
+// rebuild replaces the store by a new one with the same items and another era.
+func (s *modelStore) rebuild(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+	s.notify()
+}
+
 func (s *modelStore) compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -328,6 +336,13 @@
 	n.entries[entry.ID] = entry.Born
 }
 
+func (n *modelNode) state() (confirmed time.Time, restored int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.confirmed, n.restored
+}
+
 func (n *modelNode) content() map[string]int64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -67,6 +67,9 @@
 	switch {
 	case !f.listed, r.Era < f.storeEra, r.Era == f.era && r.Revision < f.revision:
 		return
+	case r.Era > f.era && !r.Confirmed.After(f.confirmed):
+		// The store has been rebuilt since.
+		return
 	case r.Era > f.era, r.Gap && r.Revision > f.revision:
 		f.behind = true
 		select {
