Wait for a routing table that the store has lost

A node that started after the store had come back from an older copy, or that had not read the last version before, had an older routing table than its peers, until an operator wrote the version again. It accepted keys that the version had revoked, and refused routes and keys that it had added with 404 and 401.

If another node's view is of the same or an earlier state and its table is newer, the store has lost the table; a table that the node has not read yet is of a later state. There is one such wait for each copy of the store, so that a version which does not exist cannot keep a node out. Until the first report arrives, and across data centres, the node relies on its own table.

TestNodeWaitsForTableThatStoreHasLost failed with the wait disabled ("value is not false" for Ready) and passes.

--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -112,6 +112,8 @@
 	// relayed is the speaker's shared view that Relayed has not yet returned, or
 	// nil.
 	relayed *RelayedView
+	// tableStates holds what TableStates has not yet returned.
+	tableStates []TableState
 	// sinceDigest accumulates the updates received from the speaker. A digest
 	// removes the changes of the endpoints that it covers.
 	sinceDigest delta
--- a/internal/aggregator/view.go
+++ b/internal/aggregator/view.go
@@ -12,6 +12,8 @@
 	// Era and Revision identify the state of the store that the view holds.
 	// Revisions are comparable within one era only.
 	Era, Revision uint64
+	// Table is the version of the routing table, or zero if there is none.
+	Table uint64
 	// Confirmed is the latest time at which the view is known to have been
 	// complete.
 	Confirmed time.Time
@@ -33,9 +35,13 @@
 	Gap bool
 }
 
+// TableState is the version of the routing table of another node, and the state of
+// the store that its view holds.
+type TableState struct{ Era, Revision, Table uint64 }
+
 // report returns the report of the view to the speaker.
 func (v View) report(now time.Time) *encoder.ViewReport {
-	return &encoder.ViewReport{Sent: uint64(now.UnixMicro()), Era: v.Era, Revision: v.Revision}
+	return &encoder.ViewReport{Sent: uint64(now.UnixMicro()), Era: v.Era, Revision: v.Revision, Table: v.Table}
 }
 
 // viewDigest returns the changes of the shared view that the member lacks, or nil
@@ -46,7 +52,7 @@
 	}
 	d := &encoder.ViewDigest{
 		Echo: m.viewReport.Sent, EchoDelay: uint64(now.Sub(m.viewReported).Microseconds()),
-		Era: view.Era, Revision: view.Revision, Age: uint64(max(now.Sub(view.Confirmed), 0).Microseconds()),
+		Era: view.Era, Revision: view.Revision, Table: view.Table, Age: uint64(max(now.Sub(view.Confirmed), 0).Microseconds()),
 		Gap: true,
 	}
 	if m.viewReport.Era == view.Era {
@@ -61,6 +67,7 @@
 func (a *Aggregator) receiveViewReport(now time.Time, from netip.Addr, r *encoder.ViewReport) {
 	if m := a.members[from]; m != nil {
 		m.viewReport, m.viewReported = *r, now
+		a.tableStates = append(a.tableStates, TableState{r.Era, r.Revision, r.Table})
 	}
 }
 
@@ -72,6 +79,7 @@
 	// On the local clock, Echo plus EchoDelay is no later than the time at which
 	// the sender sent the digest, so the confirmed time is never too late.
 	confirmed := time.UnixMicro(int64(d.Echo + d.EchoDelay)).Add(-time.Duration(d.Age) * time.Microsecond)
+	a.tableStates = append(a.tableStates, TableState{d.Era, d.Revision, d.Table})
 	a.relayed = &RelayedView{Era: d.Era, Revision: d.Revision, Confirmed: confirmed, Items: d.Items, Gap: d.Gap}
 }
 
@@ -86,3 +94,12 @@
 
 	return *r, true
 }
+
+// TableStates returns the routing tables that other nodes have reported since the
+// last call. The result is valid until the next call of Receive.
+func (a *Aggregator) TableStates() []TableState {
+	states := a.tableStates
+	a.tableStates = a.tableStates[:0]
+
+	return states
+}
--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -130,7 +130,7 @@
 	})
 	n.exchanger, err = exchanger.New(exchanger.Options{
 		Address: s.Peers, Centre: s.DataCentre, Seeds: s.Seeds, Logger: n.logger, Clock: opts.Clock,
-		Load: n.forwarder.Load, View: n.follower.View, SetRelayedView: n.follower.ApplyRelayed, SetSpeaker: n.follower.SetRelaying,
+		Load: n.forwarder.Load, View: n.follower.View, SetRelayedView: n.follower.ApplyRelayed, CompareTable: n.follower.CompareTable, SetSpeaker: n.follower.SetRelaying,
 		SetOthersLoad:   func(others encoder.LoadSum) { n.forwarder.Post(director.OthersLoadReplaced{Others: others}) },
 		LoadChange:      func() encoder.LoadChange { return n.forwarder.LoadChange() },
 		SetChangedLoads: func(others encoder.LoadSum) { n.forwarder.Post(director.OthersLoadUpdated{Others: others}) },
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -43,6 +43,11 @@
 	RetrySlack  float64
 }
 
+// missingTableTime bounds the wait for a version of the table that the store has
+// lost. Operators can take as long to write it again as a data centre may take to
+// go out of service.
+const missingTableTime = registrar.CentreHoldTime
+
 // Director holds the state on which a node's decisions are based. It is not
 // safe for concurrent use.
 type Director struct {
@@ -58,6 +63,10 @@
 
 	// confirmedAt is the latest time at which the view was known to be complete.
 	confirmedAt time.Time
+	// missingTable is the newest version of the table that the store is known to
+	// have lost, and missingUntil the time until which the node waits for it.
+	missingTable uint64
+	missingUntil time.Time
 	// viewLost reports whether the last attempt to read the view failed.
 	viewLost bool
 	leaving  bool
@@ -146,6 +155,8 @@
 		d.isolator.Merge(now, e.Crashes)
 	case ViewRestored:
 		d.restoreView(now)
+	case TableMissing:
+		d.missTable(now, e.Version)
 	case ViewLost:
 		d.markViewLost(now, e.Cause)
 	case OptionsChanged:
@@ -245,6 +256,26 @@
 func (d *Director) restoreView(now time.Time) {
 	d.endOutage(now)
 	d.registrar.Restored(now)
+	d.missingTable, d.missingUntil = 0, time.Time{}
+}
+
+// missTable waits for a version of the table that the store has lost. There is one
+// wait for each copy of the store, so that a version which does not exist cannot
+// keep the node out.
+func (d *Director) missTable(now time.Time, version uint64) {
+	if d.table != nil && version <= d.table.Version() {
+		return
+	}
+	if d.missingUntil.IsZero() {
+		d.missingUntil = now.Add(missingTableTime)
+	}
+	d.missingTable = max(d.missingTable, version)
+}
+
+// lacksTable reports whether the node waits for a newer version of the table. Keys
+// may have been revoked, and routes and keys added.
+func (d *Director) lacksTable(now time.Time) bool {
+	return d.table != nil && d.table.Version() < d.missingTable && now.Before(d.missingUntil)
 }
 
 func (d *Director) markViewLost(now time.Time, cause string) {
@@ -263,7 +294,7 @@
 
 // keysValid reports whether the view is recent enough to accept keys.
 func (d *Director) keysValid(now time.Time) bool {
-	return !d.confirmedAt.IsZero() && now.Sub(d.confirmedAt) <= d.opts.KeyLease
+	return !d.confirmedAt.IsZero() && now.Sub(d.confirmedAt) <= d.opts.KeyLease && !d.lacksTable(now)
 }
 
 func (d *Director) checkReady(now time.Time) {
@@ -275,6 +306,8 @@
 		reason = "no routes"
 	case !d.entriesListed:
 		reason = "no endpoints"
+	case d.lacksTable(now):
+		reason = "routes lost"
 	case !d.keysValid(now):
 		reason = "view too old"
 	}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -166,6 +166,10 @@
 // again.
 type ViewRestored struct{}
 
+// TableMissing reports that the store has lost a version of the routing table which
+// another node has read.
+type TableMissing struct{ Version uint64 }
+
 // ViewLost reports that the shared view cannot be read. Cause describes why, for
 // the log.
 type ViewLost struct{ Cause string }
@@ -191,6 +195,7 @@
 func (CrashesObserved) event()    {}
 func (ViewReachable) event()      {}
 func (ViewRestored) event()       {}
+func (TableMissing) event()       {}
 func (ViewLost) event()           {}
 func (OthersLoadReplaced) event() {}
 func (OthersLoadUpdated) event()  {}
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -114,7 +114,7 @@
 
 		return
 	}
-	fresh := !d.confirmedAt.IsZero() && now.Sub(d.confirmedAt) <= d.opts.FreshView
+	fresh := !d.confirmedAt.IsZero() && now.Sub(d.confirmedAt) <= d.opts.FreshView && !d.lacksTable(now)
 	req.route = d.table.Route(q.Host, q.Path)
 	if req.route == nil {
 		d.refuseUnknown(now, req, fresh, http.StatusNotFound, ReasonNoRoute)
--- a/internal/director/restore_test.go
+++ b/internal/director/restore_test.go
@@ -261,3 +261,51 @@
 	_, sent := find[Dispatch](n.arrive(3, "/look/1"))
 	c.Check(sent, qt.IsTrue)
 }
+
+// Guards against a node that starts after a restore and accepts revoked keys, or
+// refuses added routes and keys for good, since it has read the older table only;
+// and against one that waits longer than missingTableTime for a version which is
+// not written.
+func TestNodeWaitsForTableThatStoreHasLost(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	statuses := func() []int {
+		n.post(ViewConfirmed{n.now})
+		list := make([]int, 0, 2)
+		for _, path := range []string{"/look/1", "/added/1"} {
+			n.lastID++
+			refuse, _ := find[Refuse](n.arrive(n.lastID, path))
+			list = append(list, refuse.Status)
+			n.post(CallerDisconnected{n.lastID})
+		}
+
+		return list
+	}
+	c.Check(n.Ready(), qt.IsTrue)
+	c.Check(statuses(), qt.DeepEquals, []int{0, 404})
+	version := n.Table().Version()
+	n.post(TableMissing{version})
+	c.Check(n.Ready(), qt.IsTrue)
+
+	n.post(TableMissing{version + 2})
+	c.Check(n.Ready(), qt.IsFalse)
+	c.Check(statuses(), qt.DeepEquals, []int{503, 503})
+	n.post(TableLoaded{table(version + 1)})
+	c.Check(statuses(), qt.DeepEquals, []int{503, 503})
+	n.post(TableLoaded{table(version + 2)})
+	c.Check(n.Ready(), qt.IsTrue)
+	c.Check(statuses(), qt.DeepEquals, []int{0, 404})
+
+	// The next copy of the store has lost a version too, and it is not written.
+	n.post(ViewRestored{})
+	end := n.now.Add(missingTableTime)
+	for n.now.Before(end) {
+		n.post(TableMissing{version + 3 + uint64(n.now.Sub(start))})
+		c.Assert(n.Ready(), qt.IsFalse, qt.Commentf("%s", end.Sub(n.now)))
+		c.Assert(statuses(), qt.DeepEquals, []int{503, 503})
+		n.now = n.now.Add(missingTableTime / 10)
+	}
+	n.post(TableMissing{version + 4 + uint64(n.now.Sub(start))})
+	c.Check(statuses(), qt.DeepEquals, []int{0, 404})
+	c.Check(n.Ready(), qt.IsTrue)
+}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -42,10 +42,12 @@
 	LoadChange      func() encoder.LoadChange
 	SetChangedLoads func(encoder.LoadSum)
 	// View returns the node's copy of the shared view. SetRelayedView is called
-	// with the view that the speaker has sent, and SetSpeaker with whether the
-	// node is the speaker of other nodes.
+	// with the view that the speaker has sent, CompareTable with the version of the
+	// routing table of another node, and SetSpeaker with whether the node is the
+	// speaker of other nodes.
 	View           func() aggregator.View
 	SetRelayedView func(aggregator.RelayedView)
+	CompareTable   func(aggregator.TableState)
 	SetSpeaker     func(bool)
 	// Crashes returns what the node knows about prompt parts that crash endpoints,
 	// and MergeCrashes is called with what other nodes know.
@@ -171,6 +173,7 @@
 		x.mu.Lock()
 		x.send(x.aggregator.Receive(x.opts.Clock(), from.Addr().Unmap(), m))
 		relayed, hasView := x.aggregator.Relayed()
+		tables := x.aggregator.TableStates()
 		digestReceived, others := x.aggregator.DigestReceived(), encoder.LoadSum{}
 		changedLoads, changed := x.aggregator.ChangedLoads(x.opts.Clock())
 		if digestReceived {
@@ -186,6 +189,9 @@
 		if hasView {
 			x.opts.SetRelayedView(relayed)
 		}
+		for _, t := range tables {
+			x.opts.CompareTable(t)
+		}
 	}
 }
 
--- a/internal/follower/era_test.go
+++ b/internal/follower/era_test.go
@@ -9,8 +9,10 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"snipedyke/internal/aggregator"
 	"snipedyke/internal/director"
 	"snipedyke/internal/logger"
+	"snipedyke/internal/router"
 )
 
 // Guards against a node that misses what is written after the store has been
@@ -190,3 +192,37 @@
 		})
 	}
 }
+
+// Guards against a node that does not notice that the store has lost a version of
+// the routing table, and against one that takes a version for lost which it has not
+// read yet.
+func TestLostTableIsReported(t *testing.T) {
+	table := func(version uint64) Change {
+		r, err := router.New(router.Definition{Version: version})
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		return Change{Key: "op/config", Revision: 12, Value: RoutingTable{r}}
+	}
+	c := qt.New(t)
+	var missing []uint64
+	f := New(Options{Source: &fakeSource{}, Logger: discardLogger{}, Clock: time.Now, Post: func(e director.Event) {
+		if m, ok := e.(director.TableMissing); ok {
+			missing = append(missing, m.Version)
+		}
+	}})
+	f.CompareTable(aggregator.TableState{Era: 1, Revision: 40, Table: 9})
+	c.Check(missing, qt.HasLen, 0, qt.Commentf("no list yet"))
+	f.applyList(View{Era: 2, Revision: 20, Changes: []Change{table(7)}})
+	c.Check(f.View().Table, qt.Equals, uint64(7))
+	for _, state := range []aggregator.TableState{
+		{Era: 2, Revision: 21, Table: 8}, {Era: 3, Revision: 5, Table: 8}, {Era: 2, Revision: 20, Table: 7}, {Era: 1, Revision: 40, Table: 6},
+	} {
+		f.CompareTable(state)
+		c.Check(missing, qt.HasLen, 0, qt.Commentf("%+v", state))
+	}
+	f.CompareTable(aggregator.TableState{Era: 2, Revision: 20, Table: 8})
+	f.CompareTable(aggregator.TableState{Era: 1, Revision: 40, Table: 9})
+	c.Check(missing, qt.DeepEquals, []uint64{8, 9})
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -189,6 +189,8 @@
 	wake chan struct{}
 	// itemRevisions holds the revision of each item by key, in the present era.
 	itemRevisions map[string]uint64
+	// table is the highest version of the routing table that has been read, or zero.
+	table uint64
 	// centresOut reports for each data centre whether it is taken out of
 	// service.
 	centresOut map[string]bool
@@ -388,7 +390,7 @@
 		case Endpoint:
 			entries = append(entries, v.Entry)
 		case RoutingTable:
-			f.opts.Post(director.TableLoaded{Table: v.RoutingTable})
+			f.loadTable(v)
 		case DataCentre:
 			f.centresOut[v.Name] = v.Out
 		case Invalid:
@@ -421,7 +423,7 @@
 		case EndpointRemoved:
 			f.opts.Post(director.EntryRemoved{ID: v.ID})
 		case RoutingTable:
-			f.opts.Post(director.TableLoaded{Table: v.RoutingTable})
+			f.loadTable(v)
 		case DataCentre:
 			f.centresOut[v.Name] = v.Out
 			f.postCentresOut()
@@ -434,6 +436,11 @@
 	}
 }
 
+func (f *Follower) loadTable(t RoutingTable) {
+	f.table = max(f.table, t.RoutingTable.Version())
+	f.opts.Post(director.TableLoaded{Table: t.RoutingTable})
+}
+
 func (f *Follower) logInvalid(c Change, v Invalid) {
 	f.opts.Logger.Event(logger.EntryIgnored, "key", c.Key, "revision", c.Revision, "error", v.Err.Error())
 }
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -28,7 +28,7 @@
 	defer f.mu.Unlock()
 	era, last := f.era, f.revision
 
-	return aggregator.View{Era: era, Revision: last, Confirmed: f.confirmed, Since: func(revision uint64) ([]encoder.Item, bool) {
+	return aggregator.View{Era: era, Revision: last, Table: f.table, Confirmed: f.confirmed, Since: func(revision uint64) ([]encoder.Item, bool) {
 		return f.changesBetween(era, revision, last)
 	}}
 }
@@ -101,6 +101,17 @@
 	}
 }
 
+// CompareTable reports to the director if another node has a newer routing table,
+// although its view is not newer than the node's own: the store has lost the table.
+func (f *Follower) CompareTable(t aggregator.TableState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	newer := t.Era > f.era || t.Era == f.era && t.Revision > f.revision
+	if f.listed && !newer && t.Table > f.table {
+		f.opts.Post(director.TableMissing{Version: t.Table})
+	}
+}
+
 // appendHistory adds an item to the history, and drops the older half of it
 // when it is full.
 func (f *Follower) appendHistory(item encoder.Item) {
--- a/pkg/encoder/load.go
+++ b/pkg/encoder/load.go
@@ -45,10 +45,12 @@
 // data centre.
 type ViewReport struct {
 	// Sent is the sender's clock in microseconds. Era and Revision identify the
-	// state of the store that its view holds.
+	// state of the store that its view holds, and Table is the version of its
+	// routing table, which may be from a lost copy.
 	Sent     uint64 `msg:"t"`
 	Era      uint64 `msg:"e"`
 	Revision uint64 `msg:"r"`
+	Table    uint64 `msg:"v"`
 }
 
 // ViewDigest is the speaker's response to a ViewReport.
@@ -59,11 +61,13 @@
 	EchoDelay uint64 `msg:"h"`
 	// Era and Revision identify the state of the store that the sender's view
 	// holds, and Age is the time in microseconds since that view was last
-	// complete. Items holds the changes after the receiver's revision. Gap
+	// complete. Table is the version of its routing table, which may be from a
+	// lost copy. Items holds the changes after the receiver's revision. Gap
 	// reports whether these changes are unknown, as of another era or too large
 	// to send.
 	Era      uint64 `msg:"e"`
 	Revision uint64 `msg:"r"`
+	Table    uint64 `msg:"v"`
 	Age      uint64 `msg:"a"`
 	Items    []Item `msg:"i"`
 	Gap      bool   `msg:"g"`
--- a/pkg/encoder/load_gen.go
+++ b/pkg/encoder/load_gen.go
@@ -1771,8 +1771,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Echo, err = dc.ReadUint64()
@@ -1795,6 +1795,11 @@
 		err = msgp.WrapError(err, "Revision")
 		return
 	}
+	z.Table, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Table")
+		return
+	}
 	z.Age, err = dc.ReadUint64()
 	if err != nil {
 		err = msgp.WrapError(err, "Age")
@@ -1828,8 +1833,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ViewDigest) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
+	// array header, size 8
+	err = en.Append(0x98)
 	if err != nil {
 		return
 	}
@@ -1853,6 +1858,11 @@
 		err = msgp.WrapError(err, "Revision")
 		return
 	}
+	err = en.WriteUint64(z.Table)
+	if err != nil {
+		err = msgp.WrapError(err, "Table")
+		return
+	}
 	err = en.WriteUint64(z.Age)
 	if err != nil {
 		err = msgp.WrapError(err, "Age")
@@ -1881,12 +1891,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ViewDigest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendUint64(o, z.Echo)
 	o = msgp.AppendUint64(o, z.EchoDelay)
 	o = msgp.AppendUint64(o, z.Era)
 	o = msgp.AppendUint64(o, z.Revision)
+	o = msgp.AppendUint64(o, z.Table)
 	o = msgp.AppendUint64(o, z.Age)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Items)))
 	for za0001 := range z.Items {
@@ -1908,8 +1919,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Echo, bts, err = msgp.ReadUint64Bytes(bts)
@@ -1932,6 +1943,11 @@
 		err = msgp.WrapError(err, "Revision")
 		return
 	}
+	z.Table, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Table")
+		return
+	}
 	z.Age, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Age")
@@ -1966,7 +1982,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ViewDigest) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Items {
 		s += z.Items[za0001].Msgsize()
 	}
@@ -1982,8 +1998,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Sent, err = dc.ReadUint64()
@@ -2001,13 +2017,18 @@
 		err = msgp.WrapError(err, "Revision")
 		return
 	}
+	z.Table, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Table")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z ViewReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+func (z *ViewReport) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -2026,17 +2047,23 @@
 		err = msgp.WrapError(err, "Revision")
 		return
 	}
+	err = en.WriteUint64(z.Table)
+	if err != nil {
+		err = msgp.WrapError(err, "Table")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ViewReport) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ViewReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.Sent)
 	o = msgp.AppendUint64(o, z.Era)
 	o = msgp.AppendUint64(o, z.Revision)
+	o = msgp.AppendUint64(o, z.Table)
 	return
 }
 
@@ -2048,8 +2075,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Sent, bts, err = msgp.ReadUint64Bytes(bts)
@@ -2067,12 +2094,17 @@
 		err = msgp.WrapError(err, "Revision")
 		return
 	}
+	z.Table, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Table")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ViewReport) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size
+func (z *ViewReport) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
