--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -131,7 +131,7 @@
 	})
 	n.exchanger, err = exchanger.New(exchanger.Options{
 		Address: s.Peers, Centre: s.DataCentre, Seeds: s.Seeds, Logger: n.logger, Clock: opts.Clock,
-		Load: n.forwarder.Load, View: n.follower.View, SetRelayedView: n.follower.ApplyRelayed, SetSpeaker: n.follower.SetRelaying,
+		Load: n.forwarder.Load, View: n.follower.View, SetRelayedView: n.follower.ApplyRelayed, CompareTable: n.follower.CompareTable, SetSpeaker: n.follower.SetRelaying,
 		SetOthersLoad:   func(others encoder.LoadSum) { n.forwarder.Post(director.OthersLoadReplaced{Others: others}) },
 		LoadChange:      func() encoder.LoadChange { return n.forwarder.LoadChange() },
 		SetChangedLoads: func(others encoder.LoadSum) { n.forwarder.Post(director.OthersLoadUpdated{Others: others}) },
@@ -160,7 +160,7 @@
 	return director.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Regions: s.Regions,
 		KeyLease:  time.Duration(keyLeaseFraction * float64(s.RevocationTimeout)),
-		FreshView: freshViewAge, AssumedNodes: assumedNodes,
+		FreshView: freshViewAge, AssumedNodes: assumedNodes, PublicationInterval: s.PublicationInterval,
 		ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack,
 		RetryWindow: s.RetryWindow, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
 	}
--- a/internal/director/restore_test.go
+++ b/internal/director/restore_test.go
@@ -101,6 +101,28 @@
 	}
 }
 
+// Guards against requests to a departed endpoint whose entry in the copy has not
+// expired yet, since endpoints publish rarely or their interval has changed.
+func TestDepartedEndpointStaysOutUntilItsEntryExpires(t *testing.T) {
+	c := qt.New(t)
+	known := []registrar.Entry{published(0, 1, 8), published(1, 1, 3)}
+	for _, interval := range []time.Duration{time.Second, 5 * time.Second} {
+		slow := options()
+		slow.PublicationInterval = interval
+		n := &node{Director: New(options()), now: start}
+		n.post(OptionsChanged{slow})
+		n.post(TableLoaded{table(1)})
+		n.post(EntriesListed{known})
+		n.post(EntryRemoved{known[0].ID})
+		n.post(ViewRestored{})
+		n.post(EntriesListed{known})
+		n.now = n.now.Add(3*interval + time.Second)
+		c.Check(n.sends()[known[0].ID], qt.Equals, 0, qt.Commentf("interval %s", interval))
+		n.now = n.now.Add(2 * interval)
+		c.Check(n.sends()[known[0].ID] > 0, qt.IsTrue, qt.Commentf("interval %s", interval))
+	}
+}
+
 // Guards against losing a restarted endpoint of which the copy contains an
 // earlier incarnation, and against ignoring what the copy says that is newer.
 func TestNewerIncarnationIsUsedAfterRestore(t *testing.T) {
@@ -154,7 +176,7 @@
 	// The operator does not write it again.
 	n := restored()
 	n.post(CentresOut{[]string{"kollam"}})
-	n.now = n.now.Add(registrar.HoldTime - time.Millisecond)
+	n.now = n.now.Add(registrar.CentreHoldTime - time.Millisecond)
 	c.Check(usable(n), qt.IsFalse)
 	n.now = n.now.Add(time.Millisecond)
 	c.Check(usable(n), qt.IsTrue)
@@ -177,7 +199,7 @@
 	n.post(Ticked{})
 	n.post(ViewReachable{})
 	c.Check(usable(n), qt.IsFalse)
-	n.now = n.now.Add(registrar.HoldTime)
+	n.now = n.now.Add(registrar.CentreHoldTime)
 	c.Check(usable(n), qt.IsTrue)
 
 	// A data centre that the copy shows as out is not used.
@@ -190,6 +212,24 @@
 	c.Check(usable(n), qt.IsTrue)
 }
 
+// Guards against requests to a data centre between the end of the hold of entries
+// and the operator's repeated write, which may come 5 s after the restore.
+func TestDataCentreStaysOutUntilOperatorWritesAgain(t *testing.T) {
+	c := qt.New(t)
+	n := newRestoredNode(nil)
+	n.post(CentresOut{[]string{"kochi"}})
+	n.post(ViewRestored{})
+	n.post(CentresOut{nil})
+	n.post(EntriesListed{[]registrar.Entry{published(0, 1, 3)}})
+	for range 49 {
+		n.now = n.now.Add(100 * time.Millisecond)
+		c.Assert(n.sends(), qt.HasLen, 0, qt.Commentf("%s after the restore", n.now.Sub(start)))
+	}
+	n.post(CentresOut{[]string{"kochi"}})
+	n.now = n.now.Add(time.Minute)
+	c.Check(n.sends(), qt.HasLen, 0)
+}
+
 // Guards against accepting a key again that was revoked by a version of the
 // table which a restored store lacks, and against nodes that do not become ready
 // again because their version is newer.
@@ -221,3 +261,51 @@
 	_, sent := find[Dispatch](n.arrive(3, "/look/1"))
 	c.Check(sent, qt.IsTrue)
 }
+
+// Guards against a node that starts after a restore and accepts revoked keys, or
+// refuses added routes and keys for good, since it has read the older table only;
+// and against one that waits longer than missingTableTime for a version which is
+// not written.
+func TestNodeWaitsForTableThatStoreHasLost(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	statuses := func() []int {
+		n.post(ViewConfirmed{n.now})
+		list := make([]int, 0, 2)
+		for _, path := range []string{"/look/1", "/added/1"} {
+			n.lastID++
+			refuse, _ := find[Refuse](n.arrive(n.lastID, path))
+			list = append(list, refuse.Status)
+			n.post(CallerDisconnected{n.lastID})
+		}
+
+		return list
+	}
+	c.Check(n.Ready(), qt.IsTrue)
+	c.Check(statuses(), qt.DeepEquals, []int{0, 404})
+	version := n.Table().Version()
+	n.post(TableMissing{version})
+	c.Check(n.Ready(), qt.IsTrue)
+
+	n.post(TableMissing{version + 2})
+	c.Check(n.Ready(), qt.IsFalse)
+	c.Check(statuses(), qt.DeepEquals, []int{503, 503})
+	n.post(TableLoaded{table(version + 1)})
+	c.Check(statuses(), qt.DeepEquals, []int{503, 503})
+	n.post(TableLoaded{table(version + 2)})
+	c.Check(n.Ready(), qt.IsTrue)
+	c.Check(statuses(), qt.DeepEquals, []int{0, 404})
+
+	// The next copy of the store has lost a version too, and it is not written.
+	n.post(ViewRestored{})
+	end := n.now.Add(missingTableTime)
+	for n.now.Before(end) {
+		n.post(TableMissing{version + 3 + uint64(n.now.Sub(start))})
+		c.Assert(n.Ready(), qt.IsFalse, qt.Commentf("%s", end.Sub(n.now)))
+		c.Assert(statuses(), qt.DeepEquals, []int{503, 503})
+		n.now = n.now.Add(missingTableTime / 10)
+	}
+	n.post(TableMissing{version + 4 + uint64(n.now.Sub(start))})
+	c.Check(statuses(), qt.DeepEquals, []int{0, 404})
+	c.Check(n.Ready(), qt.IsTrue)
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -25,7 +25,7 @@
 var ErrIncomplete = errors.New("follower: changes are incomplete")
 
 // errOlderEra is the failure of a call whose answer is of an older era than an
-// earlier answer.
+// earlier answer, or of none after one with an era.
 var errOlderEra = errors.New("follower: answer is of an older era of the store")
 
 // Source reads the shared view.
@@ -47,7 +47,7 @@
 type View struct {
 	// Era rises each time that the store comes back from an older copy. Such a
 	// store gives revisions out again, so revisions are comparable within one
-	// era only. It is zero if the store has no eras.
+	// era only. It is zero if the answer has no era.
 	Era uint64
 	// Revision is the revision after which to watch.
 	Revision uint64
@@ -144,6 +144,10 @@
 	// is as long as the list took, so that lists take up at most half of a narrow
 	// link.
 	maxListDelay = 800 * time.Millisecond
+	// maxOlderAnswers is the number of successive answers of an older era after
+	// which the store counts as rebuilt. A node makes one call at a time, so a
+	// late answer is a single one, and the calls take about 5 s.
+	maxOlderAnswers = 15
 	// minRetryDelay and maxRetryDelay bound the delay after a repeated failure.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
@@ -158,13 +162,18 @@
 	// era and revision identify the state of the store that the view holds.
 	// revision is zero before the first list.
 	era, revision uint64
-	// storeEra is the newest era that an answer of the store had. If it is newer
-	// than era, the view is that of a lost copy.
+	// storeEra is the newest era that an answer of the store had, since the store
+	// was rebuilt last. If it differs from era, the view is that of a lost copy.
 	storeEra uint64
+	// olderAnswers is the number of successive answers of an older era.
+	olderAnswers int
 	// confirmed is the last time at which the view was known to be complete.
 	confirmed time.Time
-	// relayed reports whether the last confirmation came from another node, and
-	// relaying whether this node relays the view to others.
+	// relayConfirmed is the last time at which another node knew that the view was
+	// complete, and relayed reports whether the node has relied on it since the
+	// last call to the store. relaying reports whether this node relays the view to
+	// others.
+	relayConfirmed    time.Time
 	relayed, relaying bool
 	// history holds the latest changes, oldest first. It is complete for the
 	// revisions of the present era after historyStart.
@@ -174,12 +183,14 @@
 	listed bool
 	// behind reports whether the changes after revision cannot be had from the
 	// relaying node or by a watch, so that the next call must be a list. It is
-	// true while storeEra is newer than era.
+	// true while storeEra differs from era.
 	behind bool
 	// wake receives a value when behind becomes true.
 	wake chan struct{}
 	// itemRevisions holds the revision of each item by key, in the present era.
 	itemRevisions map[string]uint64
+	// table is the highest version of the routing table that has been read, or zero.
+	table uint64
 	// centresOut reports for each data centre whether it is taken out of
 	// service.
 	centresOut map[string]bool
@@ -276,13 +287,16 @@
 
 // checkEra compares the era of an answer of the store with those before it. It
 // returns errOlderEra if the answer must be ignored. If the answer shows a newer
-// era than that of the view, behind becomes true.
+// era than that of the view, or that the store has been rebuilt, behind becomes
+// true.
 func (f *Follower) checkEra(view View) error {
-	if view.Era < f.storeEra {
+	if view.Era < f.storeEra && f.olderAnswers < maxOlderAnswers {
+		f.olderAnswers++
+
 		return errOlderEra
 	}
-	f.storeEra = view.Era
-	if f.storeEra > f.era {
+	f.storeEra, f.olderAnswers = view.Era, 0
+	if f.storeEra != f.era {
 		f.behind = true
 	}
 
@@ -344,7 +358,7 @@
 	f.mu.Lock()
 	err = f.checkEra(view)
 	repeated := err == nil && f.listed
-	if err == nil && (!repeated || view.Era > f.era || view.Revision >= f.revision) {
+	if err == nil && (!repeated || view.Era != f.era || view.Revision >= f.revision) {
 		f.applyList(view)
 		f.confirm(sent)
 	}
@@ -356,17 +370,17 @@
 	return err
 }
 
-// applyList replaces the view by a full list. A list of a newer era may lack what
+// applyList replaces the view by a full list. A list of another era may lack what
 // was in the view, so the director is told before.
 func (f *Follower) applyList(view View) {
-	if f.revision > 0 && view.Era > f.era {
+	if f.revision > 0 && view.Era != f.era {
 		f.opts.Post(director.ViewRestored{})
 		f.opts.Logger.Event(logger.ViewRestored, "era", view.Era, "former", f.era, "revision", view.Revision, "formerRevision", f.revision)
 	} else {
 		f.endOutage()
 	}
 	f.era, f.revision, f.listed, f.behind = view.Era, view.Revision, true, false
-	f.history, f.historyStart = nil, view.Revision
+	f.history, f.historyStart, f.relayConfirmed = nil, view.Revision, time.Time{}
 	clear(f.itemRevisions)
 	clear(f.centresOut)
 	var entries []registrar.Entry
@@ -376,7 +390,7 @@
 		case Endpoint:
 			entries = append(entries, v.Entry)
 		case RoutingTable:
-			f.opts.Post(director.TableLoaded{Table: v.RoutingTable})
+			f.loadTable(v)
 		case DataCentre:
 			f.centresOut[v.Name] = v.Out
 		case Invalid:
@@ -409,7 +423,7 @@
 		case EndpointRemoved:
 			f.opts.Post(director.EntryRemoved{ID: v.ID})
 		case RoutingTable:
-			f.opts.Post(director.TableLoaded{Table: v.RoutingTable})
+			f.loadTable(v)
 		case DataCentre:
 			f.centresOut[v.Name] = v.Out
 			f.postCentresOut()
@@ -422,6 +436,11 @@
 	}
 }
 
+func (f *Follower) loadTable(t RoutingTable) {
+	f.table = max(f.table, t.RoutingTable.Version())
+	f.opts.Post(director.TableLoaded{Table: t.RoutingTable})
+}
+
 func (f *Follower) logInvalid(c Change, v Invalid) {
 	f.opts.Logger.Event(logger.EntryIgnored, "key", c.Key, "revision", c.Revision, "error", v.Err.Error())
 }
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -12,7 +12,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	return f.listed && !f.behind && f.relayed && f.opts.Clock().Sub(f.confirmed) < maxRelayAge
+	return f.listed && !f.behind && f.opts.Clock().Sub(f.relayConfirmed) < maxRelayAge
 }
 
 // SetRelaying sets whether the node relays the view to others.
@@ -28,7 +28,7 @@
 	defer f.mu.Unlock()
 	era, last := f.era, f.revision
 
-	return aggregator.View{Era: era, Revision: last, Confirmed: f.confirmed, Since: func(revision uint64) ([]encoder.Item, bool) {
+	return aggregator.View{Era: era, Revision: last, Table: f.table, Confirmed: f.confirmed, Since: func(revision uint64) ([]encoder.Item, bool) {
 		return f.changesBetween(era, revision, last)
 	}}
 }
@@ -58,15 +58,19 @@
 }
 
 // ApplyRelayed applies a view relayed by another node. It ignores a view of an
-// older era or revision than the node's own, one that was not confirmed later, and
-// one that arrives before the first list. If changes are missing, because the view
-// is of a newer era or has a gap, the next call is a list.
+// older era or revision than the node's own, and one that arrives before the first
+// list. A view that was confirmed earlier than the node's own shows that the node
+// need not call the store. If changes are missing, because the view is of a newer
+// era or has a gap, the next call is a list.
 func (f *Follower) ApplyRelayed(r aggregator.RelayedView) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
 	case !f.listed, r.Era < f.storeEra, r.Era == f.era && r.Revision < f.revision:
 		return
+	case r.Era > f.era && !r.Confirmed.After(f.confirmed):
+		// The store has been rebuilt since.
+		return
 	case r.Era > f.era, r.Gap && r.Revision > f.revision:
 		f.behind = true
 		select {
@@ -75,7 +79,12 @@
 		}
 
 		return
-	case !r.Confirmed.After(f.confirmed):
+	}
+	if r.Confirmed.After(f.relayConfirmed) {
+		f.relayConfirmed, f.relayed = r.Confirmed, true
+	}
+	later := r.Confirmed.After(f.confirmed)
+	if !later && r.Revision == f.revision {
 		return
 	}
 	f.endOutage()
@@ -86,8 +95,21 @@
 		}
 	}
 	f.applyChanges(view)
-	f.relayed, f.behind, f.confirmed = true, false, r.Confirmed
-	f.opts.Post(director.ViewConfirmed{At: r.Confirmed})
+	if later {
+		f.behind, f.confirmed = false, r.Confirmed
+		f.opts.Post(director.ViewConfirmed{At: r.Confirmed})
+	}
+}
+
+// CompareTable reports to the director if another node has a newer routing table,
+// although its view is not newer than the node's own: the store has lost the table.
+func (f *Follower) CompareTable(t aggregator.TableState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	newer := t.Era > f.era || t.Era == f.era && t.Revision > f.revision
+	if f.listed && !newer && t.Table > f.table {
+		f.opts.Post(director.TableMissing{Version: t.Table})
+	}
 }
 
 // appendHistory adds an item to the history, and drops the older half of it
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -8,7 +8,7 @@
 // The service can also come back from an older copy. What the copy says about an
 // endpoint may then be older than what the registrar knows, and is ignored until
 // the endpoint publishes again. Data centres that the copy lacks stay out of
-// service until the end of the hold period.
+// service for CentreHoldTime.
 package registrar
 
 import (
@@ -21,6 +21,11 @@
 // the connection is restored. Running endpoints publish again within 2 s.
 const HoldTime = 2200 * time.Millisecond
 
+// CentreHoldTime is how long a data centre that a restored copy lacks stays out of
+// service, unless it is taken out again before. Operators can take as long to
+// write again as a data centre may take to go out of service.
+const CentreHoldTime = 5 * time.Second
+
 // Entry is the information that an endpoint publishes about itself.
 type Entry struct {
 	// ID is unique among the running endpoints.
@@ -75,14 +80,17 @@
 
 // Registrar holds the endpoints. It is not safe for concurrent use.
 type Registrar struct {
-	entries map[string]Entry
+	// publicationInterval is the time between two publications of an endpoint.
+	publicationInterval time.Duration
+	entries             map[string]Entry
 	// out is the set of data centres that are out of service.
 	out map[string]bool
 	// held maps the IDs of entries whose removal is delayed to the time at
 	// which they are removed.
 	held map[string]time.Time
-	// holdUntil is the end of the present hold period.
-	holdUntil time.Time
+	// holdUntil is the end of the present hold period, and centresHeldUntil the
+	// time at which the data centres of heldOut return.
+	holdUntil, centresHeldUntil time.Time
 
 	// restored and outRestored report whether the next list of entries and the next
 	// set of data centres are the first ones of a restored copy.
@@ -93,25 +101,32 @@
 	// outdated holds the ignored entries of known endpoints, as listed, and doubted
 	// those of departed endpoints. Later lists may contain them unchanged.
 	outdated, doubted map[string]Entry
-	// doubtUntil is the time from which the doubted entries are used.
-	doubtUntil time.Time
+	// doubtUntil is the time from which the outdated and doubted entries are used,
+	// and drainUntil that for incarnations that are known to drain.
+	doubtUntil, drainUntil time.Time
 	// departed holds the last entries of removed endpoints.
 	departed map[string]departure
 }
 
-// New returns an empty registrar.
-func New() *Registrar {
+// New returns an empty registrar for endpoints that publish at the interval.
+func New(publicationInterval time.Duration) *Registrar {
 	return &Registrar{
-		entries: map[string]Entry{}, out: map[string]bool{}, held: map[string]time.Time{},
+		publicationInterval: publicationInterval,
+		entries:             map[string]Entry{}, out: map[string]bool{}, held: map[string]time.Time{},
 		heldOut: map[string]bool{}, outdated: map[string]Entry{}, doubted: map[string]Entry{}, departed: map[string]departure{},
 	}
 }
 
+// SetPublicationInterval sets the interval at which endpoints publish. It applies
+// from the next hold period.
+func (r *Registrar) SetPublicationInterval(interval time.Duration) { r.publicationInterval = interval }
+
 // Reconnected starts a hold period. It is called when the connection is
 // restored after an outage.
 func (r *Registrar) Reconnected(now time.Time) {
 	r.holdUntil = now.Add(HoldTime)
-	r.doubtUntil = now.Add(doubtTime)
+	r.centresHeldUntil = now.Add(CentreHoldTime)
+	r.doubtUntil = now.Add(doubtedPublications * r.publicationInterval)
 }
 
 // Put adds or updates the entry of an endpoint.
@@ -197,8 +212,10 @@
 }
 
 // HasHeld reports whether the removal of any entry or the return of any data
-// centre is delayed, or an entry of a departed endpoint is ignored.
-func (r *Registrar) HasHeld() bool { return len(r.held)+len(r.heldOut)+len(r.doubted) > 0 }
+// centre is delayed, or an entry of a restored copy is ignored.
+func (r *Registrar) HasHeld() bool {
+	return len(r.held)+len(r.heldOut)+len(r.doubted)+len(r.outdated) > 0
+}
 
 // ids returns the IDs of all entries in sorted order, so that the order of
 // events does not depend on map iteration.
@@ -214,7 +231,7 @@
 
 // SetOut replaces the set of data centres that are out of service. It returns
 // those that are back in service, and those that a restored copy lacks and that
-// stay out until the end of the hold period, both in sorted order.
+// stay out for CentreHoldTime, both in sorted order.
 func (r *Registrar) SetOut(centres []string) (back, held []string) {
 	out := make(map[string]bool, len(centres))
 	for _, c := range centres {
