Relay responses without a body at once

A 204 or 304 without Content-Length was held until the route's timeout and became a 504. So did a 304 with the length of the body that it stands for. An interim response (such as 103) before the final one became a 502.

The body was read as for any other status: to the length given, or to the end of the connection. fasthttp decides on bodies and interim responses in Response.ReadLimitBody, which the forwarder does not use, because it checks the header first.

Responses with these two statuses now end with their header, and up to eight interim responses are skipped before each final one. Responses to earlier requests are read the same way, with their trailer.

TestResponseWithoutContentIsRelayed failed before in all five cases (504 four times, 502 for the interim response) and passes now; go test -race passes for the forwarder.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -21,6 +21,9 @@
 	// maxStaleResponses is the maximum number of responses to earlier requests
 	// that are skipped on a connection.
 	maxStaleResponses = 2
+	// maxInterimResponses is the maximum number of interim responses (1xx) that
+	// are skipped before a response.
+	maxInterimResponses = 8
 	// responseMargin is the additional time that a response is awaited after
 	// the deadline sent to the endpoint.
 	responseMargin = 100 * time.Millisecond
@@ -34,6 +37,7 @@
 	errRequestMismatch = errors.New("response belongs to another request")
 	errUnsealed        = errors.New("response has no seal of the endpoint")
 	errContentEncoded  = errors.New("response has a content encoding")
+	errTooManyInterim  = errors.New("too many interim responses")
 	errNotStream       = errors.New("response does not resume the stream")
 )
 
@@ -192,14 +196,14 @@
 	h.SetNoDefaultContentType(true)
 	for range maxStaleResponses + 1 {
 		a.resp.StreamBody = false
-		if err := h.Read(a.conn.br); err != nil {
+		if err := a.readHeader(); err != nil {
 			return a.failureResult(err)
 		}
 		m := a.call.f.opts.Protocol.ParseResponse(h)
 		a.finished.Cold, a.finished.Status = m.ColdRemaining, h.StatusCode()
 		if m.AttemptID != a.call.attemptID && m.AttemptID != "" && a.conn.reused {
 			// The response belongs to an earlier request on this connection.
-			if err := a.resp.ReadBody(a.conn.br, maxResponseBytes); err != nil {
+			if err := a.readBody(); err != nil {
 				return a.failureResult(err)
 			}
 
@@ -212,6 +216,21 @@
 	return a.failureResult(errRequestMismatch)
 }
 
+// readHeader reads the header of the next final response.
+func (a *attempt) readHeader() error {
+	h := &a.resp.Header
+	for range maxInterimResponses + 1 {
+		if err := h.Read(a.conn.br); err != nil {
+			return err
+		}
+		if h.StatusCode() >= http.StatusOK || h.StatusCode() == http.StatusSwitchingProtocols {
+			return nil
+		}
+	}
+
+	return errTooManyInterim
+}
+
 // handleResponse validates the response header and reads the body, or the first
 // events of a stream.
 func (a *attempt) handleResponse(m ResponseMetadata) director.Result {
@@ -250,6 +269,10 @@
 }
 
 func (a *attempt) readBody() error {
+	if status := a.resp.StatusCode(); status == http.StatusNoContent || status == http.StatusNotModified {
+		// There is no body, whatever the header fields say.
+		return nil
+	}
 	chunked := a.resp.Header.ContentLength() == -1
 	if err := a.resp.ReadBody(a.conn.br, maxResponseBytes); err != nil {
 		return err
--- a/internal/forwarder/framing_test.go
+++ b/internal/forwarder/framing_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -78,3 +79,33 @@
 		})
 	}
 }
+
+// Guards against a response without a body that is awaited to the end of the
+// timeout, and against an interim response that is taken for the final one.
+func TestResponseWithoutContentIsRelayed(t *testing.T) {
+	for name, response := range map[string]string{
+		"204":         "HTTP/1.1 204 No Content\r\n",
+		"304":         "HTTP/1.1 304 Not Modified\r\n",
+		"304 chunked": "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n",
+		"304 length":  "HTTP/1.1 304 Not Modified\r\nContent-Length: 10\r\n",
+		"103":         "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 204 No Content\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			e := newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+				_, err := fmt.Fprintf(conn, "%sName: %s\r\nSeal: s\r\n\r\n", response, r.Header.Get("Name"))
+
+				return err == nil
+			})
+			call := start(t, e).dial(c)
+			for _, name := range []string{"r1", "r2"} {
+				call.send("POST", "/brief/x", name, "")
+				resp, body, err := call.receive()
+				c.Assert(err, qt.IsNil)
+				c.Check(resp.StatusCode < 400, qt.IsTrue, qt.Commentf("%s", resp.Status))
+				c.Check(resp.Header.Get("Name"), qt.Equals, name)
+				c.Check(body, qt.Equals, "")
+			}
+		})
+	}
+}
