Limit the idle connections to all endpoints

A node reserves 1,024 descriptors for all but its callers. It kept up to eight idle connections to each endpoint, and only looked at an endpoint's idle connections when it used that endpoint again. With 2,100 endpoints (the target) even one connection each is more than the reserve, and callers then get no connection.

The pool keeps its idle connections in the order of their age as well, and closes the oldest when there are 768 in total, or a quarter of the descriptors if that is less.

--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -58,8 +58,10 @@
 	assumedNodes = 100
 	// reservedDescriptors is the number of file descriptors that are not
 	// available to callers' connections, but reserved for files, endpoints and
-	// the shared view.
+	// the shared view. Idle connections to endpoints take up at most
+	// maxIdleConnections of them.
 	reservedDescriptors = 1024
+	maxIdleConnections  = 768
 	// memoryLimitFraction is the fraction of the process's memory limit that
 	// is the runtime's soft limit; above it the garbage collector runs more
 	// often.
@@ -115,7 +117,8 @@
 		Director: directorOptions(s),
 		Protocol: opts.Protocol, Logger: n.logger, Meter: routedMeter{n.exporter}, Callers: s.Callers, Clock: opts.Clock,
 		MaxBodyBytes: maxRequestBody, MaxHeaderBytes: maxRequestHeader,
-		MaxConnections: max(s.Descriptors-reservedDescriptors, minConnections), GracePeriod: s.Grace,
+		MaxConnections: max(s.Descriptors-reservedDescriptors, minConnections), MaxIdleConnections: min(maxIdleConnections, s.Descriptors/4),
+		GracePeriod: s.Grace,
 	})
 	if err != nil {
 		err = errors.Join(&Error{Op: "callers", Kind: KindListen, Err: err}, n.readiness.Close())
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -49,6 +49,8 @@
 	// MaxBodyBytes and MaxHeaderBytes limit the size of a request's body and
 	// header. MaxConnections limits the number of connections from callers.
 	MaxBodyBytes, MaxHeaderBytes, MaxConnections int
+	// MaxIdleConnections is the maximum number of idle connections to endpoints.
+	MaxIdleConnections int
 	// GracePeriod is the maximum duration of a graceful shutdown.
 	GracePeriod time.Duration
 }
@@ -95,7 +97,7 @@
 		return nil, &Error{Op: "listen for callers", Kind: KindListen, Err: err}
 	}
 	f := &Forwarder{
-		opts: opts, pool: newPool(), director: director.New(opts.Director), calls: map[uint64]*call{}, streamIdleTimeout: streamIdleTimeout,
+		opts: opts, pool: newPool(opts.MaxIdleConnections), director: director.New(opts.Director), calls: map[uint64]*call{}, streamIdleTimeout: streamIdleTimeout,
 		listener: &listener{Listener: acceptor.New(ln, "callers", opts.Logger), conns: map[*callerConn]struct{}{}},
 	}
 	f.server = &fasthttp.Server{
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"errors"
 	"net"
 	"net/netip"
@@ -41,7 +42,8 @@
 // endpointConn is a connection to an endpoint.
 type endpointConn struct {
 	net.Conn
-	br *bufio.Reader
+	address netip.AddrPort
+	br      *bufio.Reader
 	// onTimeout reports whether a read or write that has exceeded its deadline
 	// goes on. It is nil while the connection is idle.
 	onTimeout func() bool
@@ -51,6 +53,8 @@
 	idleTimeout time.Duration
 	// reused reports whether the connection has carried a request before.
 	reused bool
+	// element is the connection's element in pool.byAge while it is idle.
+	element *list.Element
 }
 
 // Read implements io.Reader. It is the source of br, since readers of HTTP cannot
@@ -83,14 +87,21 @@
 // pool holds idle connections to endpoints.
 type pool struct {
 	dialer net.Dialer
-
-	mu   sync.Mutex
-	idle map[netip.AddrPort][]*endpointConn
+	// maxTotal is the maximum number of idle connections to all addresses. It is
+	// positive.
+	maxTotal int
+
+	mu sync.Mutex
+	// idle holds the idle connections by address, and byAge the *endpointConn of
+	// all of them; both have those that have been idle longest first.
+	idle  map[netip.AddrPort][]*endpointConn
+	byAge list.List
 }
 
-func newPool() *pool {
+func newPool(maxTotal int) *pool {
 	return &pool{
-		idle: map[netip.AddrPort][]*endpointConn{},
+		maxTotal: max(maxTotal, 1),
+		idle:     map[netip.AddrPort][]*endpointConn{},
 		dialer: net.Dialer{
 			Timeout: dialTimeout,
 			Control: dispatcher.SetTCPUserTimeout(unackedTimeout),
@@ -122,7 +133,7 @@
 		return nil, err
 	}
 
-	c := &endpointConn{Conn: conn}
+	c := &endpointConn{Conn: conn, address: address}
 	c.br = bufio.NewReaderSize(c, readBufferBytes)
 
 	return c, nil
@@ -139,6 +150,7 @@
 	}
 	c := conns[len(conns)-1]
 	p.idle[address] = conns[:len(conns)-1]
+	p.byAge.Remove(c.element)
 
 	return c
 }
@@ -160,10 +172,22 @@
 	conns := p.idle[address]
 	// Endpoints close the connections that have been idle longest first.
 	for len(conns) > 0 && (len(conns) >= maxIdle || now.Sub(conns[0].lastUsed) >= conns[0].idleTimeout) {
-		_ = conns[0].Close()
-		conns = conns[1:]
+		p.closeOldest(address)
+		conns = p.idle[address]
+	}
+	if p.byAge.Len() >= p.maxTotal {
+		p.closeOldest(p.byAge.Front().Value.(*endpointConn).address)
 	}
-	p.idle[address] = append(conns, c)
+	c.element = p.byAge.PushBack(c)
+	p.idle[address] = append(p.idle[address], c)
+}
+
+// closeOldest closes the connection to the address that has been idle longest.
+func (p *pool) closeOldest(address netip.AddrPort) {
+	conns := p.idle[address]
+	p.byAge.Remove(conns[0].element)
+	_ = conns[0].Close()
+	p.idle[address] = conns[1:]
 }
 
 // closeIdle closes the idle connections to an address.
@@ -171,6 +195,9 @@
 	p.mu.Lock()
 	conns := p.idle[address]
 	delete(p.idle, address)
+	for _, c := range conns {
+		p.byAge.Remove(c.element)
+	}
 	p.mu.Unlock()
 	for _, c := range conns {
 		_ = c.Close()
