--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -23,6 +23,9 @@
 	// maxStaleResponses is the maximum number of responses to earlier requests
 	// that are skipped on a connection.
 	maxStaleResponses = 2
+	// maxInterimResponses is the maximum number of interim responses (1xx) that
+	// are skipped before a response.
+	maxInterimResponses = 8
 	// responseMargin is the additional time that a response is awaited after
 	// the deadline sent to the endpoint.
 	responseMargin = 100 * time.Millisecond
@@ -46,6 +49,7 @@
 	errRequestMismatch = errors.New("response may belong to another request")
 	errUnsealed        = errors.New("response has no seal of the endpoint")
 	errContentEncoded  = errors.New("response has a content encoding")
+	errTooManyInterim  = errors.New("too many interim responses")
 	errNotStream       = errors.New("response does not resume the stream")
 	errPartlySent      = errors.New("response to a part of the request")
 )
@@ -246,7 +250,7 @@
 	h.SetNoDefaultContentType(true)
 	for range maxStaleResponses + 1 {
 		a.resp.StreamBody = false
-		if err := h.Read(a.conn.br); err != nil {
+		if err := a.readHeader(); err != nil {
 			return a.failureResult(err)
 		}
 		m := a.call.f.opts.Protocol.ParseResponse(h)
@@ -265,10 +269,7 @@
 // skipBody skips the body of a response to an earlier request. It returns an
 // error if no other response can follow.
 func (a *attempt) skipBody() error {
-	switch {
-	case a.resp.Header.StatusCode() == http.StatusNoContent || a.resp.Header.StatusCode() == http.StatusNotModified:
-		return nil
-	case a.resp.Header.ContentLength() < -1:
+	if a.resp.Header.ContentLength() < -1 && !a.withoutBody() {
 		// The body ends with the connection.
 		return errRequestMismatch
 	}
@@ -287,6 +288,21 @@
 	return m.AttemptID == a.call.attemptID
 }
 
+// readHeader reads the header of the next final response.
+func (a *attempt) readHeader() error {
+	h := &a.resp.Header
+	for range maxInterimResponses + 1 {
+		if err := h.Read(a.conn.br); err != nil {
+			return err
+		}
+		if h.StatusCode() >= http.StatusOK || h.StatusCode() == http.StatusSwitchingProtocols {
+			return nil
+		}
+	}
+
+	return errTooManyInterim
+}
+
 // handleResponse validates the response header and reads the body, or the first
 // events of a stream.
 func (a *attempt) handleResponse(m ResponseMetadata) director.Result {
@@ -330,7 +346,18 @@
 	return director.Answered
 }
 
+// withoutBody reports whether the response ends with its header, whatever the
+// header fields say.
+func (a *attempt) withoutBody() bool {
+	status := a.resp.StatusCode()
+
+	return status == http.StatusNoContent || status == http.StatusNotModified
+}
+
 func (a *attempt) readBody() error {
+	if a.withoutBody() {
+		return nil
+	}
 	chunked := a.resp.Header.ContentLength() == -1
 	if err := a.resp.ReadBody(a.conn.br, maxResponseBytes); err != nil {
 		return err
