Serve no further request after a stream that outlasts the start of a shutdown

A request on a kept connection reached an endpoint late in a shutdown and was cut off when the grace period ended.

A stream whose header was sent before the signal lacks "Connection: close". When it ends, its caller sends the next request at once.

Once the listener is closed, a connection is now closed when its response has been written, and its next request is not read. Callers send it again, as it has not been read.

TestStreamAtShutdownIsTheLastResponse got 2 requests at the endpoint before, want 1.

--- a/internal/forwarder/callerconn.go
+++ b/internal/forwarder/callerconn.go
@@ -16,10 +16,21 @@
 type listener struct {
 	net.Listener
 
+	// stopped reports whether connections are closed after their present request.
+	stopped atomic.Bool
+
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
 }
 
+// stop closes the listener. Connections serve their present request, or their
+// first one, and no further one.
+func (l *listener) stop() error {
+	l.stopped.Store(true)
+
+	return l.Close()
+}
+
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
@@ -95,6 +106,11 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.awaiting && c.listener.stopped.Load() {
+		// The response may have begun before the shutdown and lack
+		// "Connection: close".
+		return 0, io.EOF
+	}
 	if len(p) > 0 && c.hasPeeked {
 		c.hasPeeked = false
 		p[0] = c.peeked[0]
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -157,7 +157,7 @@
 	f.shuttingDown.Store(true)
 	f.Post(director.ShutdownRequested{})
 	time.Sleep(drainDelay)
-	_ = f.listener.Close()
+	_ = f.listener.stop()
 	// A connection that has just been accepted may not be known to the listener
 	// before.
 	select {
--- a/internal/forwarder/shutdown_test.go
+++ b/internal/forwarder/shutdown_test.go
@@ -202,3 +202,37 @@
 	c.Check(body, qt.Equals, "answer to r1")
 	c.Check(<-s.done, qt.IsNil)
 }
+
+// Guards against a request that is sent to an endpoint late in a shutdown, on a
+// connection whose stream began before it, and that is cut off at its end.
+func TestStreamAtShutdownIsTheLastResponse(t *testing.T) {
+	c := qt.New(t)
+	working, finish := make(chan bool), make(chan bool)
+	e := newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+		stream(conn, r, events(1, 1))
+		if r.Header.Get("Name") == "r1" {
+			working <- true
+			<-finish
+		}
+		chunk(conn, events(2, 2))
+		_, err := io.WriteString(conn, "0\r\n\r\n")
+
+		return err == nil
+	})
+	s := start(t, e)
+	call := s.dial(c)
+	call.send("POST", "/stream/x", "r1", "")
+	<-working
+	idle := s.dial(c)
+	s.stop()
+	// The listener has been closed once idle connections are.
+	_, err := idle.Read(make([]byte, 1))
+	c.Assert(err, qt.Equals, io.EOF)
+	call.send("POST", "/stream/x", "r2", "")
+	close(finish)
+	_, body, err := call.receive()
+	c.Assert(err, qt.IsNil)
+	c.Check(body, qt.Equals, events(1, 2))
+	c.Check(<-s.done, qt.IsNil)
+	c.Check(e.requests(), qt.HasLen, 1)
+}
