Do not wait for a call of the store at exit

A node whose store was silent could end up to 2 s after its last request. If that request took until near the end of the grace period, the process was killed instead (400 ms are reserved for the exit), and its last log lines were lost.

RoutingNode.Run waits for the follower, and the follower waited for its call. The HTTP client cannot cancel a call, so the call went on until its timeout.

The follower now makes its calls in a goroutine of their own, and leaves the call alone when its context is cancelled. The call ends by its timeout, and its result is dropped, so nothing is logged or posted after Run has returned.

TestRunEndsWithoutWaitingForItsCall failed before ("Run waits for its call") and passes now.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -314,6 +314,26 @@
 	f.opts.Post(director.ViewConfirmed{At: at})
 }
 
+// call makes a call of the source. When ctx ends, it returns without waiting for
+// the call, since a source may be unable to cancel it.
+func call(ctx context.Context, makeCall func() (View, error)) (View, error) {
+	type result struct {
+		view View
+		err  error
+	}
+	done := make(chan result, 1)
+	go func() {
+		view, err := makeCall()
+		done <- result{view, err}
+	}()
+	select {
+	case r := <-done:
+		return r.view, r.err
+	case <-ctx.Done():
+		return View{}, ctx.Err()
+	}
+}
+
 // update makes one call to the store and applies its result.
 func (f *Follower) update(ctx context.Context) error {
 	sent := f.opts.Clock()
@@ -321,9 +341,9 @@
 	if list {
 		return f.updateByList(ctx, sent)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	watchCtx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
-	view, err := f.opts.Source.Watch(ctx, revision, wait)
+	view, err := call(ctx, func() (View, error) { return f.opts.Source.Watch(watchCtx, revision, wait) })
 	if err != nil {
 		return err
 	}
@@ -351,7 +371,7 @@
 func (f *Follower) updateByList(ctx context.Context, sent time.Time) error {
 	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	view, err := f.opts.Source.List(listCtx)
+	view, err := call(ctx, func() (View, error) { return f.opts.Source.List(listCtx) })
 	if err != nil {
 		return err
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -392,3 +392,40 @@
 	}})
 	c.Check(put, qt.DeepEquals, []string{"new", "newer"})
 }
+
+// stuckSource is a Source whose calls return only once release is closed.
+type stuckSource struct {
+	fakeSource
+	release chan struct{}
+}
+
+func (s *stuckSource) List(context.Context) (View, error) {
+	<-s.release
+
+	return View{}, errors.New("no answer")
+}
+
+// Guards against a process that is killed at the end of its grace period, since
+// it waits for a call of the store.
+func TestRunEndsWithoutWaitingForItsCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		source := &stuckSource{release: make(chan struct{})}
+		defer close(source.release)
+		f := New(Options{Source: source, Post: func(director.Event) {}, Logger: discardLogger{}, Clock: time.Now})
+		ctx, cancel := context.WithCancel(t.Context())
+		returned := make(chan struct{})
+		go func() {
+			f.Run(ctx)
+			close(returned)
+		}()
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		select {
+		case <-returned:
+		default:
+			c.Errorf("Run waits for its call")
+		}
+	})
+}
--- a/internal/follower/narrowlink_test.go
+++ b/internal/follower/narrowlink_test.go
@@ -105,6 +105,8 @@
 					}
 				}
 				<-done
+				// Run does not wait for its last call.
+				time.Sleep(watchWait + watchMargin)
 			})
 		})
 	}
