Test a shutdown under load

24 callers send requests without a pause until the node takes no more connections, half of them beyond "Connection: close". Each request that reached the endpoint must be answered.

--- a/internal/forwarder/shutdown_test.go
+++ b/internal/forwarder/shutdown_test.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -236,3 +238,52 @@
 	c.Check(<-s.done, qt.IsNil)
 	c.Check(e.requests(), qt.HasLen, 1)
 }
+
+// Guards against requests that are lost at a shutdown: each one that reaches an
+// endpoint is answered. Half of the callers go on after "Connection: close".
+func TestShutdownUnderLoadLosesNoRequest(t *testing.T) {
+	c := qt.New(t)
+	var received sync.Map
+	busy := make(chan bool, 1)
+	s := start(t, newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+		received.Store(r.Header.Get("Name"), true)
+		select {
+		case busy <- true:
+		default:
+		}
+		<-time.After(3 * time.Millisecond)
+
+		return respondOK(conn, r)
+	}))
+	var wg sync.WaitGroup
+	for i := range 24 {
+		wg.Go(func() {
+			sent := 0
+			for {
+				conn, err := net.Dial("tcp", s.Addr().String())
+				if err != nil {
+					return
+				}
+				call := &caller{conn, bufio.NewReader(conn)}
+				for err == nil {
+					sent++
+					name := fmt.Sprint(i, "-", sent)
+					call.send("POST", "/unsafe/x", name, "body")
+					var resp *http.Response
+					if resp, _, err = call.receive(); err != nil {
+						if _, lost := received.Load(name); lost {
+							c.Errorf("request %s: %v", name, err)
+						}
+					} else if resp.Close && i%2 == 0 {
+						break
+					}
+				}
+				_ = conn.Close()
+			}
+		})
+	}
+	<-busy
+	s.stop()
+	c.Check(<-s.done, qt.IsNil)
+	wg.Wait()
+}
