Send nothing new to endpoints that say that they leave

An endpoint that shuts down says so in all its responses, before and whatever the shared view says. Nothing read that: an endpoint whose entry came late, was missing or was brought back kept getting requests.

A response to another request or of another endpoint at the address says nothing. Idle connections to it are closed, and those in use are not kept. Event 726, a counter and a gauge show it.

--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -243,6 +243,7 @@
 	write("view_revision", float64(view.Revision))
 	write("fleet_nodes", float64(s.Nodes))
 	write("endpoints_known", float64(s.Endpoints))
+	write("endpoints_leaving", float64(s.Leaving))
 	write("requests", float64(s.Requests))
 	write("requests_waiting", float64(s.Waiting))
 }
@@ -266,6 +267,8 @@
 		return exporter.RoutedRetries
 	case director.CounterAttempts:
 		return exporter.RoutedAttempts
+	case director.CounterNotices:
+		return exporter.RoutedNotices
 	default:
 		return reducer.Counter(c)
 	}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -50,6 +50,8 @@
 	registrar *registrar.Registrar
 	endpoints map[string]*endpoint
 	services  map[string]*service
+	// notices holds what endpoints have said about themselves.
+	notices map[incarnation]*notice
 	// entriesListed reports whether the full list of endpoints has been read at
 	// least once.
 	entriesListed bool
@@ -98,7 +100,7 @@
 func New(opts Options) *Director {
 	return &Director{
 		opts: opts, registrar: registrar.New(),
-		endpoints: map[string]*endpoint{}, services: map[string]*service{},
+		endpoints: map[string]*endpoint{}, notices: map[incarnation]*notice{}, services: map[string]*service{},
 		requests: map[uint64]*request{}, endpointsByNumber: map[uint32]*endpoint{}, fleet: fleet{assumedNodes: opts.AssumedNodes},
 	}
 }
@@ -115,6 +117,8 @@
 		d.handleFirstByte(now, e)
 	case AttemptStalled:
 		d.handleStalled(now, e)
+	case EndpointNoticed:
+		d.handleNotice(e)
 	case AttemptFinished:
 		d.handleFinished(now, e)
 	case CallerDisconnected:
@@ -177,7 +181,9 @@
 	Age time.Duration
 	// Nodes is the number of nodes that share the limits of the fleet.
 	Nodes, Endpoints, Requests, Waiting int
-	Ready                               bool
+	// Leaving is the number of endpoints that have said that they shut down.
+	Leaving int
+	Ready   bool
 }
 
 // Status returns the current status.
@@ -186,6 +192,11 @@
 		Age: d.Age(now), Nodes: d.fleet.size(now), Endpoints: d.registrar.Len(),
 		Requests: len(d.requests), Waiting: len(d.waiting), Ready: d.ready,
 	}
+	for _, e := range d.endpoints {
+		if e.leaving() {
+			s.Leaving++
+		}
+	}
 	if d.table != nil {
 		s.Version = d.table.Version()
 	}
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -54,16 +54,24 @@
 	// limits its requests.
 	coldUntil time.Time
 	coldPacer pacer.Pacer
+	// notice holds what the endpoint has said about itself, or is nil.
+	notice *notice
 	// failureShare is the moving share of failed attempts.
 	failureShare float64
 }
 
+func (e *endpoint) incarnation() incarnation { return incarnation{e.entry.ID, e.entry.Born} }
+
+// leaving reports whether the endpoint has said that it shuts down.
+func (e *endpoint) leaving() bool { return e.notice != nil && e.notice.leaving }
+
 func (d *Director) addEndpoint(now time.Time, entry registrar.Entry) {
 	e := &endpoint{
 		entry:  entry,
 		number: endpointNumber(entry.ID),
 		load:   chooser.NewEngine(entry.ID, entry.DataCentre == d.opts.DataCentre),
 	}
+	d.recallNotice(e)
 	d.endpoints[entry.ID], d.endpointsByNumber[e.number] = e, e
 	s := d.ensureService(entry.Service)
 	s.endpoints = append(s.endpoints, e)
@@ -96,6 +104,7 @@
 	delete(d.endpoints, entry.ID)
 	delete(d.endpointsByNumber, e.number)
 	d.markChanged(e)
+	d.retainNotice(now, e)
 	d.isolator.RecordEnded(now, e.number)
 	s := d.ensureService(entry.Service)
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(other *endpoint) bool { return other == e })
@@ -140,7 +149,7 @@
 
 // usable reports whether an endpoint can receive a request now.
 func (d *Director) usable(now time.Time, e *endpoint) bool {
-	if !d.registrar.Usable(e.entry.ID) || now.Before(e.suspendedUntil) {
+	if !d.registrar.Usable(e.entry.ID) || e.leaving() || now.Before(e.suspendedUntil) {
 		return false
 	}
 
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -64,6 +64,14 @@
 	Relayed bool
 }
 
+// EndpointNoticed reports what the endpoint of an attempt says about itself in the
+// header of its response. It comes before the end of the attempt.
+type EndpointNoticed struct {
+	ID uint64
+	// Leaving reports whether the endpoint shuts down and wants no new requests.
+	Leaving bool
+}
+
 // AttemptFinished reports the end of an attempt. Each Dispatch is followed by
 // exactly one AttemptFinished.
 type AttemptFinished struct {
@@ -179,6 +187,7 @@
 func (Arrived) event()            {}
 func (ResponseStarted) event()    {}
 func (AttemptStalled) event()     {}
+func (EndpointNoticed) event()    {}
 func (AttemptFinished) event()    {}
 func (CallerDisconnected) event() {}
 func (Ticked) event()             {}
@@ -300,6 +309,9 @@
 	CounterRetries Counter = "retries"
 	// CounterAttempts counts attempts by result.
 	CounterAttempts Counter = "attempts"
+	// CounterNotices counts what endpoints have said about themselves in their
+	// responses.
+	CounterNotices Counter = "notices"
 )
 
 // LabelReplaced is the label of CounterRetries for an attempt that was given up
--- a/internal/exporter/exporter.go
+++ b/internal/exporter/exporter.go
@@ -40,6 +40,7 @@
 	RoutedRefusals reducer.Counter = "routed_refusals"
 	RoutedRetries  reducer.Counter = "routed_retries"
 	RoutedAttempts reducer.Counter = "routed_attempts"
+	RoutedNotices  reducer.Counter = "routed_notices"
 )
 
 // labelNames maps each counter to the name of its label, and initialValues to
@@ -57,6 +58,7 @@
 		RoutedRefusals:           "reason",
 		RoutedRetries:            "reason",
 		RoutedAttempts:           "result",
+		RoutedNotices:            "notice",
 	}
 	initialValues = map[reducer.Counter][]string{
 		reducer.CounterRefusals:  reasonNames(),
@@ -68,6 +70,7 @@
 		RoutedRefusals:           routedReasonNames(),
 		RoutedRetries:            append(routedResultNames(), "status", director.LabelReplaced),
 		RoutedAttempts:           routedResultNames(),
+		RoutedNotices:            director.NoticeLabels,
 	}
 	// perClass lists the counters whose initial time series are also created
 	// for each class.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -56,6 +56,8 @@
 	patience time.Duration
 	// givenUp reports whether the director has given up the attempt.
 	givenUp bool
+	// leaving reports whether the endpoint has said that it shuts down.
+	leaving bool
 
 	// stream reads the events of a streamed response, or is nil.
 	stream *eventReader
@@ -242,6 +244,7 @@
 		return a.failureResult(errRequestMismatch)
 	}
 	a.finished.Cold, a.finished.Status = m.ColdRemaining, h.StatusCode()
+	a.noteEndpoint(m)
 	switch {
 	case h.StatusCode() == http.StatusMisdirectedRequest:
 		return director.Misdirected
@@ -275,6 +278,18 @@
 	return director.Answered
 }
 
+// noteEndpoint reports what the response says about the endpoint. A response to
+// another request, or of another endpoint at the address, says nothing about it.
+func (a *attempt) noteEndpoint(m ResponseMetadata) {
+	if m.AttemptID == "" || m.AttemptID != a.call.attemptID || a.resp.StatusCode() == http.StatusMisdirectedRequest {
+		return
+	}
+	if m.Leaving {
+		a.leaving = true
+		a.call.f.Post(director.EndpointNoticed{ID: a.call.id, Leaving: true})
+	}
+}
+
 func (a *attempt) readBody() error {
 	chunked := a.resp.Header.ContentLength() == -1
 	if err := a.resp.ReadBody(a.conn.br, maxResponseBytes); err != nil {
@@ -291,7 +306,7 @@
 // closes it if the endpoint asked for that.
 func (a *attempt) releaseConn() {
 	a.call.setEndpointConn(nil)
-	if a.resp.Header.ConnectionClose() {
+	if a.resp.Header.ConnectionClose() || a.leaving {
 		_ = a.conn.Close()
 	} else {
 		a.call.f.pool.put(a.dispatch.Address, a.conn, time.Now(), &a.resp.Header, a.dispatch.MaxIdle)
--- /dev/null
+++ b/internal/forwarder/notice_test.go
@@ -0,0 +1,81 @@
+package forwarder
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against new requests to an endpoint that has said in the head of a
+// stream that it shuts down, while the stream goes on.
+func TestEndpointLeavesDuringItsStream(t *testing.T) {
+	c := qt.New(t)
+	finish := make(chan bool)
+	handle := func(conn net.Conn, r *http.Request) bool {
+		if r.URL.Path != "/stream/x" {
+			return respondOK(conn, r)
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nName: r1\r\nSeal: s\r\nLeaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		chunk(conn, events(1, 1))
+		<-finish
+		chunk(conn, events(2, 2))
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+
+		return true
+	}
+	endpoints := []*endpoint{newEndpoint(t, handle), newEndpoint(t, handle)}
+	s := start(t, endpoints...)
+	streaming := s.dial(c)
+	streaming.send("POST", "/stream/x", "r1", "")
+	_, err := streaming.br.Peek(1)
+	c.Assert(err, qt.IsNil)
+	leaving := endpoints[0]
+	if len(leaving.requests()) == 0 {
+		leaving = endpoints[1]
+	}
+	call := s.dial(c)
+	for i := range 10 {
+		call.send("GET", "/safe/x", fmt.Sprint("s", i), "")
+		_, body, err := call.receive()
+		c.Assert(err, qt.IsNil)
+		c.Check(body, qt.Equals, fmt.Sprint("answer to s", i))
+	}
+	finish <- true
+	_, body, err := streaming.receive()
+	c.Assert(err, qt.IsNil)
+	c.Check(body, qt.Equals, events(1, 2))
+	c.Check(leaving.requests(), qt.HasLen, 1)
+}
+
+// Guards against a notice that is taken from a response to another request or of
+// another endpoint at the address.
+func TestNoticesOfOtherResponsesAreIgnored(t *testing.T) {
+	for name, head := range map[string]string{
+		"no ID":            "HTTP/1.1 200 OK\r\nSeal: s\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
+		"another request":  "HTTP/1.1 200 OK\r\nName: r0\r\nSeal: s\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
+		"another endpoint": "HTTP/1.1 421 X\r\nName: r1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var answers int
+			e := newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+				if answers++; answers > 1 {
+					return respondOK(conn, r)
+				}
+				_, _ = io.WriteString(conn, head)
+
+				return false
+			})
+			s := start(t, e)
+			call := s.dial(c)
+			call.send("POST", "/unsafe/x", "r1", "")
+			_, _, err := call.receive()
+			c.Assert(err, qt.IsNil)
+			c.Check(s.director.Status(s.opts.Clock()).Leaving, qt.Equals, 0)
+		})
+	}
+}
--- a/internal/forwarder/protocol.go
+++ b/internal/forwarder/protocol.go
@@ -64,6 +64,8 @@
 	// Declined reports whether the endpoint states that it did not run the
 	// request.
 	Declined bool
+	// Leaving reports whether the endpoint shuts down and wants no new requests.
+	Leaving bool
 	// ColdRemaining is the remaining time for which the endpoint is cold, or zero.
 	ColdRemaining time.Duration
 }
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -72,6 +72,7 @@
 	EntryOutdated      = 723
 	EndpointSilent     = 724
 	ShutdownCutOff     = 725
+	EndpointLeaving    = 726
 	CentreHeld         = 728
 )
 
@@ -153,6 +154,7 @@
 	{EntryOutdated, hclog.Info, "entry older than known ignored", []string{"endpoint", "service", "sequence", "known"}},
 	{EndpointSilent, hclog.Info, "endpoint silent", []string{"request", "route", "endpoint", "silent", "relayed", "replaced"}},
 	{ShutdownCutOff, hclog.Warn, "shutdown cut off connections", []string{"connections", "waited"}},
+	{EndpointLeaving, hclog.Info, "endpoint says that it is leaving", []string{"request", "endpoint", "service"}},
 	{CentreHeld, hclog.Info, "data centre stays out of service until it is confirmed", []string{"centre"}},
 }
 
