Leave endpoints alone for the time that they ask for

An endpoint that turns a request away with 503 may state for how many seconds it wants nothing from the node. Nothing read that, so the node kept sending requests that were turned away, and callers were told to come back earlier than any endpoint did.

The director sends the incarnation nothing until then. It does not count as a failure. Each node returns at a time of its own within a quarter of the pause, at most 1 s. If all endpoints of a service pause, requests are refused at once with the reason endpoints_paused, and each 503 states the earliest return.

Other nodes are not told: the wish concerns the node that was turned away.

--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -244,6 +244,7 @@
 	write("fleet_nodes", float64(s.Nodes))
 	write("endpoints_known", float64(s.Endpoints))
 	write("endpoints_leaving", float64(s.Leaving))
+	write("endpoints_paused", float64(s.Paused))
 	write("requests", float64(s.Requests))
 	write("requests_waiting", float64(s.Waiting))
 }
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -118,7 +118,7 @@
 	case AttemptStalled:
 		d.handleStalled(now, e)
 	case EndpointNoticed:
-		d.handleNotice(e)
+		d.handleNotice(now, e)
 	case AttemptFinished:
 		d.handleFinished(now, e)
 	case CallerDisconnected:
@@ -181,9 +181,10 @@
 	Age time.Duration
 	// Nodes is the number of nodes that share the limits of the fleet.
 	Nodes, Endpoints, Requests, Waiting int
-	// Leaving is the number of endpoints that have said that they shut down.
-	Leaving int
-	Ready   bool
+	// Leaving is the number of endpoints that have said that they shut down, and
+	// Paused that of those that get no requests because they asked for time.
+	Leaving, Paused int
+	Ready           bool
 }
 
 // Status returns the current status.
@@ -196,6 +197,9 @@
 		if e.leaving() {
 			s.Leaving++
 		}
+		if e.pausedUntil().After(now) {
+			s.Paused++
+		}
 	}
 	if d.table != nil {
 		s.Version = d.table.Version()
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -149,7 +149,7 @@
 
 // usable reports whether an endpoint can receive a request now.
 func (d *Director) usable(now time.Time, e *endpoint) bool {
-	if !d.registrar.Usable(e.entry.ID) || e.leaving() || now.Before(e.suspendedUntil) {
+	if !d.registrar.Usable(e.entry.ID) || e.leaving() || now.Before(e.pausedUntil()) || now.Before(e.suspendedUntil) {
 		return false
 	}
 
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -70,6 +70,11 @@
 	ID uint64
 	// Leaving reports whether the endpoint shuts down and wants no new requests.
 	Leaving bool
+	// Pause is how long the endpoint wants no requests from this node, or zero.
+	Pause time.Duration
+	// InvalidPause is the value that the endpoint states in place of a pause if it
+	// is malformed, or empty.
+	InvalidPause string
 }
 
 // AttemptFinished reports the end of an attempt. Each Dispatch is followed by
@@ -336,12 +341,14 @@
 	ReasonTimeout    Reason = "timeout"
 	ReasonGone       Reason = "caller_gone"
 	ReasonHarmful    Reason = "harmful_prompt"
+	ReasonPaused     Reason = "endpoints_paused"
 )
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	ReasonNotReady, ReasonNoRoute, ReasonNoKey, ReasonStaleView, ReasonTooLarge, ReasonMalformed,
 	ReasonNoEndpoint, ReasonOverload, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmful,
+	ReasonPaused,
 }
 
 // Results lists all results.
--- a/internal/director/notice.go
+++ b/internal/director/notice.go
@@ -3,13 +3,21 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"snipedyke/internal/logger"
 )
 
-// noticeRetention is how long the notice of an endpoint without an entry is
-// remembered. An entry that has expired may come back while the endpoint still
-// runs.
-const noticeRetention = 10 * time.Minute
+const (
+	// noticeRetention is how long the notice of an endpoint without an entry is
+	// remembered. An entry that has expired may come back while the endpoint still
+	// runs.
+	noticeRetention = 10 * time.Minute
+	// returnSpreadDivisor is the part of a pause over which the nodes spread their
+	// return to the endpoint, and maxReturnSpread the most that it takes.
+	returnSpreadDivisor = 4
+	maxReturnSpread     = time.Second
+)
 
 // incarnation identifies one run of an endpoint.
 type incarnation struct {
@@ -22,6 +30,8 @@
 type notice struct {
 	// leaving reports whether the endpoint shuts down. It never becomes false.
 	leaving bool
+	// pausedUntil is the time until which the endpoint gets no requests.
+	pausedUntil time.Time
 	// removedAt is when the endpoint's entry was removed, or zero while there is
 	// one.
 	removedAt time.Time
@@ -58,7 +68,7 @@
 }
 
 // handleNotice applies what the endpoint of an attempt has said about itself.
-func (d *Director) handleNotice(e EndpointNoticed) {
+func (d *Director) handleNotice(now time.Time, e EndpointNoticed) {
 	req := d.requests[e.ID]
 	if req == nil || req.endpoint == nil {
 		return
@@ -66,6 +76,54 @@
 	if e.Leaving {
 		d.markLeaving(req, req.endpoint)
 	}
+	switch {
+	case e.InvalidPause != "":
+		d.log(logger.PauseIgnored, "request", req.Name, "endpoint", req.endpoint.entry.ID, "value", e.InvalidPause)
+	case e.Pause > 0:
+		d.pause(now, req, req.endpoint, e.Pause)
+	}
+}
+
+// pause stops requests to an endpoint that has asked for time. The nodes return at
+// different times, so that they do not overload it again.
+func (d *Director) pause(now time.Time, req *request, e *endpoint, length time.Duration) {
+	spread := min(length/returnSpreadDivisor, maxReturnSpread)
+	until := now.Add(length + time.Duration(xxhash.Sum64String(d.opts.Name+e.entry.ID)%uint64(spread+1)))
+	if n := d.noticeOf(e); until.After(n.pausedUntil) {
+		n.pausedUntil = until
+	}
+	d.emit(Count{Counter: CounterNotices, Label: noticePause})
+	d.log(logger.EndpointPaused, "request", req.Name, "endpoint", e.entry.ID, "service", e.entry.Service, "length", length.String())
+}
+
+// pausedUntil returns the time until which the endpoint gets no requests, or zero.
+func (e *endpoint) pausedUntil() time.Time {
+	if e.notice == nil {
+		return time.Time{}
+	}
+
+	return e.notice.pausedUntil
+}
+
+// earliestReturn returns the time at which the first endpoint takes requests like
+// req again. It reports false if one does so now, as far as it has said, or if
+// none will.
+func (d *Director) earliestReturn(now time.Time, req *request) (time.Time, bool) {
+	var first time.Time
+	for _, e := range req.service.endpoints {
+		if !d.registrar.Usable(e.entry.ID) || e.leaving() || !d.regionAllowed(req, e) {
+			continue
+		}
+		until := e.pausedUntil()
+		if !until.After(now) {
+			return time.Time{}, false
+		}
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+
+	return first, !first.IsZero()
 }
 
 // markLeaving stops new requests to an endpoint that shuts down.
@@ -80,7 +138,10 @@
 }
 
 // Labels of CounterNotices.
-const noticeLeaving = "leaving"
+const (
+	noticeLeaving = "leaving"
+	noticePause   = "pause"
+)
 
 // NoticeLabels lists the labels of CounterNotices.
-var NoticeLabels = []string{noticeLeaving}
+var NoticeLabels = []string{noticeLeaving, noticePause}
--- a/internal/director/notice_test.go
+++ b/internal/director/notice_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"snipedyke/internal/logger"
 	"snipedyke/internal/registrar"
 )
 
@@ -91,3 +92,87 @@
 	n.post(EntryRemoved{"model-0"})
 	c.Check(n.notices, qt.HasLen, 0)
 }
+
+// decline lets the endpoint of a request turn it away and ask for time.
+func (n *node) decline(id uint64, pause time.Duration) []Effect {
+	n.post(EndpointNoticed{ID: id, Pause: pause})
+
+	return n.post(AttemptFinished{ID: id, Result: Declined, Status: 503})
+}
+
+// Guards against requests to an endpoint during the time that it has asked for,
+// against taking the wish for a fault, and against a pause that outlasts the
+// endpoint.
+func TestEndpointGetsTheTimeThatItAsksFor(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	sent, _ := find[Dispatch](n.arrive(1, "/pay/1"))
+	n.decline(1, 4*time.Second)
+	paused := n.endpoints[sent.Endpoint]
+	c.Check(paused.consecutiveFailures, qt.Equals, 0)
+	c.Check(paused.failureShare, qt.Equals, 0.0)
+	for id := uint64(100); id < 4000; id += 100 {
+		c.Check(n.endpointsUsed("/pay/x", id)[sent.Endpoint], qt.Equals, 0)
+		n.now = n.now.Add(100 * time.Millisecond)
+		n.post(ViewConfirmed{n.now})
+	}
+	n.now = n.now.Add(100*time.Millisecond + time.Second)
+	c.Check(n.endpointsUsed("/pay/x", 5000)[sent.Endpoint] > 0, qt.IsTrue)
+
+	n = newNode()
+	sent, _ = find[Dispatch](n.arrive(1, "/pay/1"))
+	n.decline(1, time.Minute)
+	restarted := n.endpoints[sent.Endpoint].entry
+	restarted.Born++
+	n.post(EntryPut{restarted})
+	c.Check(n.endpointsUsed("/pay/x", 100)[sent.Endpoint] > 0, qt.IsTrue)
+}
+
+// Guards against callers that wait until their deadline, or that are told to come
+// back too early, while all endpoints have asked for time.
+func TestCallersAreToldWhenPausedEndpointsReturn(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	n.arrive(1, "/pay/1")
+	n.decline(1, 10*time.Second)
+	n.decline(1, 2*time.Second)
+	n.arrive(2, "/pay/2")
+	n.decline(2, 5*time.Second)
+	refuse, refused := find[Refuse](n.arrive(3, "/look/3"))
+	c.Assert(refused, qt.IsTrue)
+	c.Check(refuse.Status, qt.Equals, 503)
+	c.Check(refuse.Reason, qt.Equals, ReasonPaused)
+	c.Check(refuse.RetryAfter >= 2*time.Second, qt.IsTrue, qt.Commentf("%s", refuse.RetryAfter))
+	c.Check(refuse.RetryAfter <= 3*time.Second, qt.IsTrue, qt.Commentf("%s", refuse.RetryAfter))
+	n.now = n.now.Add(refuse.RetryAfter)
+	n.post(ViewConfirmed{n.now})
+	_, sent := find[Dispatch](n.arrive(4, "/look/4"))
+	c.Check(sent, qt.IsTrue)
+}
+
+// Guards against nodes that all return to an endpoint at the same time.
+func TestNodesReturnAtDifferentTimes(t *testing.T) {
+	c := qt.New(t)
+	returns := map[time.Time]bool{}
+	for i := range 20 {
+		n := newNode()
+		n.opts.Name = fmt.Sprint("n", i)
+		sent, _ := find[Dispatch](n.arrive(1, "/pay/1"))
+		n.decline(1, 4*time.Second)
+		back := n.endpoints[sent.Endpoint].pausedUntil()
+		c.Check(back.Sub(n.now) >= 4*time.Second, qt.IsTrue)
+		c.Check(back.Sub(n.now) <= 5*time.Second, qt.IsTrue)
+		returns[back] = true
+	}
+	c.Check(len(returns) > 15, qt.IsTrue)
+}
+
+// Guards against a malformed request for time that goes unnoticed or has an effect.
+func TestMalformedRequestForTimeIsLogged(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	sent, _ := find[Dispatch](n.arrive(1, "/pay/1"))
+	line, _ := find[Log](n.post(EndpointNoticed{ID: 1, InvalidPause: "soon"}))
+	c.Check(line.Event, qt.Equals, logger.PauseIgnored)
+	c.Check(n.endpoints[sent.Endpoint].notice, qt.IsNil)
+}
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -190,6 +190,11 @@
 	}
 	e, holder := d.choose(now, req)
 	if e == nil {
+		if back, ok := d.earliestReturn(now, req); ok && back.After(req.arrivedAt.Add(req.route.LatencyTarget/waitDivisor)) {
+			d.fail(now, req, ReasonPaused)
+
+			return
+		}
 		d.enqueue(now, req, ReasonNoEndpoint)
 
 		return
@@ -463,6 +468,11 @@
 			if reason == ReasonHarmful {
 				retryAfter = harmfulRetryAfter
 			}
+			if req.service != nil {
+				if back, ok := d.earliestReturn(now, req); ok {
+					retryAfter = max(retryAfter, back.Sub(now))
+				}
+			}
 			retryAfter += time.Duration(xxhash.Sum64String(req.Name) % uint64(retryAfterSpread))
 		}
 		d.emit(Refuse{ID: req.ID, Status: status, Reason: reason, RetryAfter: retryAfter})
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -284,9 +284,13 @@
 	if m.AttemptID == "" || m.AttemptID != a.call.attemptID || a.resp.StatusCode() == http.StatusMisdirectedRequest {
 		return
 	}
-	if m.Leaving {
-		a.leaving = true
-		a.call.f.Post(director.EndpointNoticed{ID: a.call.id, Leaving: true})
+	notice := director.EndpointNoticed{ID: a.call.id, Leaving: m.Leaving}
+	if a.resp.StatusCode() == http.StatusServiceUnavailable {
+		notice.Pause, notice.InvalidPause = m.RetryAfter, m.InvalidRetryAfter
+	}
+	if notice != (director.EndpointNoticed{ID: a.call.id}) {
+		a.leaving = m.Leaving
+		a.call.f.Post(notice)
 	}
 }
 
--- a/internal/forwarder/notice_test.go
+++ b/internal/forwarder/notice_test.go
@@ -79,3 +79,22 @@
 		})
 	}
 }
+
+// Guards against requests to an endpoint that has turned one away and asked for
+// time.
+func TestEndpointThatAsksForTimeGetsNoRequests(t *testing.T) {
+	c := qt.New(t)
+	busy := newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 X\r\nName: %s\r\nDeclined: 1\r\nBusy: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Name"))
+
+		return err == nil
+	})
+	call := start(t, busy, newEndpoint(t, respondOK)).dial(c)
+	for i := range 20 {
+		call.send("POST", "/unsafe/x", fmt.Sprint("r", i), "")
+		resp, _, err := call.receive()
+		c.Assert(err, qt.IsNil)
+		c.Check(resp.StatusCode, qt.Equals, 200)
+	}
+	c.Check(len(busy.requests()) <= 1, qt.IsTrue, qt.Commentf("%d", len(busy.requests())))
+}
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -73,7 +73,9 @@
 	EndpointSilent     = 724
 	ShutdownCutOff     = 725
 	EndpointLeaving    = 726
+	EndpointPaused     = 727
 	CentreHeld         = 728
+	PauseIgnored       = 729
 )
 
 // Definition describes a log event.
@@ -155,7 +157,9 @@
 	{EndpointSilent, hclog.Info, "endpoint silent", []string{"request", "route", "endpoint", "silent", "relayed", "replaced"}},
 	{ShutdownCutOff, hclog.Warn, "shutdown cut off connections", []string{"connections", "waited"}},
 	{EndpointLeaving, hclog.Info, "endpoint says that it is leaving", []string{"request", "endpoint", "service"}},
+	{EndpointPaused, hclog.Info, "endpoint asked for time", []string{"request", "endpoint", "service", "length"}},
 	{CentreHeld, hclog.Info, "data centre stays out of service until it is confirmed", []string{"centre"}},
+	{PauseIgnored, hclog.Warn, "malformed request for time ignored", []string{"request", "endpoint", "value"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
