Check in the soak what servers say about themselves

Nothing checked over stopped, frozen and cut-off nodes that a server which says that it leaves gets nothing new, or that one which asks for time gets it.

New faults: a server says that it leaves while the store shows it as ready or draining, loses its registration for a second, or is down; and a server turns requests away and asks for 2 or 3 s. At most two servers at a time do so, so that capacity remains. The history learns from the stand-ins which requests reach a server and what it answers, and from the callers which node a request was sent to. A request that was sent more than 2 s after the node had answered with the notice must not reach the server; at most two may reach it from half a second after a refusal until the end of the time. Stops, starts and freezes of the node in between excuse both; cuts from the store excuse neither. The number of faults counts only those that were injected.

The drain check by the store is as before. TestHistoryCheckFindsViolations has a history for each violation and for each excuse.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -73,7 +73,7 @@
 	c.soaker.history.setOutcome(id, o)
 	resp, err := c.client.Do(r)
 	if err == nil {
-		o.status = resp.StatusCode
+		o.status, o.sealed = resp.StatusCode, standin.HasSeal(resp, id)
 		err = c.checkResponse(id, path, resp)
 	}
 	o.cut = err != nil && ctx.Err() == nil
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -13,23 +13,25 @@
 // injectFault injects a random fault and returns immediately. Faults that last
 // for a time are ended by a timer, so several may overlap.
 func (s *Soaker) injectFault() {
-	s.faultCount++
 	n := s.nodes[s.rng.IntN(len(s.nodes))]
 	length := time.Duration(500+s.rng.IntN(4000)) * time.Millisecond
-	switch kind := s.rng.IntN(14); kind {
+	switch kind := s.rng.IntN(18); kind {
 	case 0:
 		s.logFault("kill", n.index, 0)
 		s.history.MarkDisturbed(n.index, time.Now().Add(time.Second))
 		s.history.MarkCuts(n.index, time.Second)
+		s.history.MarkInterrupted(n.index, 0)
 		n.signal(syscall.SIGKILL, true)
 	case 1:
 		s.logFault("stop", n.index, 0)
 		s.history.MarkDisturbed(n.index, time.Now().Add(shutdownGrace))
+		s.history.MarkInterrupted(n.index, 0)
 		n.signal(syscall.SIGTERM, true)
 	case 2:
 		s.logFault("pause", n.index, length)
 		s.history.MarkDisturbed(n.index, time.Now().Add(length))
 		s.history.MarkCuts(n.index, length+time.Second)
+		s.history.MarkInterrupted(n.index, length)
 		n.signal(syscall.SIGSTOP, false)
 		time.AfterFunc(length, func() { n.signal(syscall.SIGCONT, false) })
 	case 3:
@@ -72,6 +74,10 @@
 		server := s.randomServer()
 		s.logFault("server "+server.ID()+" is silent", -1, silenceLength)
 		server.Silence(silenceLength)
+	case 14, 15:
+		s.announceLeaving(length)
+	case 16, 17:
+		s.askForTime()
 	}
 }
 
@@ -79,9 +85,10 @@
 // be answered in time.
 const silenceLength = 1200 * time.Millisecond
 
-// logFault writes a line about a fault to Options.Output. The node is -1 for
+// logFault counts a fault and writes a line about it to Options.Output. The node is -1 for
 // faults of the store, of a server or of the manifest.
 func (s *Soaker) logFault(what string, node int, length time.Duration) {
+	s.faultCount++
 	s.outputMu.Lock()
 	defer s.outputMu.Unlock()
 	_, _ = fmt.Fprintf(s.opts.Output, "soak %s: %s node %d for %s\n", time.Now().Format("15:04:05.000"), what, node, length)
@@ -177,6 +184,80 @@
 	s.recordPublishError(s.addServer(server.Addr()))
 }
 
+const (
+	// noticeTime is the time for which a server that says that it leaves continues
+	// to serve requests. Nodes have drainBound of it to stop sending them.
+	noticeTime = 5 * time.Second
+	// absence is the time for which the registration of such a server is missing.
+	absence = time.Second
+	// maxAbsent is the maximum number of servers that leave, or ask for time, at
+	// the same time.
+	maxAbsent = 2
+)
+
+// reserveAbsence reports whether another server may be out of service for a time,
+// and counts it if it may.
+func (s *Soaker) reserveAbsence(length time.Duration) bool {
+	now := time.Now()
+	s.absentUntil = slices.DeleteFunc(s.absentUntil, now.After)
+	if len(s.absentUntil) >= maxAbsent {
+		return false
+	}
+	s.absentUntil = append(s.absentUntil, now.Add(length))
+
+	return true
+}
+
+// announceLeaving makes a random server say in its responses that it leaves, while
+// the store shows it as ready or draining, loses its registration for a time, or is
+// down. It starts another server.
+func (s *Soaker) announceLeaving(length time.Duration) {
+	if !s.reserveAbsence(noticeTime) {
+		return
+	}
+	server := s.randomServer()
+	s.mu.Lock()
+	delete(s.servers, server.ID())
+	s.mu.Unlock()
+	s.recordPublishError(s.addServer(loopbackAnyPort))
+	server.Leave()
+	switch s.rng.IntN(4) {
+	case 0:
+		s.logFault("server says that it leaves "+server.ID(), -1, 0)
+	case 1:
+		s.logFault("server says that it leaves and is registered again "+server.ID(), -1, absence)
+		s.store.DeleteServer(server.ID())
+		time.AfterFunc(absence, func() { s.recordPublishError(s.store.Register(server, service, "c0", false)) })
+	case 2:
+		s.logFault("server says that it leaves, and the store is down "+server.ID(), -1, length)
+		s.markAllDisturbed(length)
+		s.store.Down(length)
+	case 3:
+		s.logFault("server says that it leaves and is draining "+server.ID(), -1, 0)
+		s.recordPublishError(s.store.Register(server, service, "c0", true))
+		s.history.MarkEndpointLeft(server.ID())
+	}
+	time.AfterFunc(noticeTime, func() {
+		s.store.DeleteServer(server.ID())
+		s.markAllCuts(time.Second)
+		server.Crash()
+	})
+}
+
+// askForTime makes a random server turn requests away for a time, and ask for no
+// requests for longer.
+func (s *Soaker) askForTime() {
+	f := standin.Faults{Decline: 1, RetryAfter: time.Duration(2+s.rng.IntN(2)) * time.Second}
+	length := time.Duration(300+s.rng.IntN(1200)) * time.Millisecond
+	if !s.reserveAbsence(length + f.RetryAfter) {
+		return
+	}
+	server := s.randomServer()
+	s.logFault(fmt.Sprintf("server %s asks for %s", server.ID(), f.RetryAfter), -1, length)
+	server.SetFaults(f)
+	time.AfterFunc(length, func() { server.SetFaults(standin.Faults{}) })
+}
+
 // clearFaults ends all faults of nodes, of the store and of registered servers.
 func (s *Soaker) clearFaults() {
 	for _, n := range s.nodes {
--- a/internal/soaker/history.go
+++ b/internal/soaker/history.go
@@ -19,9 +19,11 @@
 	// status is 0 if no response arrived.
 	status int
 	// cut reports whether the connection ended without a complete response.
-	cut   bool
-	ended time.Time
-	node  int
+	cut bool
+	// sealed reports whether the response was one of an endpoint.
+	sealed bool
+	ended  time.Time
+	node   int
 }
 
 // period is a period of time.
@@ -43,6 +45,12 @@
 	// cuts holds, for each node, the periods in which its connections, or those
 	// of servers, may be cut off.
 	cuts map[int][]period
+	// arrivals and answers hold what endpoints received and answered.
+	arrivals []standin.Arrival
+	answers  map[string][]standin.Answer
+	// interruptions holds, for each node, the periods in which its process was
+	// frozen, and the times at which it was stopped or started.
+	interruptions map[int][]period
 }
 
 // NewHistory returns an empty history.
@@ -50,6 +58,7 @@
 	return &History{
 		runs: map[string][]standin.Run{}, outcomes: map[string]outcome{},
 		disturbedUntil: map[int]time.Time{}, leftAt: map[string]time.Time{}, cuts: map[int][]period{},
+		answers: map[string][]standin.Answer{}, interruptions: map[int][]period{},
 	}
 }
 
@@ -60,12 +69,6 @@
 	h.runs[r.Request] = append(h.runs[r.Request], r)
 }
 
-// AddArrival records that a request has reached an endpoint.
-func (h *History) AddArrival(standin.Arrival) {}
-
-// AddAnswer records an endpoint's answer to a request.
-func (h *History) AddAnswer(standin.Answer) {}
-
 // MarkDisturbed records that a fault affects a node until the given time.
 func (h *History) MarkDisturbed(node int, until time.Time) {
 	h.mu.Lock()
@@ -84,6 +87,15 @@
 	h.cuts[node] = append(h.cuts[node], period{now, now.Add(length)})
 }
 
+// MarkInterrupted records that the process of a node is stopped or started now, or
+// frozen for a time.
+func (h *History) MarkInterrupted(node int, length time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	h.interruptions[node] = append(h.interruptions[node], period{now, now.Add(length)})
+}
+
 // MarkEndpointLeft records that the departure of an endpoint was acknowledged
 // now.
 func (h *History) MarkEndpointLeft(id string) {
@@ -160,7 +172,7 @@
 		}
 	}
 
-	return violations
+	return append(violations, h.checkNotices()...)
 }
 
 // cutExpected reports whether a fault may have cut off the attempt. Shutdowns,
--- a/internal/soaker/history_test.go
+++ b/internal/soaker/history_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -17,6 +18,28 @@
 	run := func(request string, at time.Time) standin.Run {
 		return standin.Run{Server: "i-1", Request: request, At: at, Tenant: revokedTenant}
 	}
+	answered := func(h *History, request string, o outcome, a standin.Answer) {
+		a.Server, a.Request = "i-1", request
+		h.setOutcome(request, o)
+		h.AddAnswer(a)
+	}
+	// leave lets node 0 relay the notice that i-1 leaves and then send it a request
+	// that arrives at the given time.
+	leave := func(h *History, sent, arrived time.Time) {
+		answered(h, "r1", outcome{status: 200, sealed: true, ended: now}, standin.Answer{Leaving: true})
+		h.setOutcome("r2", outcome{status: 503, sent: sent})
+		h.AddArrival(standin.Arrival{Server: "i-1", Request: "r2", At: arrived})
+	}
+	// pause lets i-1 ask node 0 for two seconds and then receive three requests.
+	pause := func(h *History, node int, at ...time.Duration) {
+		answered(h, "r0", outcome{status: 503}, standin.Answer{Declined: true, RetryAfter: 2 * time.Second, At: now})
+		for i, after := range at {
+			request := fmt.Sprint("r", i+1)
+			h.setOutcome(request, outcome{status: 503, node: node})
+			h.AddArrival(standin.Arrival{Server: "i-1", Request: request, At: now.Add(after)})
+		}
+	}
+	late, second := now.Add(drainBound+time.Second), time.Second
 	for name, c := range map[string]struct {
 		build func(h *History)
 		want  string
@@ -63,6 +86,40 @@
 			h.MarkDisturbed(0, now)
 			h.MarkCuts(1, time.Second)
 		}, "was cut off after 1s"},
+		"leaving": {func(h *History) { leave(h, late, late) }, "after node 0 knew that i-1 leaves"},
+		"leaving in a refusal": {func(h *History) {
+			answered(h, "r1", outcome{status: 503, ended: now}, standin.Answer{Leaving: true, Declined: true})
+			h.setOutcome("r2", outcome{status: 503, sent: late})
+			h.AddArrival(standin.Arrival{Server: "i-1", Request: "r2", At: late})
+		}, "after node 0 knew that i-1 leaves"},
+		"leaving, sent in time": {func(h *History) { leave(h, now.Add(drainBound), late) }, ""},
+		"leaving, unknown to the node": {func(h *History) {
+			leave(h, late, late)
+			h.setOutcome("r1", outcome{status: 200, sealed: true, ended: now, node: 1})
+		}, ""},
+		"leaving, never answered": {func(h *History) {
+			leave(h, late, late)
+			h.setOutcome("r1", outcome{cut: true, ended: now})
+		}, ""},
+		"leaving, at a cut node": {func(h *History) {
+			h.MarkDisturbed(0, late)
+			leave(h, late, late)
+		}, "after node 0 knew that i-1 leaves"},
+		"leaving, at a restarted node": {func(h *History) {
+			leave(h, late, late)
+			h.interruptions[0] = []period{{now.Add(second), now.Add(second)}}
+		}, ""},
+		"leaving, at a node that was restarted before": {func(h *History) {
+			leave(h, late, late)
+			h.interruptions[0] = []period{{now.Add(-second), now.Add(-second)}}
+		}, "after node 0 knew that i-1 leaves"},
+		"paused":                  {func(h *History) { pause(h, 0, second, second, second) }, "3 requests of node 0 reached i-1"},
+		"paused, two requests":    {func(h *History) { pause(h, 0, second, second, pauseGrace, 2*second) }, ""},
+		"paused for another node": {func(h *History) { pause(h, 1, second, second, second) }, ""},
+		"paused, at a frozen node": {func(h *History) {
+			pause(h, 0, second, second, second)
+			h.interruptions[0] = []period{{now.Add(-second), now.Add(second / 2)}}
+		}, ""},
 		"cut off before it ran": {func(h *History) { h.setOutcome("r", outcome{cut: true, sent: now.Add(-time.Second), ended: now}) }, ""},
 		"cut off by a fault": {func(h *History) {
 			h.MarkCuts(0, time.Second)
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -94,6 +94,8 @@
 	nodes      []*node
 	dir        string
 	faultCount int
+	// absentUntil holds the times until which servers leave or ask for time.
+	absentUntil []time.Time
 
 	mu          sync.Mutex
 	servers     map[string]*standin.Server
@@ -223,6 +225,7 @@
 	n.mu.Lock()
 	n.cmd, n.stopping = cmd, false
 	n.mu.Unlock()
+	s.history.MarkInterrupted(n.index, 0)
 	go func() {
 		err := cmd.Wait()
 		n.mu.Lock()
