Let broken streams wait for endpoints that asked for time

A stream that broke off was aborted at once if all other endpoints had asked for time, even if one of them was to return within the second for which such a stream may wait. The check for an early refusal compared the earliest return with the wait of a new request, an eighth of the target, which has passed for every stream.

The check and the queue now use the same limit, waitLimit. A stream is still aborted at once if nobody returns within it.

TestBrokenStreamWaitsForPausedEndpoints failed before (notice_test.go:194: value is not false, got: bool(true)), and passes.

--- a/internal/director/notice_test.go
+++ b/internal/director/notice_test.go
@@ -176,3 +176,23 @@
 	c.Check(line.Event, qt.Equals, logger.PauseIgnored)
 	c.Check(n.endpoints[sent.Endpoint].notice, qt.IsNil)
 }
+
+// Guards against cutting off a stream at once because all other endpoints have
+// asked for time, although one of them returns soon.
+func TestBrokenStreamWaitsForPausedEndpoints(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	n.post(Arrived{Request{ID: 1, Name: "r1", Host: "h", Path: "/draft/1", Key: "key", Deadline: 5 * time.Second}})
+	n.now = n.now.Add(time.Second)
+	for _, e := range n.endpoints {
+		if e != n.requests[1].endpoint {
+			n.noticeOf(e).pausedUntil = n.now.Add(maxMoveWait / 2)
+		}
+	}
+	n.noticeOf(n.requests[1].endpoint).pausedUntil = n.now.Add(time.Minute)
+	_, aborted := find[Abort](n.post(AttemptFinished{ID: 1, Result: Broken, Relayed: true}))
+	c.Assert(aborted, qt.IsFalse)
+	n.now = n.now.Add(maxMoveWait / 2)
+	resumed, _ := find[Dispatch](n.post(Ticked{}))
+	c.Check(resumed.Resume, qt.IsTrue)
+}
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -105,6 +105,16 @@
 // decline to resume it do not count.
 func (r *request) attemptsUsed() int { return len(r.tried) - min(r.declined, maxDeclined) }
 
+// waitLimit returns the time until which the request may wait for an endpoint.
+func (r *request) waitLimit() time.Time {
+	limit := r.arrivedAt.Add(r.route.LatencyTarget / waitDivisor)
+	if r.waitUntil.After(limit) {
+		limit = r.waitUntil
+	}
+
+	return limit
+}
+
 // class returns the request's class for shedding.
 func (r *request) class() admitter.Class {
 	c := admitter.Class{Route: r.route.Priority}
@@ -190,7 +200,7 @@
 	}
 	e, holder := d.choose(now, req)
 	if e == nil {
-		if back, ok := d.earliestReturn(now, req); ok && back.After(req.arrivedAt.Add(req.route.LatencyTarget/waitDivisor)) {
+		if back, ok := d.earliestReturn(now, req); ok && back.After(req.waitLimit()) {
 			d.fail(now, req, ReasonPaused)
 
 			return
@@ -412,11 +422,7 @@
 // enqueue keeps a request until an endpoint can admit it, for a small part of
 // its target or until its waitUntil.
 func (d *Director) enqueue(now time.Time, req *request, reason Reason) {
-	latest := req.arrivedAt.Add(req.route.LatencyTarget / waitDivisor)
-	if req.waitUntil.After(latest) {
-		latest = req.waitUntil
-	}
-	if now.After(latest) || len(req.service.endpoints) == 0 {
+	if now.After(req.waitLimit()) || len(req.service.endpoints) == 0 {
 		d.fail(now, req, reason)
 
 		return
