Close connections to leaving endpoints when they become idle

When an endpoint says that it shuts down, its idle connections are closed, and the connection of the response that says so is not kept. A connection that was in use for another request at that moment was kept as idle after its response, although nothing new is sent to the endpoint, and hindered its shutdown.

The end of each attempt at such an endpoint now closes its idle connections. The forwarder returns the connection to the pool before it reports the end.

TestConnectionToLeavingEndpointIsClosedAfterItsStream failed before (notice_test.go:85: got: "read tcp ...: i/o timeout", want: EOF), and passes.

--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -80,6 +80,10 @@
 	req.lastCause = f.Cause
 	d.emit(Count{Counter: CounterAttempts, Label: f.Result.String()})
 	d.recordResult(now, e, f)
+	if e != nil && e.leaving() {
+		// The attempt may have begun before the endpoint said so.
+		d.emit(CloseIdleConnections{Address: e.entry.Address})
+	}
 	if e != nil && req.usesEngine && f.Result == Broken && !f.Relayed {
 		d.isolator.RecordCutOff(now, req.Need.SharedParts, e.number)
 	}
--- a/internal/forwarder/notice_test.go
+++ b/internal/forwarder/notice_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -51,6 +52,39 @@
 	c.Check(leaving.requests(), qt.HasLen, 1)
 }
 
+// Guards against keeping a connection to an endpoint that shuts down, which was in
+// use when the endpoint said so.
+func TestConnectionToLeavingEndpointIsClosedAfterItsStream(t *testing.T) {
+	c := qt.New(t)
+	finish, closed := make(chan bool), make(chan error, 1)
+	e := newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+		if r.URL.Path != "/stream/x" {
+			_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nName: %s\r\nSeal: s\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Name"))
+
+			return err == nil
+		}
+		stream(conn, r, events(1, 1))
+		<-finish
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		_ = conn.SetReadDeadline(time.Now().Add(longWait / 2))
+		_, err := conn.Read(make([]byte, 1))
+		closed <- err
+
+		return false
+	})
+	s := start(t, e)
+	streaming := s.dial(c)
+	streaming.send("POST", "/stream/x", "r1", "")
+	_, err := streaming.br.Peek(1)
+	c.Assert(err, qt.IsNil)
+	call := s.dial(c)
+	call.send("GET", "/safe/x", "s1", "")
+	_, _, err = call.receive()
+	c.Assert(err, qt.IsNil)
+	finish <- true
+	c.Check(<-closed, qt.Equals, io.EOF)
+}
+
 // Guards against a notice that is taken from a response to another request or of
 // another endpoint at the address.
 func TestNoticesOfOtherResponsesAreIgnored(t *testing.T) {
