Keep notices in late responses for the entry that came back

If the entry of an endpoint expired and came back while a request ran there, the notice in its response was kept for the removed endpoint only: the same incarnation, with its new entry, went on getting requests from the node. And a notice that came after the entry was removed was never forgotten.

Notices are now found by incarnation, and apply to the endpoint that has the entry. If none has it, the retention starts with the notice.

TestNoticeHoldsForEndpointWhoseEntryCameBack failed before (notice_test.go:95: got: int(2), want: int(0)), and TestNoticeOfRemovedEndpointExpires (notice_test.go:111: unexpected length, got 1, want 0); both pass.

--- a/internal/director/notice.go
+++ b/internal/director/notice.go
@@ -37,14 +37,23 @@
 	removedAt time.Time
 }
 
-// noticeOf returns the notice of an endpoint, and adds one if there is none.
-func (d *Director) noticeOf(e *endpoint) *notice {
-	if e.notice == nil {
-		e.notice = &notice{}
-		d.notices[e.incarnation()] = e.notice
+// noticeOf returns the notice of an endpoint, and adds one if there is none. The
+// entry of the endpoint may have been removed, and may have come back, since it was
+// sent the request that it answers.
+func (d *Director) noticeOf(now time.Time, e *endpoint) *notice {
+	n := d.notices[e.incarnation()]
+	if n == nil {
+		n = &notice{}
+		d.notices[e.incarnation()] = n
+	}
+	e.notice = n
+	if current := d.endpoints[e.entry.ID]; current != nil && current.incarnation() == e.incarnation() {
+		current.notice = n
+	} else if n.removedAt.IsZero() {
+		n.removedAt = now
 	}
 
-	return e.notice
+	return n
 }
 
 // recallNotice gives an added endpoint the notice that its incarnation gave
@@ -74,7 +83,7 @@
 		return
 	}
 	if e.Leaving {
-		d.markLeaving(req, req.endpoint)
+		d.markLeaving(now, req, req.endpoint)
 	}
 	switch {
 	case e.InvalidPause != "":
@@ -89,7 +98,7 @@
 func (d *Director) pause(now time.Time, req *request, e *endpoint, length time.Duration) {
 	spread := min(length/returnSpreadDivisor, maxReturnSpread)
 	until := now.Add(length + time.Duration(xxhash.Sum64String(d.opts.Name+e.entry.ID)%uint64(spread+1)))
-	if n := d.noticeOf(e); until.After(n.pausedUntil) {
+	if n := d.noticeOf(now, e); until.After(n.pausedUntil) {
 		n.pausedUntil = until
 	}
 	d.emit(Count{Counter: CounterNotices, Label: noticePause})
@@ -127,11 +136,12 @@
 }
 
 // markLeaving stops new requests to an endpoint that shuts down.
-func (d *Director) markLeaving(req *request, e *endpoint) {
-	if n := d.noticeOf(e); n.leaving {
+func (d *Director) markLeaving(now time.Time, req *request, e *endpoint) {
+	n := d.noticeOf(now, e)
+	if n.leaving {
 		return
 	}
-	e.notice.leaving = true
+	n.leaving = true
 	d.emit(CloseIdleConnections{Address: e.entry.Address})
 	d.emit(Count{Counter: CounterNotices, Label: noticeLeaving})
 	d.log(logger.EndpointLeaving, "request", req.Name, "endpoint", e.entry.ID, "service", e.entry.Service)
--- a/internal/director/notice_test.go
+++ b/internal/director/notice_test.go
@@ -81,6 +81,36 @@
 	}
 }
 
+// Guards against losing the notice in a response to a request that was sent before
+// the entry of the endpoint expired and came back.
+func TestNoticeHoldsForEndpointWhoseEntryCameBack(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	sent, _ := find[Dispatch](n.arrive(1, "/pay/1"))
+	n.post(EntryRemoved{sent.Endpoint})
+	for i := range 3 {
+		n.post(EntryPut{entry("desk", i)})
+	}
+	n.post(EndpointNoticed{ID: 1, Leaving: true})
+	c.Check(n.endpointsUsed("/pay/x", 100)[sent.Endpoint], qt.Equals, 0)
+	n.post(EntryRemoved{sent.Endpoint})
+	n.post(EntryPut{n.requests[1].endpoint.entry})
+	c.Check(n.endpointsUsed("/pay/x", 200)[sent.Endpoint], qt.Equals, 0)
+}
+
+// Guards against a notice that is kept for good because it came after the entry of
+// its endpoint was removed.
+func TestNoticeOfRemovedEndpointExpires(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	sent, _ := find[Dispatch](n.arrive(1, "/pay/1"))
+	n.post(EntryRemoved{sent.Endpoint})
+	n.post(EndpointNoticed{ID: 1, Leaving: true})
+	n.now = n.now.Add(noticeRetention)
+	n.post(EntryRemoved{"model-0"})
+	c.Check(n.notices, qt.HasLen, 0)
+}
+
 // Guards against a notice that is kept for endpoints that are gone.
 func TestNoticesExpire(t *testing.T) {
 	c := qt.New(t)
@@ -186,10 +216,10 @@
 	n.now = n.now.Add(time.Second)
 	for _, e := range n.endpoints {
 		if e != n.requests[1].endpoint {
-			n.noticeOf(e).pausedUntil = n.now.Add(maxMoveWait / 2)
+			n.noticeOf(n.now, e).pausedUntil = n.now.Add(maxMoveWait / 2)
 		}
 	}
-	n.noticeOf(n.requests[1].endpoint).pausedUntil = n.now.Add(time.Minute)
+	n.noticeOf(n.now, n.requests[1].endpoint).pausedUntil = n.now.Add(time.Minute)
 	_, aborted := find[Abort](n.post(AttemptFinished{ID: 1, Result: Broken, Relayed: true}))
 	c.Assert(aborted, qt.IsFalse)
 	n.now = n.now.Add(maxMoveWait / 2)
