Tell runs of endpoints without a start time apart by address

An endpoint that does not state its start time, and that came back under its ID at another address, was taken for the run that had said that it leaves: it got nothing from the node, for good. The registrar takes another address for another endpoint, but notices were kept by ID and start time alone.

The address is now part of what identifies a run if the start is unknown. One that comes back at the same address without a start time still can't be told from the old run.

TestNoticeEndsWithTheAddressIfTheStartIsUnknown failed before (notice_test.go:118: got: bool(false), want: bool(true)), and passes.

--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -60,7 +60,14 @@
 	failureShare float64
 }
 
-func (e *endpoint) incarnation() incarnation { return incarnation{e.entry.ID, e.entry.Born} }
+func (e *endpoint) incarnation() incarnation {
+	i := incarnation{id: e.entry.ID, born: e.entry.Born}
+	if i.born == 0 {
+		i.address = e.entry.Address
+	}
+
+	return i
+}
 
 // leaving reports whether the endpoint has said that it shuts down.
 func (e *endpoint) leaving() bool { return e.notice != nil && e.notice.leaving }
--- a/internal/director/notice.go
+++ b/internal/director/notice.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,9 @@
 type incarnation struct {
 	id   string
 	born int64
+	// address tells runs with unknown start times apart. It is zero if born is
+	// known.
+	address netip.AddrPort
 }
 
 // notice holds what an endpoint has said about itself in its responses. It does
--- a/internal/director/notice_test.go
+++ b/internal/director/notice_test.go
@@ -98,6 +98,27 @@
 	c.Check(n.endpointsUsed("/pay/x", 200)[sent.Endpoint], qt.Equals, 0)
 }
 
+// Guards against taking an endpoint that does not state its start time for the one
+// that left, although it has another address.
+func TestNoticeEndsWithTheAddressIfTheStartIsUnknown(t *testing.T) {
+	c := qt.New(t)
+	for _, born := range []int64{0, 1} {
+		n := newNode()
+		moved := entry("desk", 0)
+		moved.Born = born
+		n.post(EntryPut{moved})
+		for id := uint64(1); n.Status(n.now).Leaving == 0; id++ {
+			sent, _ := find[Dispatch](n.arrive(id, "/pay/1"))
+			n.post(EndpointNoticed{ID: id, Leaving: sent.Endpoint == moved.ID})
+		}
+		moved.Address = entry("desk", 9).Address
+		n.post(EntryPut{moved})
+		n.now = n.now.Add(10 * time.Second)
+		n.post(ViewConfirmed{n.now})
+		c.Check(n.endpointsUsed("/pay/x", 1000)[moved.ID] > 0, qt.Equals, born == 0)
+	}
+}
+
 // Guards against a notice that is kept for good because it came after the entry of
 // its endpoint was removed.
 func TestNoticeOfRemovedEndpointExpires(t *testing.T) {
