Refuse a retry early if all other endpoints pause

A request that its endpoint had turned away waited for the others, although all of them had asked for longer than it may wait, and was then refused with the reason no_endpoint: the endpoint that it can't be sent to again was counted as able to take it.

An early refusal now considers the endpoints that the request has not tried, or all if there are no others. The stated time of return still considers all of them, as a new request of the caller may go to any.

TestRetryIsRefusedIfAllOthersPause failed before (notice_test.go:217: value is not true, got: bool(false)), and passes.

--- a/internal/director/notice.go
+++ b/internal/director/notice.go
@@ -118,13 +118,13 @@
 	return e.notice.pausedUntil
 }
 
-// earliestReturn returns the time at which the first endpoint takes requests like
-// req again. It reports false if one does so now, as far as it has said, or if
-// none will.
-func (d *Director) earliestReturn(now time.Time, req *request) (time.Time, bool) {
+// earliestReturn returns the time at which the first endpoint, except for some,
+// takes requests like req again. It reports false if one does so now, as far as it
+// has said, or if none will.
+func (d *Director) earliestReturn(now time.Time, req *request, except []string) (time.Time, bool) {
 	var first time.Time
 	for _, e := range req.service.endpoints {
-		if !d.registrar.Usable(e.entry.ID) || e.leaving() || !d.regionAllowed(req, e) {
+		if !d.registrar.Usable(e.entry.ID) || e.leaving() || !d.regionAllowed(req, e) || contains(except, e.entry.ID) {
 			continue
 		}
 		until := e.pausedUntil()
--- a/internal/director/notice_test.go
+++ b/internal/director/notice_test.go
@@ -201,6 +201,36 @@
 	c.Check(sent, qt.IsTrue)
 }
 
+// Guards against a retry that waits for endpoints that return too late, because the
+// one that it has tried is not paused, and against a caller who is then told to
+// stay away although that one takes new requests.
+func TestRetryIsRefusedIfAllOthersPause(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	n.arrive(1, "/pay/1")
+	for _, e := range n.endpoints {
+		if e != n.requests[1].endpoint {
+			n.noticeOf(n.now, e).pausedUntil = n.now.Add(time.Minute)
+		}
+	}
+	refuse, refused := find[Refuse](n.post(AttemptFinished{ID: 1, Result: Declined, Status: 503}))
+	c.Assert(refused, qt.IsTrue)
+	c.Check(refuse.Reason, qt.Equals, ReasonPaused)
+	c.Check(refuse.RetryAfter < time.Second, qt.IsTrue, qt.Commentf("%s", refuse.RetryAfter))
+}
+
+// Guards against a retry that waits although the only endpoint has asked for time.
+func TestRetryIsRefusedIfTheOnlyEndpointPauses(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	n.arrive(1, "/pay/1")
+	removeOthers(n)
+	refuse, refused := find[Refuse](n.decline(1, time.Minute))
+	c.Assert(refused, qt.IsTrue)
+	c.Check(refuse.Reason, qt.Equals, ReasonPaused)
+	c.Check(refuse.RetryAfter >= time.Minute, qt.IsTrue, qt.Commentf("%s", refuse.RetryAfter))
+}
+
 // Guards against nodes that all return to an endpoint at the same time.
 func TestNodesReturnAtDifferentTimes(t *testing.T) {
 	c := qt.New(t)
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -200,7 +200,12 @@
 	}
 	e, holder := d.choose(now, req)
 	if e == nil {
-		if back, ok := d.earliestReturn(now, req); ok && back.After(req.waitLimit()) {
+		back, ok := d.earliestReturn(now, req, req.tried)
+		if !ok {
+			// All that could take it may have been tried.
+			back, ok = d.earliestReturn(now, req, nil)
+		}
+		if ok && back.After(req.waitLimit()) {
 			d.fail(now, req, ReasonPaused)
 
 			return
@@ -475,7 +480,7 @@
 				retryAfter = harmfulRetryAfter
 			}
 			if req.service != nil {
-				if back, ok := d.earliestReturn(now, req); ok {
+				if back, ok := d.earliestReturn(now, req, nil); ok {
 					retryAfter = max(retryAfter, back.Sub(now))
 				}
 			}
