--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -64,6 +64,19 @@
 	Relayed bool
 }
 
+// EndpointNoticed reports what the endpoint of an attempt says about itself in the
+// header of its response. It comes before the end of the attempt.
+type EndpointNoticed struct {
+	ID uint64
+	// Leaving reports whether the endpoint shuts down and wants no new requests.
+	Leaving bool
+	// Pause is how long the endpoint wants no requests from this node, or zero.
+	Pause time.Duration
+	// InvalidPause is the value that the endpoint states in place of a pause if it
+	// is malformed, or empty.
+	InvalidPause string
+}
+
 // AttemptFinished reports the end of an attempt. Each Dispatch is followed by
 // exactly one AttemptFinished.
 type AttemptFinished struct {
@@ -186,6 +199,7 @@
 func (Arrived) event()            {}
 func (ResponseStarted) event()    {}
 func (AttemptStalled) event()     {}
+func (EndpointNoticed) event()    {}
 func (AttemptFinished) event()    {}
 func (CallerDisconnected) event() {}
 func (Ticked) event()             {}
@@ -308,6 +322,9 @@
 	CounterRetries Counter = "retries"
 	// CounterAttempts counts attempts by result.
 	CounterAttempts Counter = "attempts"
+	// CounterNotices counts what endpoints have said about themselves in their
+	// responses.
+	CounterNotices Counter = "notices"
 )
 
 // LabelReplaced is the label of CounterRetries for an attempt that was given up
@@ -332,12 +349,14 @@
 	ReasonTimeout    Reason = "timeout"
 	ReasonGone       Reason = "caller_gone"
 	ReasonHarmful    Reason = "harmful_prompt"
+	ReasonPaused     Reason = "endpoints_paused"
 )
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	ReasonNotReady, ReasonNoRoute, ReasonNoKey, ReasonStaleView, ReasonTooLarge, ReasonMalformed,
 	ReasonNoEndpoint, ReasonOverload, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmful,
+	ReasonPaused,
 }
 
 // Results lists all results.
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -107,6 +107,16 @@
 // decline to resume it do not count.
 func (r *request) attemptsUsed() int { return len(r.tried) - min(r.declined, maxDeclined) }
 
+// waitLimit returns the time until which the request may wait for an endpoint.
+func (r *request) waitLimit() time.Time {
+	limit := r.arrivedAt.Add(r.route.LatencyTarget / waitDivisor)
+	if r.waitUntil.After(limit) {
+		limit = r.waitUntil
+	}
+
+	return limit
+}
+
 // class returns the request's class for shedding.
 func (r *request) class() admitter.Class {
 	c := admitter.Class{Route: r.route.Priority}
@@ -192,6 +202,16 @@
 	}
 	e, holder := d.choose(now, req)
 	if e == nil {
+		back, ok := d.earliestReturn(now, req, req.tried)
+		if !ok {
+			// All that could take it may have been tried.
+			back, ok = d.earliestReturn(now, req, nil)
+		}
+		if ok && back.After(req.waitLimit()) {
+			d.fail(now, req, ReasonPaused)
+
+			return
+		}
 		d.enqueue(now, req, ReasonNoEndpoint)
 
 		return
@@ -416,11 +436,7 @@
 // enqueue keeps a request until an endpoint can admit it, for a small part of
 // its target or until its waitUntil.
 func (d *Director) enqueue(now time.Time, req *request, reason Reason) {
-	latest := req.arrivedAt.Add(req.route.LatencyTarget / waitDivisor)
-	if req.waitUntil.After(latest) {
-		latest = req.waitUntil
-	}
-	if now.After(latest) || len(req.service.endpoints) == 0 {
+	if now.After(req.waitLimit()) || len(req.service.endpoints) == 0 {
 		d.fail(now, req, reason)
 
 		return
@@ -472,6 +488,11 @@
 			if reason == ReasonHarmful {
 				retryAfter = harmfulRetryAfter
 			}
+			if req.service != nil {
+				if back, ok := d.earliestReturn(now, req, nil); ok {
+					retryAfter = max(retryAfter, back.Sub(now))
+				}
+			}
 			retryAfter += time.Duration(xxhash.Sum64String(req.Name) % uint64(retryAfterSpread))
 		}
 		d.emit(Refuse{ID: req.ID, Status: status, Reason: reason, RetryAfter: retryAfter})
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -78,6 +78,8 @@
 	// partlySent reports whether the write of the request has failed. The end of
 	// the connection then does not end a response.
 	partlySent bool
+	// leaving reports whether the endpoint has said that it shuts down.
+	leaving bool
 
 	// stream reads the events of a streamed response, or is nil.
 	stream *eventReader
@@ -311,6 +313,7 @@
 		return a.failureResult(errRequestMismatch)
 	}
 	a.finished.Cold, a.finished.Status = m.ColdRemaining, h.StatusCode()
+	a.noteEndpoint(m)
 	switch {
 	case h.StatusCode() == http.StatusMisdirectedRequest:
 		return director.Misdirected
@@ -354,6 +357,22 @@
 	return status == http.StatusNoContent || status == http.StatusNotModified
 }
 
+// noteEndpoint reports what the response says about the endpoint. A response to
+// another request, or of another endpoint at the address, says nothing about it.
+func (a *attempt) noteEndpoint(m ResponseMetadata) {
+	if m.AttemptID == "" || m.AttemptID != a.call.attemptID || a.resp.StatusCode() == http.StatusMisdirectedRequest {
+		return
+	}
+	notice := director.EndpointNoticed{ID: a.call.id, Leaving: m.Leaving}
+	if a.resp.StatusCode() == http.StatusServiceUnavailable {
+		notice.Pause, notice.InvalidPause = m.RetryAfter, m.InvalidRetryAfter
+	}
+	if notice != (director.EndpointNoticed{ID: a.call.id}) {
+		a.leaving = m.Leaving
+		a.call.f.Post(notice)
+	}
+}
+
 func (a *attempt) readBody() error {
 	if a.withoutBody() {
 		return nil
@@ -373,7 +392,7 @@
 // closes it if the endpoint asked for that.
 func (a *attempt) releaseConn() {
 	a.call.setEndpointConn(nil)
-	if a.partlySent || a.resp.Header.ConnectionClose() {
+	if a.partlySent || a.resp.Header.ConnectionClose() || a.leaving {
 		_ = a.conn.Close()
 	} else {
 		a.call.f.pool.put(a.dispatch.Address, a.conn, time.Now(), &a.resp.Header, a.dispatch.MaxIdle)
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -72,7 +72,10 @@
 	EntryOutdated      = 723
 	EndpointSilent     = 724
 	ShutdownCutOff     = 725
+	EndpointLeaving    = 726
+	EndpointPaused     = 727
 	CentreHeld         = 728
+	PauseIgnored       = 729
 	AcceptFailed       = 730
 )
 
@@ -154,7 +157,10 @@
 	{EntryOutdated, hclog.Info, "entry older than known ignored", []string{"endpoint", "service", "sequence", "known"}},
 	{EndpointSilent, hclog.Info, "endpoint silent", []string{"request", "route", "endpoint", "silent", "relayed", "replaced"}},
 	{ShutdownCutOff, hclog.Warn, "shutdown cut off connections", []string{"connections", "waited"}},
+	{EndpointLeaving, hclog.Info, "endpoint says that it is leaving", []string{"request", "endpoint", "service"}},
+	{EndpointPaused, hclog.Info, "endpoint asked for time", []string{"request", "endpoint", "service", "length"}},
 	{CentreHeld, hclog.Info, "data centre stays out of service until it is confirmed", []string{"centre"}},
+	{PauseIgnored, hclog.Warn, "malformed request for time ignored", []string{"request", "endpoint", "value"}},
 	{AcceptFailed, hclog.Warn, "connection could not be accepted", []string{"listener", "error"}},
 }
 
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -94,6 +94,8 @@
 	nodes      []*node
 	dir        string
 	faultCount int
+	// absentUntil holds the times until which servers leave or ask for time.
+	absentUntil []time.Time
 
 	mu          sync.Mutex
 	servers     map[string]*standin.Server
@@ -202,7 +204,7 @@
 	s.serverCount++
 	id := fmt.Sprintf("i-%d-%d", s.opts.Seed, s.serverCount)
 	s.mu.Unlock()
-	server, err := standin.NewServer(id, addr, 20*time.Millisecond, s.opts.Seed+uint64(s.serverCount), s.history.AddRun)
+	server, err := standin.NewServer(id, addr, 20*time.Millisecond, s.opts.Seed+uint64(s.serverCount), s.history)
 	if err != nil {
 		return err
 	}
@@ -210,7 +212,7 @@
 	s.servers[id] = server
 	s.mu.Unlock()
 
-	return s.store.PutServer(id, service, "c0", server.Addr(), false)
+	return s.store.Register(server, service, "c0", false)
 }
 
 // startNode starts the process of a node and restarts it whenever it ends.
@@ -223,6 +225,7 @@
 	n.mu.Lock()
 	n.cmd, n.stopping = cmd, false
 	n.mu.Unlock()
+	s.history.MarkInterrupted(n.index, 0)
 	go func() {
 		err := cmd.Wait()
 		n.mu.Lock()
