--- a/internal/follower/era_test.go
+++ b/internal/follower/era_test.go
@@ -203,7 +203,7 @@
 			t.Fatal(err)
 		}
 
-		return Change{Key: "op/config", Revision: 12, Value: RoutingTable{r}}
+		return Change{Key: "table", Revision: 12, Value: RoutingTable{r}}
 	}
 	c := qt.New(t)
 	var missing []uint64
