Apply versions below a bad publication that the service has lost

After a refused publication, the watcher of the project's own interface asked only for higher versions. When the configuration service went back to an older copy, its versions up to the bad one were never applied, while the contact counted as fresh.

A service that holds a lower version has lost the bad one, so nothing is skipped any more.

A different publication under the version that is in force is still taken for the same one.

--- a/internal/watcher/store.go
+++ b/internal/watcher/store.go
@@ -50,6 +50,16 @@
 	return max(s.catalogueVersion, s.skipped)
 }
 
+// observe records the version that the service holds. A bad publication above it
+// is gone, and its version may be published again.
+func (s *store) observe(v cataloguer.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if v < s.skipped {
+		s.skipped = 0
+	}
+}
+
 // skip marks a version of the service as bad.
 func (s *store) skip(v cataloguer.Version) {
 	s.mu.Lock()
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -229,6 +229,7 @@
 	if err != nil {
 		return err
 	}
+	w.store.observe(version)
 	if len(manifest) > 0 {
 		if version <= after {
 			return &Error{Op: "watch", Kind: KindCall, Err: fmt.Errorf("version %d is not above %d", version, after)}
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -173,6 +173,21 @@
 	})
 }
 
+// Guards against a bad publication that hides lower versions after the service has
+// gone back to an older copy.
+func TestVersionsBelowLostBadPublicationAreApplied(t *testing.T) {
+	runReader(t, func(c *qt.C, src *fakeSource, w *Watcher, rec *recorder, site *standin.Site) {
+		src.set(func() { src.version, src.manifest = 20, []byte(`{"version": 20, "epoch": -1}`) })
+		advance(time.Minute)
+		c.Assert(rec.refused, qt.HasLen, 1)
+		site.Catalogue.Version = 5
+		src.publish(c, site.Catalogue)
+		advance(time.Minute)
+		c.Assert(rec.catalogues, qt.DeepEquals, []cataloguer.Version{1, 5})
+		c.Assert(w.Stats().Calls < 40, qt.IsTrue, qt.Commentf("%d calls", w.Stats().Calls))
+	})
+}
+
 // Guards against documents that change while they are read: a catalogue mixed
 // from two publications must never be applied.
 func TestMismatchedDocumentsAreNotApplied(t *testing.T) {
