Read and log the software version of endpoints

A stream that went on at another software version could not be told from one that did not: entries were decoded without the version, and no event named one. Events 706, 711 and 717 name the version of the endpoint, so the two parts of a stream can be compared. No decision uses it yet.

--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -86,7 +86,7 @@
 		d.markCold(now, e, entry.Cold)
 	}
 	d.log(logger.EndpointAdded, "endpoint", entry.ID, "service", entry.Service, "centre", entry.DataCentre,
-		"draining", entry.Draining, "cold", entry.Cold.String())
+		"version", entry.Version, "draining", entry.Draining, "cold", entry.Cold.String())
 }
 
 func (d *Director) updateEndpoint(now time.Time, entry registrar.Entry) {
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -81,7 +81,7 @@
 		if req.relayed {
 			req.declined++
 		}
-		d.retry(now, req, f, ReasonDeclined, reserved)
+		d.retry(now, req, e, f, ReasonDeclined, reserved)
 	case Misdirected, Unreached, Unsent:
 		req.unreachedCount++
 		if req.unreachedCount >= maxUnreached {
@@ -101,7 +101,7 @@
 
 			return
 		}
-		d.retry(now, req, f, failureReason(f.Result), reserved)
+		d.retry(now, req, e, f, failureReason(f.Result), reserved)
 	case Cancelled:
 		d.abandon(req, ReasonGone)
 	}
@@ -175,7 +175,7 @@
 		first = took
 	}
 	late := first > req.route.LatencyTarget || req.route.MaxPause > 0 && req.longestPause > req.route.MaxPause
-	d.log(logger.RequestAnswered, "request", req.Name, "route", req.route.Name, "endpoint", e.entry.ID, "status", f.Status,
+	d.log(logger.RequestAnswered, "request", req.Name, "route", req.route.Name, "endpoint", e.entry.ID, "version", e.entry.Version, "status", f.Status,
 		"took", took.String(), "first", first.String(), "pause", req.longestPause.String(), "attempts", len(req.tried)+1,
 		"late", late, "engines", req.service.splitter.LongEngines())
 }
@@ -188,9 +188,9 @@
 	return s.retryBudget.AllowRetry(now)
 }
 
-// retry sends a request to another endpoint, that of its reservation if there is
+// retry sends a request to another endpoint than e, that of its reservation if there is
 // one, if the attempts of its route and the retry budget allow it.
-func (d *Director) retry(now time.Time, req *request, f AttemptFinished, reason Reason, reserved *reservation) {
+func (d *Director) retry(now time.Time, req *request, e *endpoint, f AttemptFinished, reason Reason, reserved *reservation) {
 	if d.failIsolated(now, req) {
 		return
 	}
@@ -211,8 +211,12 @@
 	if req.replaced {
 		label = LabelReplaced
 	}
+	version := ""
+	if e != nil {
+		version = e.entry.Version
+	}
 	d.emit(Count{Counter: CounterRetries, Label: label})
-	d.log(logger.RequestRetried, "request", req.Name, "route", req.route.Name, "endpoint", req.tried[len(req.tried)-1],
+	d.log(logger.RequestRetried, "request", req.Name, "route", req.route.Name, "endpoint", req.tried[len(req.tried)-1], "version", version,
 		"result", f.Result.String(), "cause", f.Cause, "took", f.Took.String(), "parts", formatParts(req.Need.SharedParts), "relayed", req.relayed)
 	if reserved != nil && d.current(reserved.endpoint) && d.takes(now, req, reserved.endpoint) {
 		req.prefixCached = reserved.prefixCached
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -26,6 +26,9 @@
 // write again as a data centre may take to go out of service.
 const CentreHoldTime = 5 * time.Second
 
+// MaxVersionBytes is the maximum length of the version of an endpoint's software.
+const MaxVersionBytes = 128
+
 // Entry is the information that an endpoint publishes about itself.
 type Entry struct {
 	// ID is unique among the running endpoints.
@@ -39,6 +42,9 @@
 	Service    string
 	Address    netip.AddrPort
 	DataCentre string
+	// Version is the version of the endpoint's software, or empty if it does not
+	// publish one. An incarnation has one version for all of its life.
+	Version string
 	// Draining reports whether the endpoint accepts no new work.
 	Draining bool
 	// Cold is the time for which the endpoint remains cold.
