Add messages about the versions at which streams began

When a caller takes a broken stream up again at another node, that node cannot know the software version at which the stream began, and so goes on at any. Origins announces such versions or replies to an OriginQuery.

The director's event, effects and method are stubs without decisions.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -157,6 +157,7 @@
 		d.updateOthersLoad(now, e.Others)
 	case CrashesObserved:
 		d.isolator.Merge(now, e.Crashes)
+	case OriginsLearned:
 	case ViewRestored:
 		d.restoreView(now)
 	case TableMissing:
--- a/pkg/encoder/load.go
+++ b/pkg/encoder/load.go
@@ -1,6 +1,6 @@
 package encoder
 
-//msgp:tuple Load LoadSum Item Report Speaker Digest Hello LoadChange Update Crash Crashes ViewReport ViewDigest
+//msgp:tuple Load LoadSum Item Report Speaker Digest Hello LoadChange Update Crash Crashes ViewReport ViewDigest Origin Origins OriginQuery
 
 //go:generate go tool msgp -file load.go -o load_gen.go -tests=false
 
@@ -153,3 +153,28 @@
 type Crashes struct {
 	List []Crash `msg:"l"`
 }
+
+// Origin is the software version at which a stream began.
+type Origin struct {
+	// Key identifies the stream.
+	Key     uint64 `msg:"k"`
+	Version string `msg:"v"`
+	// Sole reports whether Version is that of all endpoints that can have begun
+	// the stream. Otherwise it was recorded when the stream began.
+	Sole bool `msg:"s"`
+	// Age is the time since the origin was recorded in milliseconds.
+	Age uint32 `msg:"a"`
+}
+
+// Origins holds origins that the sender announces or was asked for.
+type Origins struct {
+	// List has at most MaxOrigins elements.
+	List []Origin `msg:"l,limit=2048"`
+}
+
+// OriginQuery asks for the origin of a stream. A node that does not know it does
+// not reply.
+type OriginQuery struct {
+	Key     uint64 `msg:"k"`
+	Service string `msg:"n"`
+}
--- a/pkg/encoder/load_gen.go
+++ b/pkg/encoder/load_gen.go
@@ -1439,6 +1439,334 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Origin) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Key, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Version, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Sole, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Sole")
+		return
+	}
+	z.Age, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Origin) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	err = en.WriteString(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	err = en.WriteBool(z.Sole)
+	if err != nil {
+		err = msgp.WrapError(err, "Sole")
+		return
+	}
+	err = en.WriteUint32(z.Age)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Origin) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint64(o, z.Key)
+	o = msgp.AppendString(o, z.Version)
+	o = msgp.AppendBool(o, z.Sole)
+	o = msgp.AppendUint32(o, z.Age)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Origin) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Key, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Sole, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sole")
+		return
+	}
+	z.Age, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Origin) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Version) + msgp.BoolSize + msgp.Uint32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *OriginQuery) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Key, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z OriginQuery) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z OriginQuery) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.Key)
+	o = msgp.AppendString(o, z.Service)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *OriginQuery) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Key, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z OriginQuery) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Service)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Origins) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "List")
+		return
+	}
+	if zb0002 > 2048 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.List) >= int(zb0002) {
+		z.List = (z.List)[:zb0002]
+	} else {
+		z.List = make([]Origin, zb0002)
+	}
+	for za0001 := range z.List {
+		err = z.List[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Origins) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.List)))
+	if err != nil {
+		err = msgp.WrapError(err, "List")
+		return
+	}
+	for za0001 := range z.List {
+		err = z.List[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Origins) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		o, err = z.List[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Origins) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "List")
+		return
+	}
+	if zb0002 > 2048 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.List) >= int(zb0002) {
+		z.List = (z.List)[:zb0002]
+	} else {
+		z.List = make([]Origin, zb0002)
+	}
+	for za0001 := range z.List {
+		bts, err = z.List[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Origins) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.List {
+		s += z.List[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Report) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
--- a/pkg/encoder/message.go
+++ b/pkg/encoder/message.go
@@ -45,6 +45,8 @@
 func (*Crashes) kind() byte      { return 29 }
 func (*ViewReport) kind() byte   { return 30 }
 func (*ViewDigest) kind() byte   { return 31 }
+func (*Origins) kind() byte      { return 32 }
+func (*OriginQuery) kind() byte  { return 33 }
 
 // newMessage returns a new zero message of the given kind, or nil if the kind is
 // unknown.
@@ -112,6 +114,10 @@
 		return new(ViewReport)
 	case 31:
 		return new(ViewDigest)
+	case 32:
+		return new(Origins)
+	case 33:
+		return new(OriginQuery)
 	default:
 		return nil
 	}
@@ -145,5 +151,11 @@
 		return nil, &Error{Op: "decode", Kind: KindMalformed, Err: fmt.Errorf("%d trailing bytes", len(rest))}
 	}
 
+	if b, ok := m.(bounded); ok {
+		if err := b.checkBounds(); err != nil {
+			return nil, &Error{Op: "decode", Kind: KindMalformed, Err: err}
+		}
+	}
+
 	return m, nil
 }
