Resume streams only at the software version that began them

Callers saw complete answers that were joined from two software versions of a service: an endpoint was cut off in the middle of a stream, and the node resumed the stream 1 ms later at an endpoint of another version.

Cause: placement, the reservation of a replacement and resumption took any endpoint of the service. The next event's number, which is checked, is the same in all versions, and endpoints do not check the rest.

A request is bound to the version of the endpoint that brought its first event. Only endpoints of that version are candidates from then on, also for the replacement of a silent endpoint. If none of them serves, the stream is cut off at once (version_gone), so that the caller can see that it is incomplete.

TestStreamDoesNotGoOnAtAnotherVersion and TestStreamGoesOnAtItsVersion failed before: the streams went on at the other version.

--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -350,13 +350,16 @@
 	ReasonGone       Reason = "caller_gone"
 	ReasonHarmful    Reason = "harmful_prompt"
 	ReasonPaused     Reason = "endpoints_paused"
+	// ReasonVersionGone is that no endpoint of the version at which a stream began
+	// can go on with it.
+	ReasonVersionGone Reason = "version_gone"
 )
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	ReasonNotReady, ReasonNoRoute, ReasonNoKey, ReasonStaleView, ReasonTooLarge, ReasonMalformed,
 	ReasonNoEndpoint, ReasonOverload, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmful,
-	ReasonPaused,
+	ReasonPaused, ReasonVersionGone,
 }
 
 // Results lists all results.
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -85,6 +85,10 @@
 	lastCause string
 	// relayed reports whether any byte of the answer has reached the caller.
 	relayed bool
+	// version is the software version at which the stream began, if pinned is true.
+	// Only endpoints of this version can go on with it.
+	version string
+	pinned  bool
 	// callerGone reports whether the caller has disconnected.
 	callerGone bool
 	// queued reports whether the request is in the list of waiting requests, and
@@ -182,6 +186,11 @@
 		return
 	}
 	e, holder := d.choose(now, req)
+	if e == nil && req.pinned && !d.versionServes(req) {
+		d.fail(now, req, ReasonVersionGone)
+
+		return
+	}
 	if e == nil {
 		back, ok := d.earliestReturn(now, req, req.tried)
 		if !ok {
@@ -315,7 +324,13 @@
 // takes reports whether an endpoint of the request's service can receive the
 // request now.
 func (d *Director) takes(now time.Time, req *request, e *endpoint) bool {
-	return e != req.endpoint && d.usable(now, e) && !contains(req.tried, e.entry.ID) && d.regionAllowed(req, e)
+	return e != req.endpoint && d.usable(now, e) && d.canRun(req, e)
+}
+
+// canRun reports whether an endpoint of the request's service can run the request,
+// apart from the endpoint's state.
+func (d *Director) canRun(req *request, e *endpoint) bool {
+	return !contains(req.tried, e.entry.ID) && d.regionAllowed(req, e) && (!req.pinned || e.entry.Version == req.version)
 }
 
 // regionAllowed reports whether a request may run in an endpoint's region.
