Take an endpoint with another software version for a new one

An endpoint that started again with other software under the ID and the address that it had, and without a time of birth, was taken for the one that ran before, with what was known of that one. A stream that began at its former version could go on there.

The version now tells incarnations apart, like the time of birth, the address and the service. TestNewVersionIsANewIncarnation failed before: the entry was only updated.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -145,7 +145,7 @@
 	switch {
 	case !known:
 		return []Event{{Change: Added, Entry: e}}
-	case old.Born != e.Born || old.Address != e.Address || old.Service != e.Service:
+	case old.Born != e.Born || old.Address != e.Address || old.Service != e.Service || old.Version != e.Version:
 		return []Event{{Change: Removed, Entry: old}, {Change: Added, Entry: e}}
 	case old.differs(e):
 		return []Event{{Change: Updated, Entry: e}}
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -102,3 +102,18 @@
 	c.Check(r.Put(Entry{ID: "a", Born: 1, Sequence: 5, Cold: time.Second}), qt.HasLen, 0)
 	c.Check(changes(r.Put(Entry{ID: "a", Born: 1, Sequence: 6})), qt.DeepEquals, []Change{Updated})
 }
+
+// Guards against an endpoint that has started again with other software being taken
+// for the one that ran before, where its entry does not say when it started.
+func TestNewVersionIsANewIncarnation(t *testing.T) {
+	c := qt.New(t)
+	r := New(publicationInterval)
+	former := Entry{ID: "e", Service: "s", Version: "1"}
+	r.Put(former)
+	e := former
+	e.Version = "2"
+	events := r.Put(e)
+	c.Assert(events, qt.HasLen, 2)
+	c.Check(events[0], qt.Equals, Event{Change: Removed, Entry: former})
+	c.Check(events[1], qt.Equals, Event{Change: Added, Entry: e})
+}
