Take streams up again at the software version that began them

Callers saw texts joined from two software versions over two attempts of theirs: the connection broke, or the node was lost, and the next attempt, which names the last event, was placed like a new request.

Cause: nothing of the stream's version outlived the attempt, and the field in which the caller names the first attempt was not read.

A node remembers at which version its resumable streams began, for the longest time that a stream can last and 2 s more, under a key of account, service and first attempt. While more than one version can have begun streams it tells a few other nodes, and a node that does not know a stream asks others for up to 150 ms. Without a record, the version is known if only one was in use for that long, as far as the node, or one that it asks, has watched. Otherwise the take-up is refused at once and truthfully (version_unknown, or version_gone if no endpoint of its version is left). A take-up is sent to the service of its first attempt, waits up to 1 s for a place, and does not yield to new requests.

--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -284,6 +284,8 @@
 		return exporter.RoutedAttempts
 	case director.CounterNotices:
 		return exporter.RoutedNotices
+	case director.CounterTakeUps:
+		return exporter.RoutedTakeUps
 	default:
 		return reducer.Counter(c)
 	}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -9,6 +9,7 @@
 	"snipedyke/internal/isolator"
 	"snipedyke/internal/logger"
 	"snipedyke/internal/pacer"
+	"snipedyke/internal/pinner"
 	"snipedyke/internal/registrar"
 	"snipedyke/internal/router"
 )
@@ -78,6 +79,17 @@
 	// isolator finds the prompt parts that crash engines.
 	isolator isolator.Isolator
 
+	// origins holds the versions at which streams have begun that callers may take
+	// up again, for originLife. That is at least the longest time that a resumable
+	// stream can last; it never becomes shorter.
+	origins    pinner.Table
+	originLife time.Duration
+	// knownSince is the time since which all endpoints are known, or zero.
+	knownSince time.Time
+	// asking holds the requests that wait until other nodes say at which version
+	// their streams began.
+	asking []*request
+
 	requests map[uint64]*request
 	// waiting holds the requests that wait for an endpoint, oldest first.
 	waiting []*request
@@ -105,6 +117,9 @@
 	retryBudget pacer.Budget
 	estimator   admitter.Estimator
 	shedder     admitter.Shedder
+	versions    pinner.Versions
+	// reroutedAt is when a table last changed which requests the service gets.
+	reroutedAt time.Time
 }
 
 // New returns a director without routes or endpoints.
@@ -137,9 +152,12 @@
 	case Ticked:
 		d.handleTick(now)
 	case TableLoaded:
-		d.setTable(e.Table)
+		d.setTable(now, e.Table)
 	case EntriesListed:
 		d.entriesListed = true
+		if d.knownSince.IsZero() {
+			d.knownSince = now
+		}
 		d.applyEndpointEvents(now, d.registrar.Replace(now, e.Entries))
 	case EntryPut:
 		d.applyEndpointEvents(now, d.registrar.Put(e.Entry))
@@ -158,6 +176,7 @@
 	case CrashesObserved:
 		d.isolator.Merge(now, e.Crashes)
 	case OriginsLearned:
+		d.learnOrigins(now, e.List)
 	case ViewRestored:
 		d.restoreView(now)
 	case TableMissing:
@@ -236,11 +255,11 @@
 func (d *Director) Active() int { return len(d.requests) }
 
 // NeedsTick reports whether a Ticked event is needed soon, because requests are
-// waiting, vanished entries are held, or entries or data centres are held back
+// waiting for endpoints or other nodes, vanished entries are held, or entries or data centres are held back
 // after the store was restored.
-func (d *Director) NeedsTick() bool { return len(d.waiting) > 0 || d.registrar.HasHeld() }
+func (d *Director) NeedsTick() bool { return len(d.waiting)+len(d.asking) > 0 || d.registrar.HasHeld() }
 
-func (d *Director) setTable(t *router.Table) {
+func (d *Director) setTable(now time.Time, t *router.Table) {
 	if d.table != nil && t.Version() <= d.table.Version() {
 		return
 	}
@@ -248,12 +267,14 @@
 	if d.table != nil {
 		former = d.table.Version()
 	}
+	d.noteRerouted(now, d.table, t)
 	d.table = t
 	d.log(logger.RouteTableInForce, "version", t.Version(), "former", former, "routes", t.NumRoutes())
 }
 
 func (d *Director) confirmView(now, at time.Time) {
 	if at.After(d.confirmedAt) {
+		d.noteGap(now, at)
 		d.confirmedAt = at
 	}
 	d.endOutage(now)
@@ -417,5 +438,6 @@
 		d.applyEndpointEvents(now, d.registrar.Reinstate(now))
 		d.returnCentres(now, d.registrar.ReleaseCentres(now))
 	}
+	d.askAgain(now)
 	d.retryWaiting(now)
 }
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -82,6 +82,8 @@
 	d.endpoints[entry.ID], d.endpointsByNumber[e.number] = e, e
 	s := d.ensureService(entry.Service)
 	s.endpoints = append(s.endpoints, e)
+	s.versions.Add(entry.Version)
+	d.announceOrigins(now, s)
 	if entry.Cold > 0 {
 		d.markCold(now, e, entry.Cold)
 	}
@@ -115,6 +117,7 @@
 	d.isolator.RecordEnded(now, e.number)
 	s := d.ensureService(entry.Service)
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(other *endpoint) bool { return other == e })
+	s.versions.Remove(now, e.entry.Version)
 	d.emit(CloseIdleConnections{Address: entry.Address})
 	d.log(logger.EndpointRemoved, "endpoint", entry.ID, "service", entry.Service)
 }
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -36,6 +36,11 @@
 	Path string
 	// Key is the caller's key, or empty.
 	Key string
+	// Continues reports whether the caller takes a stream up again after its last
+	// event, and Resumes is then the Name of the request that brought the stream's
+	// first event, or empty if the caller does not state it.
+	Continues bool
+	Resumes   string
 	// Deadline is how long the caller waits for the answer, or zero if it sets no
 	// limit.
 	Deadline time.Duration
@@ -325,6 +330,9 @@
 	// CounterNotices counts what endpoints have said about themselves in their
 	// responses.
 	CounterNotices Counter = "notices"
+	// CounterTakeUps counts the streams that callers take up again, by where their
+	// versions are known from.
+	CounterTakeUps Counter = "take_ups"
 )
 
 // LabelReplaced is the label of CounterRetries for an attempt that was given up
@@ -353,13 +361,16 @@
 	// ReasonVersionGone is that no endpoint of the version at which a stream began
 	// can go on with it.
 	ReasonVersionGone Reason = "version_gone"
+	// ReasonVersionUnknown is that no node knows the version at which a stream began
+	// that its caller takes up again.
+	ReasonVersionUnknown Reason = "version_unknown"
 )
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	ReasonNotReady, ReasonNoRoute, ReasonNoKey, ReasonStaleView, ReasonTooLarge, ReasonMalformed,
 	ReasonNoEndpoint, ReasonOverload, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmful,
-	ReasonPaused, ReasonVersionGone,
+	ReasonPaused, ReasonVersionGone, ReasonVersionUnknown,
 }
 
 // Results lists all results.
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -25,9 +25,7 @@
 		req.endpoint.load.Own.PrefillTokens -= req.Need.PrefillTokens()
 		d.markChanged(req.endpoint)
 	}
-	if !req.pinned {
-		req.version, req.pinned = req.endpoint.entry.Version, true
-	}
+	d.recordOrigin(now, req)
 	d.isolator.RecordSound(now, req.Need.SharedParts)
 	req.endpoint.consecutiveFailures = 0
 	if now.Before(req.endpoint.suspendedUntil) {
--- a/internal/director/refusal.go
+++ b/internal/director/refusal.go
@@ -68,6 +68,9 @@
 			}
 			retryAfter += time.Duration(xxhash.Sum64String(req.Name) % uint64(retryAfterSpread))
 		}
+		if reason == ReasonVersionGone {
+			retryAfter = 0
+		}
 		d.emit(Refuse{ID: req.ID, Status: status, Reason: reason, RetryAfter: retryAfter})
 	}
 	d.emit(Count{Counter: CounterRefusals, Label: string(reason)})
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -89,6 +89,12 @@
 	// Only endpoints of this version can go on with it.
 	version string
 	pinned  bool
+	// stream identifies the stream that the request begins or takes up again. It is
+	// zero if the request continues a stream that it does not name.
+	stream uint64
+	// askedAt and askUntil are, for a request that waits for what other nodes know
+	// of its stream, when they were last asked and how long it waits.
+	askedAt, askUntil time.Time
 	// callerGone reports whether the caller has disconnected.
 	callerGone bool
 	// queued reports whether the request is in the list of waiting requests, and
@@ -158,12 +164,24 @@
 	if q.Deadline > 0 && q.Deadline < req.route.Timeout {
 		req.expiresAt = now.Add(q.Deadline)
 	}
-	req.service = d.ensureService(req.route.Service(q.Name))
+	first := q.Name
+	if q.Continues {
+		first = q.Resumes
+	}
+	req.service = d.ensureService(req.route.Service(first))
+	if first != "" {
+		req.stream = streamKey(req, first)
+	}
 	req.Need.Seed, req.Need.Urgency = xxhash.Sum64String(q.Name), req.route.Priority
 	req.service.retryBudget.RecordRequest(now)
 	if d.engineOf(req) != nil {
 		req.usesEngine = true
 	}
+	if q.Continues && req.route.Kind == router.Stream && req.route.Resumable {
+		d.takeUp(now, req)
+
+		return
+	}
 	d.place(now, req)
 }
 
@@ -186,7 +204,7 @@
 		return
 	}
 	e, holder := d.choose(now, req)
-	if e == nil && req.pinned && !d.versionServes(req) {
+	if e == nil && req.pinned && d.versionGone(req) {
 		d.fail(now, req, ReasonVersionGone)
 
 		return
@@ -239,6 +257,10 @@
 // lengthens the pauses. For a short prompt, a free slot is enough, as engines
 // prefill it before less urgent ones.
 func (d *Director) admit(now time.Time, req *request, e *endpoint) *endpoint {
+	if req.pinned && d.hasSlot(req, e) {
+		// Part of the stream has been generated already.
+		return e
+	}
 	if req.service.shedder.Yields(now, req.class()) {
 		return nil
 	}
@@ -324,13 +346,8 @@
 // takes reports whether an endpoint of the request's service can receive the
 // request now.
 func (d *Director) takes(now time.Time, req *request, e *endpoint) bool {
-	return e != req.endpoint && d.usable(now, e) && d.canRun(req, e)
-}
-
-// canRun reports whether an endpoint of the request's service can run the request,
-// apart from the endpoint's state.
-func (d *Director) canRun(req *request, e *endpoint) bool {
-	return !contains(req.tried, e.entry.ID) && d.regionAllowed(req, e) && (!req.pinned || e.entry.Version == req.version)
+	return e != req.endpoint && d.usable(now, e) && !contains(req.tried, e.entry.ID) && d.regionAllowed(req, e) &&
+		(!req.pinned || e.entry.Version == req.version)
 }
 
 // regionAllowed reports whether a request may run in an endpoint's region.
--- a/internal/exporter/exporter.go
+++ b/internal/exporter/exporter.go
@@ -41,6 +41,7 @@
 	RoutedRetries  reducer.Counter = "routed_retries"
 	RoutedAttempts reducer.Counter = "routed_attempts"
 	RoutedNotices  reducer.Counter = "routed_notices"
+	RoutedTakeUps  reducer.Counter = "routed_take_ups"
 )
 
 // labelNames maps each counter to the name of its label, and initialValues to
@@ -59,6 +60,7 @@
 		RoutedRetries:            "reason",
 		RoutedAttempts:           "result",
 		RoutedNotices:            "notice",
+		RoutedTakeUps:            "source",
 	}
 	initialValues = map[reducer.Counter][]string{
 		reducer.CounterRefusals:  reasonNames(),
@@ -71,6 +73,7 @@
 		RoutedRetries:            append(routedResultNames(), "status", director.LabelReplaced),
 		RoutedAttempts:           routedResultNames(),
 		RoutedNotices:            director.NoticeLabels,
+		RoutedTakeUps:            director.TakeUpLabels,
 	}
 	// perClass lists the counters whose initial time series are also created
 	// for each class.
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -70,7 +70,7 @@
 	f.mu.Unlock()
 	c.conn.watch(func() { f.Post(director.CallerDisconnected{ID: c.id}) })
 	f.Post(director.Arrived{Request: director.Request{
-		ID: c.id, Name: metadata.AttemptID, Key: metadata.APIKey, Deadline: metadata.Deadline, Need: metadata.Need,
+		ID: c.id, Name: metadata.AttemptID, Continues: metadata.Continues, Resumes: metadata.Resumes, Key: metadata.APIKey, Deadline: metadata.Deadline, Need: metadata.Need,
 		Body: len(ctx.Request.Body()),
 		Host: hostName(ctx.Request.Header.Host()), Path: rawPath(ctx.Request.Header.RequestURI()),
 	}})
--- a/internal/forwarder/protocol.go
+++ b/internal/forwarder/protocol.go
@@ -27,6 +27,11 @@
 type RequestMetadata struct {
 	// AttemptID is the caller's ID of this attempt.
 	AttemptID string
+	// Continues reports whether the caller takes a stream up again after its last
+	// event, and Resumes is the ID of the attempt that brought the stream's first
+	// event, or empty if it is not stated.
+	Continues bool
+	Resumes   string
 	// APIKey is the API key, or empty if there is none.
 	APIKey string
 	// Deadline is the time allowed for the request, or zero if there is no
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -255,6 +256,47 @@
 // NumRoutes returns the number of routes.
 func (t *Table) NumRoutes() int { return t.routeCount }
 
+// LongestResumable returns the longest timeout of the routes whose streams can be
+// resumed, or zero if there is none.
+func (t *Table) LongestResumable() time.Duration {
+	var longest time.Duration
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			if r.Kind == Stream && r.Resumable {
+				longest = max(longest, r.Timeout)
+			}
+		}
+	}
+
+	return longest
+}
+
+// Rerouted returns the sorted names of the services that get resumable streams
+// which went to other services, or to other shares of them, by the former table.
+func (t *Table) Rerouted(former *Table) []string {
+	names := map[string]bool{}
+	compare := func(host, prefix string) {
+		r, f := t.Route(host, prefix), former.Route(host, prefix)
+		if r == nil || f == nil || r.Kind != Stream || !r.Resumable || slices.Equal(f.Shares, r.Shares) {
+			return
+		}
+		for _, s := range r.Shares {
+			names[s.Service] = true
+		}
+	}
+	// The routes of both tables, as an added or removed route leaves requests to one
+	// with a shorter prefix.
+	for _, hosts := range []map[string][]*Route{t.hosts, former.hosts} {
+		for host, routes := range hosts {
+			for _, r := range routes {
+				compare(host, r.Prefix)
+			}
+		}
+	}
+
+	return slices.Sorted(maps.Keys(names))
+}
+
 // Route returns the route of the host with the longest matching path prefix,
 // or nil.
 func (t *Table) Route(host, path string) *Route {
