--- a/pkg/encoder/origin.go
+++ b/pkg/encoder/origin.go
@@ -5,9 +5,9 @@
 const (
 	// MaxOrigins is the maximum number of origins in a message.
 	MaxOrigins = 2048
-	// MaxVersionBytes is the maximum length of a software version in a message,
-	// and MaxServiceBytes that of the name of a service in an OriginQuery.
+	// MaxVersionBytes is the maximum length of a software version in a message.
 	MaxVersionBytes = 128
+	// MaxServiceBytes is the maximum length of a service's name in an OriginQuery.
 	MaxServiceBytes = 512
 )
 
