Follow the replacement of speakers of other data centres on members

A member took the speaker of another data centre from the first digest that named it, and kept it as long as the data centre was there. Only the speaker heard of a replacement, so members told and asked a node that had gone. They now take the speakers from each digest of their own speaker.

TestMembersFollowSpeakersOfOtherDataCentres failed before: the informants of a member held the former speaker and lacked its replacement.

--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -503,6 +503,9 @@
 		m.lastHeard = now
 	}
 	fromSpeaker := len(d.Sums) > 0
+	if fromSpeaker && from == a.speaker(now) {
+		a.adoptSpeakers(d.Others)
+	}
 	for _, n := range d.Members {
 		addr := uint32ToAddr(n)
 		if addr == a.opts.Self || addr == from {
--- a/internal/aggregator/origin.go
+++ b/internal/aggregator/origin.go
@@ -187,3 +187,13 @@
 
 	return out
 }
+
+// adoptSpeakers replaces the speakers of the other data centres by those that the
+// local speaker exchanges digests with. Other members do not hear of a new one.
+func (a *Aggregator) adoptSpeakers(list []encoder.Speaker) {
+	for _, s := range list {
+		if c := a.centres[s.Centre]; c != nil && s.Address != 0 {
+			c.speaker = uint32ToAddr(s.Address)
+		}
+	}
+}
--- a/internal/aggregator/origin_test.go
+++ b/internal/aggregator/origin_test.go
@@ -119,6 +119,39 @@
 	c.Check(moved > 0, qt.IsTrue)
 }
 
+// Guards against a member that goes on naming the former speaker of another data
+// centre after it has been replaced, and against one that tells a speaker that has
+// fallen silent while its data centre has no other yet.
+func TestMembersFollowSpeakersOfOtherDataCentres(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(24, 3)
+	f.run(4 * time.Second)
+	member := f.nodes[f.order[21]]
+	former := f.speakerOf("centre-1")
+	f.nodes[former] = nil
+	f.run(6 * time.Second)
+	for _, centre := range []string{"centre-1", "centre-2"} {
+		c.Check(slices.Contains(member.Informants(f.now), f.speakerOf(centre)), qt.IsTrue, qt.Commentf("%s", centre))
+	}
+	c.Check(slices.Contains(member.Informants(f.now), former), qt.IsFalse)
+	told := map[netip.Addr]bool{}
+	for key := range uint64(200) {
+		for _, h := range member.Holders(f.now, key) {
+			told[h] = true
+		}
+	}
+	c.Check(told[former], qt.IsFalse)
+	c.Check(told[f.speakerOf("centre-1")], qt.IsTrue)
+
+	f.blocked = func(a, b netip.Addr) bool { return (f.centre[a] == "centre-2") != (f.centre[b] == "centre-2") }
+	f.run(2 * time.Second)
+	for key := range uint64(200) {
+		holders := member.Holders(f.now, key)
+		c.Assert(holders, qt.HasLen, 3)
+		c.Assert(slices.Contains(holders, f.speakerOf("centre-2")), qt.IsFalse)
+	}
+}
+
 // Guards against a record that a node of another data centre cannot find because
 // the speaker that was told has handed over meanwhile.
 func TestFormerSpeakersAreAsked(t *testing.T) {
