Give the stand-ins' endpoints a software version

The stand-ins could not show a stream that is joined from two software versions: all endpoints wrote the same events, and published no version.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -96,7 +96,7 @@
 	if strings.Contains(path, "stream") {
 		want = ""
 		for i := 1; i <= standin.Events; i++ {
-			want += standin.Event(id, i)
+			want += standin.Event{Version: "v1", Request: id, Number: i}.String()
 		}
 	}
 	switch {
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -204,7 +204,7 @@
 	s.serverCount++
 	id := fmt.Sprintf("i-%d-%d", s.opts.Seed, s.serverCount)
 	s.mu.Unlock()
-	server, err := standin.NewServer(id, addr, 20*time.Millisecond, s.opts.Seed+uint64(s.serverCount), s.history)
+	server, err := standin.NewServer(id, "v1", addr, 20*time.Millisecond, s.opts.Seed+uint64(s.serverCount), s.history)
 	if err != nil {
 		return err
 	}
