Tell and ask other nodes at which versions streams began

The exchanger sends each announcement to its holders at once and again with the next update, and each query to all informants. What other nodes send goes to the director, and a query is answered if the director knows the origin.

--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -118,7 +118,7 @@
 		Protocol: opts.Protocol, Logger: n.logger, Meter: routedMeter{n.exporter}, Callers: s.Callers, Clock: opts.Clock,
 		MaxBodyBytes: maxRequestBody, MaxHeaderBytes: maxRequestHeader,
 		MaxConnections: max(s.Descriptors-reservedDescriptors, minConnections), MaxIdleConnections: min(maxIdleConnections, s.Descriptors/4),
-		GracePeriod: s.Grace,
+		GracePeriod: s.Grace, AnnounceOrigins: n.announceOrigins, AskOrigin: n.askOrigin,
 	})
 	if err != nil {
 		err = errors.Join(&Error{Op: "callers", Kind: KindListen, Err: err}, n.readiness.Close())
@@ -140,6 +140,8 @@
 		SetChangedLoads: func(others encoder.LoadSum) { n.forwarder.Post(director.OthersLoadUpdated{Others: others}) },
 		Crashes:         n.forwarder.Crashes,
 		MergeCrashes:    func(list []encoder.Crash) { n.forwarder.Post(director.CrashesObserved{Crashes: list}) },
+		Origin:          n.forwarder.Origin,
+		LearnOrigins:    func(list []encoder.Origin) { n.forwarder.Post(director.OriginsLearned{List: list}) },
 	})
 	if err != nil {
 		return nil, errors.Join(&Error{Op: "nodes", Kind: KindListen, Err: err}, n.readiness.Close())
@@ -148,6 +150,21 @@
 	return n, nil
 }
 
+// announceOrigins tells other nodes at which versions streams have begun. The
+// forwarder exists before the exchanger.
+func (n *RoutingNode) announceOrigins(list []encoder.Origin) {
+	if n.exchanger != nil {
+		n.exchanger.Announce(list)
+	}
+}
+
+// askOrigin asks other nodes at which version a stream has begun.
+func (n *RoutingNode) askOrigin(key uint64, service string) {
+	if n.exchanger != nil {
+		n.exchanger.Ask(key, service)
+	}
+}
+
 // listen returns a listener whose failures to accept are logged.
 func (n *RoutingNode) listen(name string, address netip.AddrPort) (net.Listener, error) {
 	l, err := listen(name, address)
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -53,6 +53,10 @@
 	// and MergeCrashes is called with what other nodes know.
 	Crashes      func() []encoder.Crash
 	MergeCrashes func([]encoder.Crash)
+	// Origin returns the version at which a stream of a service has begun, if the
+	// node knows it. LearnOrigins is called with what other nodes know.
+	Origin       func(key uint64, service string) (encoder.Origin, bool)
+	LearnOrigins func([]encoder.Origin)
 	Logger       Logger
 	// Clock returns the time on the clock that the node's decisions use.
 	Clock func() time.Time
@@ -63,9 +67,12 @@
 
 // Exchanger sends and receives the messages of a node.
 type Exchanger struct {
-	opts Options
-	conn *net.UDPConn
+	opts    Options
+	conn    *net.UDPConn
+	origins *originQueue
 
+	// mu is not held while functions of opts other than Clock are called: they may
+	// wait for a lock that is held while Announce and Ask are called.
 	mu         sync.Mutex
 	aggregator *aggregator.Aggregator
 	buf        []byte
@@ -84,7 +91,7 @@
 		return nil, &Error{Op: "listen for nodes", Kind: KindListen, Err: err}
 	}
 
-	return &Exchanger{opts: opts, conn: conn, aggregator: aggregator.New(aggregator.Options{
+	return &Exchanger{opts: opts, conn: conn, origins: newOriginQueue(), aggregator: aggregator.New(aggregator.Options{
 		Self: opts.Address.Addr(), Centre: opts.Centre, Seeds: opts.Seeds,
 	})}, nil
 }
@@ -93,6 +100,7 @@
 func (x *Exchanger) Run(ctx context.Context) {
 	var wg conc.WaitGroup
 	wg.Go(x.receive)
+	wg.Go(func() { x.sendOrigins(ctx) })
 	ticker := time.NewTicker(aggregator.UpdateInterval)
 	defer ticker.Stop()
 	var last time.Time
@@ -121,6 +129,7 @@
 }
 
 func (x *Exchanger) sendUpdates() {
+	x.origins.update()
 	change := x.opts.LoadChange()
 	x.mu.Lock()
 	x.send(x.aggregator.Update(x.opts.Clock(), change))
@@ -165,8 +174,17 @@
 
 			continue
 		}
-		if crashes, ok := m.(*encoder.Crashes); ok {
-			x.opts.MergeCrashes(crashes.List)
+		switch m := m.(type) {
+		case *encoder.Crashes:
+			x.opts.MergeCrashes(m.List)
+
+			continue
+		case *encoder.Origins:
+			x.opts.LearnOrigins(m.List)
+
+			continue
+		case *encoder.OriginQuery:
+			x.answer(from.Addr().Unmap(), m)
 
 			continue
 		}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -53,6 +53,11 @@
 	MaxIdleConnections int
 	// GracePeriod is the maximum duration of a graceful shutdown.
 	GracePeriod time.Duration
+	// AnnounceOrigins tells other nodes at which versions streams have begun, and
+	// AskOrigin asks them for that of a stream. They must neither block nor call the
+	// forwarder, and must not keep the list. Either may be nil.
+	AnnounceOrigins func([]encoder.Origin)
+	AskOrigin       func(key uint64, service string)
 }
 
 const (
@@ -219,6 +224,14 @@
 		}
 	case director.CloseIdleConnections:
 		f.pool.closeIdle(e.Address)
+	case director.AnnounceOrigins:
+		if f.opts.AnnounceOrigins != nil {
+			f.opts.AnnounceOrigins(e.List)
+		}
+	case director.AskOrigin:
+		if f.opts.AskOrigin != nil {
+			f.opts.AskOrigin(e.Key, e.Service)
+		}
 	case director.Log:
 		f.opts.Logger.Event(e.Event, e.Args...)
 	case director.Count:
@@ -279,6 +292,15 @@
 	return f.director.Crashes(f.opts.Clock())
 }
 
+// Origin returns the version at which a stream of a service has begun, and reports
+// whether the node knows it.
+func (f *Forwarder) Origin(key uint64, service string) (encoder.Origin, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.director.Origin(f.opts.Clock(), key, service)
+}
+
 // Addr returns the address on which the forwarder listens for callers.
 func (f *Forwarder) Addr() netip.AddrPort {
 	return f.listener.Addr().(*net.TCPAddr).AddrPort()
