Log the requests that a shutdown cuts off

Event 725 counts connections, so a request that came late in the grace period and was passed on looks like one that was taken in time. Event 731 names each request, its age beside that of the shutdown, its endpoint, and whether its answer had begun. There is no counter: the process ends before it is read.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -71,8 +71,10 @@
 	missingUntil time.Time
 	// viewLost reports whether the last attempt to read the view failed.
 	viewLost bool
-	leaving  bool
-	ready    bool
+	// leaving reports whether a shutdown has begun, and leavingSince when.
+	leaving      bool
+	leavingSince time.Time
+	ready        bool
 
 	fleet fleet
 	// isolator finds the prompt parts that crash engines.
@@ -170,7 +172,9 @@
 			s.retryBudget.Window, s.retryBudget.Ratio = d.opts.RetryWindow, d.opts.RetryRatio
 		}
 	case ShutdownRequested:
-		d.startShutdown()
+		d.startShutdown(now)
+	case ShutdownEnded:
+		d.logCutOff(now)
 	}
 	d.checkReady(now)
 
@@ -300,13 +304,6 @@
 	}
 }
 
-func (d *Director) startShutdown() {
-	if !d.leaving {
-		d.leaving = true
-		d.log(logger.ShutdownStarted, "requests", len(d.requests))
-	}
-}
-
 // keysValid reports whether the view is recent enough to accept keys.
 func (d *Director) keysValid(now time.Time) bool {
 	return !d.confirmedAt.IsZero() && now.Sub(d.confirmedAt) <= d.opts.KeyLease && !d.lacksTable(now)
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -196,6 +196,9 @@
 // ShutdownRequested starts a graceful shutdown.
 type ShutdownRequested struct{}
 
+// ShutdownEnded reports that the process ends. Requests in progress are cut off.
+type ShutdownEnded struct{}
+
 func (Arrived) event()            {}
 func (ResponseStarted) event()    {}
 func (AttemptStalled) event()     {}
@@ -218,6 +221,7 @@
 func (OthersLoadUpdated) event()  {}
 func (OptionsChanged) event()     {}
 func (ShutdownRequested) event()  {}
+func (ShutdownEnded) event()      {}
 
 // Effect is an action that the node must carry out. Only the types of this
 // package implement it.
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -92,6 +92,9 @@
 	queued, wasQueued bool
 }
 
+// begun reports whether the answer to the caller has begun.
+func (r *request) begun() bool { return r.relayed || r.timeToFirstByte > 0 }
+
 // attemptsUsed returns the number of attempts that count towards those of the
 // route. A stream that has begun can no longer be refused, so a few endpoints that
 // decline to resume it do not count.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -171,6 +171,7 @@
 		}
 		if waited >= f.opts.GracePeriod-exitMargin {
 			f.opts.Logger.Event(logger.ShutdownCutOff, "connections", remaining, "waited", waited.String())
+			f.Post(director.ShutdownEnded{})
 
 			return
 		}
--- a/internal/forwarder/shutdown_test.go
+++ b/internal/forwarder/shutdown_test.go
@@ -150,6 +150,7 @@
 	events.mu.Lock()
 	defer events.mu.Unlock()
 	c.Check(events.counts[logger.ShutdownCutOff], qt.Equals, 1)
+	c.Check(events.counts[logger.RequestCutOff], qt.Equals, 1)
 }
 
 // lateListener returns the connection that it accepts only after it has been
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -77,6 +77,7 @@
 	CentreHeld         = 728
 	PauseIgnored       = 729
 	AcceptFailed       = 730
+	RequestCutOff      = 731
 )
 
 // Definition describes a log event.
@@ -162,6 +163,7 @@
 	{CentreHeld, hclog.Info, "data centre stays out of service until it is confirmed", []string{"centre"}},
 	{PauseIgnored, hclog.Warn, "malformed request for time ignored", []string{"request", "endpoint", "value"}},
 	{AcceptFailed, hclog.Warn, "connection could not be accepted", []string{"listener", "error"}},
+	{RequestCutOff, hclog.Warn, "request cut off by shutdown", []string{"request", "route", "endpoint", "age", "leaving", "begun"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
