Answer requests before a shutdown ends

Callers saw a closed connection instead of an answer: requests that were completed late in the grace period were passed on with the time limit of their route, and everything that was not answered at its end was cut off, also requests that may not be repeated.

The director did not know when the process ends. ShutdownRequested now carries the time by which requests must be answered, 0.3 s before the forwarder stops. It bounds the deadline of attempts whose answer has not begun; at that time they are cancelled and answered 502, or 503 where the request was not passed on. Reason "leaving". Streams that have begun go on until the end.

A cancelled attempt keeps a result that shows that the request has not run.

TestLateRequestsAreAnsweredBeforeShutdownEnds failed before: none of four requests, one for each kind of route, had an answer when Run returned.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -71,10 +71,11 @@
 	missingUntil time.Time
 	// viewLost reports whether the last attempt to read the view failed.
 	viewLost bool
-	// leaving reports whether a shutdown has begun, and leavingSince when.
-	leaving      bool
-	leavingSince time.Time
-	ready        bool
+	// leaving reports whether a shutdown has begun, leavingSince when, and answerBy
+	// by when requests must be answered.
+	leaving                bool
+	leavingSince, answerBy time.Time
+	ready                  bool
 
 	fleet fleet
 	// isolator finds the prompt parts that crash engines.
@@ -172,7 +173,7 @@
 			s.retryBudget.Window, s.retryBudget.Ratio = d.opts.RetryWindow, d.opts.RetryRatio
 		}
 	case ShutdownRequested:
-		d.startShutdown(now)
+		d.startShutdown(now, e.AnswerBy)
 	case ShutdownEnded:
 		d.logCutOff(now)
 	}
@@ -239,9 +240,11 @@
 func (d *Director) Active() int { return len(d.requests) }
 
 // NeedsTick reports whether a Ticked event is needed soon, because requests are
-// waiting, vanished entries are held, or entries or data centres are held back
-// after the store was restored.
-func (d *Director) NeedsTick() bool { return len(d.waiting) > 0 || d.registrar.HasHeld() }
+// waiting, or must be answered before the process ends, vanished entries are held,
+// or entries or data centres are held back after the store was restored.
+func (d *Director) NeedsTick() bool {
+	return len(d.waiting) > 0 || d.leaving && len(d.requests) > 0 || d.registrar.HasHeld()
+}
 
 func (d *Director) setTable(t *router.Table) {
 	if d.table != nil && t.Version() <= d.table.Version() {
@@ -404,8 +407,8 @@
 	return s
 }
 
-// handleTick drops held entries that have expired and retries the waiting
-// requests. While the view can be read, it also uses the entries and data centres
+// handleTick drops held entries that have expired, ends requests at the end of a
+// shutdown and retries the waiting ones. While the view can be read, it also uses the entries and data centres
 // that are no longer held back.
 func (d *Director) handleTick(now time.Time) {
 	d.applyEndpointEvents(now, d.registrar.Expire(now))
@@ -413,5 +416,6 @@
 		d.applyEndpointEvents(now, d.registrar.Reinstate(now))
 		d.returnCentres(now, d.registrar.ReleaseCentres(now))
 	}
+	d.endRequests(now)
 	d.retryWaiting(now)
 }
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -194,7 +194,11 @@
 type OptionsChanged struct{ Options Options }
 
 // ShutdownRequested starts a graceful shutdown.
-type ShutdownRequested struct{}
+type ShutdownRequested struct {
+	// AnswerBy is the time by which requests must be answered for the answers to be
+	// written before the process ends.
+	AnswerBy time.Time
+}
 
 // ShutdownEnded reports that the process ends. Requests in progress are cut off.
 type ShutdownEnded struct{}
@@ -273,7 +277,8 @@
 	Reason Reason
 }
 
-// Cancel ends the attempt in progress.
+// Cancel ends the attempt in progress, whose result is Cancelled if the request may
+// have run.
 type Cancel struct{ ID uint64 }
 
 // GiveUp ends an attempt that has stalled as timed out, so that another endpoint
@@ -354,13 +359,14 @@
 	ReasonGone       Reason = "caller_gone"
 	ReasonHarmful    Reason = "harmful_prompt"
 	ReasonPaused     Reason = "endpoints_paused"
+	ReasonLeaving    Reason = "leaving"
 )
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	ReasonNotReady, ReasonNoRoute, ReasonNoKey, ReasonStaleView, ReasonTooLarge, ReasonMalformed,
 	ReasonNoEndpoint, ReasonOverload, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmful,
-	ReasonPaused,
+	ReasonPaused, ReasonLeaving,
 }
 
 // Results lists all results.
--- a/internal/director/reservation.go
+++ b/internal/director/reservation.go
@@ -22,7 +22,7 @@
 // from that of the attempt in progress. If it can, reserveReplacement reserves the
 // place there and uses up the retry budget.
 func (d *Director) reserveReplacement(now time.Time, req *request) bool {
-	if !req.route.Repeatable() || req.attemptsUsed()+1 >= req.route.Attempts || req.expiresAt.Sub(now) < minAttemptTime {
+	if !req.route.Repeatable() || req.attemptsUsed()+1 >= req.route.Attempts || d.deadline(req).Sub(now) < minAttemptTime {
 		return false
 	}
 	if _, isolated := d.isolator.Isolated(now, req.Need.SharedParts); isolated {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -116,7 +116,7 @@
 		fasthttp.ReleaseResponse(a.resp)
 		a.resp = nil
 	}
-	if a.call.wasCancelled() && a.finished.Result != director.Answered {
+	if r := a.finished.Result; (r == director.Broken || r == director.TimedOut) && a.call.wasCancelled() {
 		a.finished.Result = director.Cancelled
 	}
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -65,6 +65,10 @@
 	// exitMargin is the part of the grace period reserved for the process to
 	// exit.
 	exitMargin = 400 * time.Millisecond
+	// answerMargin is the part of the grace period before that in which requests
+	// are answered that were not answered until then. It is longer than dialTimeout,
+	// as an attempt that connects is not cancelled.
+	answerMargin = 300 * time.Millisecond
 	// readTimeout limits the time to read a request, and idleTimeout the time
 	// between two requests on a connection.
 	readTimeout = 10 * time.Second
@@ -150,12 +154,13 @@
 
 // shutdown stops accepting connections after drainDelay, and then waits until
 // the requests in progress are answered and their responses are written, or the
-// grace period ends. The channel served is closed when the HTTP server accepts no
+// grace period ends. By then, only streams that have begun and callers that do not
+// read are left. The channel served is closed when the HTTP server accepts no
 // more connections.
 func (f *Forwarder) shutdown(served <-chan struct{}) {
 	start := time.Now()
 	f.shuttingDown.Store(true)
-	f.Post(director.ShutdownRequested{})
+	f.Post(director.ShutdownRequested{AnswerBy: f.opts.Clock().Add(f.opts.GracePeriod - exitMargin - answerMargin)})
 	time.Sleep(drainDelay)
 	_ = f.listener.stop()
 	// A connection that has just been accepted may not be known to the listener
--- /dev/null
+++ b/internal/forwarder/grace_test.go
@@ -0,0 +1,71 @@
+package forwarder
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// testGrace is the grace period of these tests. It leaves a part of a second after
+// the listener is closed.
+const testGrace = drainDelay + exitMargin + 800*time.Millisecond
+
+// startWithGrace starts a forwarder with a short grace period.
+func startWithGrace(t *testing.T, endpoints ...*endpoint) *system {
+	return startWith(t, func(f *Forwarder) { f.opts.GracePeriod = testGrace }, endpoints...)
+}
+
+// sendHalf sends the first part of a request, and returns the rest.
+func (c *caller) sendHalf(method, target, name string) string {
+	_, _ = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\nKey: k\r\n", method, target)
+
+	return fmt.Sprintf("Name: %s\r\nContent-Length: 4\r\n\r\nbody", name)
+}
+
+// awaitListenerClosed waits until the shutdown has closed the listener, which it
+// does before it closes idle connections.
+func awaitListenerClosed(c *qt.C, idle *caller) {
+	_, err := idle.Read(make([]byte, 1))
+	c.Assert(err, qt.Equals, io.EOF)
+}
+
+// Guards against requests that are completed late in a shutdown, passed on, and
+// cut off without an answer at its end.
+func TestLateRequestsAreAnsweredBeforeShutdownEnds(t *testing.T) {
+	c := qt.New(t)
+	finish := make(chan bool)
+	defer close(finish)
+	s := startWithGrace(t, newEndpoint(t, func(net.Conn, *http.Request) bool {
+		<-finish
+
+		return false
+	}))
+	idle := s.dial(c)
+	targets := map[string]string{"/safe/x": "GET", "/unsafe/x": "POST", "/stream/x": "POST", "/resume/x": "POST"}
+	calls, rests := map[string]*caller{}, map[string]string{}
+	for target, method := range targets {
+		calls[target] = s.dial(c)
+		rests[target] = calls[target].sendHalf(method, target, target)
+	}
+	s.stop()
+	awaitListenerClosed(c, idle)
+	for target, call := range calls {
+		_, _ = io.WriteString(call, rests[target])
+	}
+	// The process ends when Run returns.
+	c.Check(<-s.done, qt.IsNil)
+	for target, call := range calls {
+		c.Assert(call.SetDeadline(time.Now().Add(time.Second)), qt.IsNil)
+		resp, _, err := call.receive()
+		if !c.Check(err, qt.IsNil, qt.Commentf("%s", target)) {
+			continue
+		}
+		c.Check(resp.StatusCode >= http.StatusInternalServerError, qt.IsTrue, qt.Commentf("%s: %d", target, resp.StatusCode))
+		c.Check(resp.Close, qt.IsTrue, qt.Commentf("%s", target))
+	}
+}
