--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -199,7 +199,14 @@
 type OptionsChanged struct{ Options Options }
 
 // ShutdownRequested starts a graceful shutdown.
-type ShutdownRequested struct{}
+type ShutdownRequested struct {
+	// AnswerBy is the time by which requests must be answered for the answers to be
+	// written before the process ends.
+	AnswerBy time.Time
+}
+
+// ShutdownEnded reports that the process ends. Requests in progress are cut off.
+type ShutdownEnded struct{}
 
 func (Arrived) event()            {}
 func (ResponseStarted) event()    {}
@@ -223,6 +230,7 @@
 func (OthersLoadUpdated) event()  {}
 func (OptionsChanged) event()     {}
 func (ShutdownRequested) event()  {}
+func (ShutdownEnded) event()      {}
 
 // Effect is an action that the node must carry out. Only the types of this
 // package implement it.
@@ -274,7 +282,8 @@
 	Reason Reason
 }
 
-// Cancel ends the attempt in progress.
+// Cancel ends the attempt in progress, whose result is Cancelled if the request may
+// have run.
 type Cancel struct{ ID uint64 }
 
 // GiveUp ends an attempt that has stalled as timed out, so that another endpoint
@@ -358,6 +367,7 @@
 	ReasonGone       Reason = "caller_gone"
 	ReasonHarmful    Reason = "harmful_prompt"
 	ReasonPaused     Reason = "endpoints_paused"
+	ReasonLeaving    Reason = "leaving"
 	// ReasonVersionGone is that no endpoint of the version at which a stream began
 	// can go on with it.
 	ReasonVersionGone Reason = "version_gone"
@@ -370,7 +380,7 @@
 var Reasons = []Reason{
 	ReasonNotReady, ReasonNoRoute, ReasonNoKey, ReasonStaleView, ReasonTooLarge, ReasonMalformed,
 	ReasonNoEndpoint, ReasonOverload, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmful,
-	ReasonPaused, ReasonVersionGone, ReasonVersionUnknown,
+	ReasonPaused, ReasonLeaving, ReasonVersionGone, ReasonVersionUnknown,
 }
 
 // Results lists all results.
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -77,6 +77,7 @@
 	CentreHeld         = 728
 	PauseIgnored       = 729
 	AcceptFailed       = 730
+	RequestCutOff      = 731
 	StreamTakenUp      = 740
 )
 
@@ -163,6 +164,7 @@
 	{CentreHeld, hclog.Info, "data centre stays out of service until it is confirmed", []string{"centre"}},
 	{PauseIgnored, hclog.Warn, "malformed request for time ignored", []string{"request", "endpoint", "value"}},
 	{AcceptFailed, hclog.Warn, "connection could not be accepted", []string{"listener", "error"}},
+	{RequestCutOff, hclog.Warn, "request cut off by shutdown", []string{"request", "route", "endpoint", "age", "leaving", "begun"}},
 	{StreamTakenUp, hclog.Info, "caller takes a stream up again", []string{"request", "resumes", "route", "service", "version", "source", "serving"}},
 }
 
