Log attempts that another endpoint has answered

Event 740 names the request, the expected endpoint, its address, the endpoint that the answer names, if it does, the other endpoints whose entries have the address, and whether the one that answered shuts down. The answer's Snipedyke-Instance-Id is read for it, and whether it says that it is leaving.

--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -96,6 +96,11 @@
 	// Cold, if not zero, is the remaining cold time that the endpoint has
 	// reported.
 	Cold time.Duration
+	// AnsweredBy is the ID by which the endpoint that answered in place of the
+	// expected one names itself, or empty, and OtherLeaving reports whether it shuts
+	// down. Both count for Misdirected only.
+	AnsweredBy   string
+	OtherLeaving bool
 }
 
 // Result is the outcome of an attempt.
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -60,7 +60,7 @@
 	req.longestPause = max(req.longestPause, f.LongestPause)
 	req.lastCause = f.Cause
 	d.emit(Count{Counter: CounterAttempts, Label: f.Result.String()})
-	d.recordResult(now, e, f)
+	d.recordResult(now, req, e, f)
 	if e != nil && e.leaving() {
 		// The attempt may have begun before the endpoint said so.
 		d.emit(CloseIdleConnections{Address: e.entry.Address})
@@ -118,7 +118,7 @@
 
 // recordResult updates the state of the endpoint from the result of an
 // attempt.
-func (d *Director) recordResult(now time.Time, e *endpoint, f AttemptFinished) {
+func (d *Director) recordResult(now time.Time, req *request, e *endpoint, f AttemptFinished) {
 	if e == nil {
 		return
 	}
@@ -128,6 +128,9 @@
 	case Declined:
 		e.recordOutcome(false)
 	case Misdirected, Unreached:
+		if f.Result == Misdirected {
+			d.logMisdirected(req, e, f)
+		}
 		d.suspend(now, e, f.Result)
 		d.isolator.RecordEnded(now, e.number)
 	case Broken, TimedOut:
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -315,6 +315,9 @@
 	a.noteEndpoint(m)
 	switch {
 	case h.StatusCode() == http.StatusMisdirectedRequest:
+		a.finished.AnsweredBy = m.Instance
+		a.finished.OtherLeaving = m.Leaving && m.AttemptID == a.call.attemptID
+
 		return director.Misdirected
 	case m.Declined:
 		return director.Declined
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -47,7 +47,7 @@
 
 	return ResponseMetadata{
 		AttemptID: string(h.Peek("Name")), Sealed: len(h.Peek("Seal")) > 0, Declined: len(h.Peek("Declined")) > 0, ColdRemaining: cold,
-		Leaving: len(h.Peek("Leaving")) > 0, RetryAfter: time.Duration(len(h.Peek("Busy"))) * time.Minute,
+		Leaving: len(h.Peek("Leaving")) > 0, Instance: string(h.Peek("Is")), RetryAfter: time.Duration(len(h.Peek("Busy"))) * time.Minute,
 	}
 }
 
--- a/internal/forwarder/protocol.go
+++ b/internal/forwarder/protocol.go
@@ -66,6 +66,8 @@
 	Declined bool
 	// Leaving reports whether the endpoint shuts down and wants no new requests.
 	Leaving bool
+	// Instance is the ID by which the endpoint names itself, or empty.
+	Instance string
 	// RetryAfter is the time for which the endpoint wants no requests from this
 	// node, or zero. InvalidRetryAfter is the value of the field if it is malformed,
 	// or empty. They count in a response with status 503 only.
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -77,6 +77,7 @@
 	CentreHeld         = 728
 	PauseIgnored       = 729
 	AcceptFailed       = 730
+	AttemptMisdirected = 740
 )
 
 // Definition describes a log event.
@@ -162,6 +163,7 @@
 	{CentreHeld, hclog.Info, "data centre stays out of service until it is confirmed", []string{"centre"}},
 	{PauseIgnored, hclog.Warn, "malformed request for time ignored", []string{"request", "endpoint", "value"}},
 	{AcceptFailed, hclog.Warn, "connection could not be accepted", []string{"listener", "error"}},
+	{AttemptMisdirected, hclog.Info, "attempt answered by another endpoint", []string{"request", "route", "endpoint", "address", "answered", "known", "leaving"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
