Send requests only to the latest endpoint at an address

A node that held the entry of a crashed endpoint and that of the one which has its address now chose the first again at each end of its suspension. So any knowledge of the second was evaded: a notice, a request for time, draining, a data centre out of service; and callers lost an attempt's time, four to five times a node for each crash.

An address names one server. It has a holder: the endpoint that was born last, or, where a start time is not known, that the view showed last. The others get no requests. An answer of another endpoint at the address (421) passes it on to the next claimant, and what that answer says about leaving holds for the holder. If the holder's entry goes, or it has never answered, an older endpoint whose entry is still there after five publications in a readable view is alive and is tried. When an address changes hands, its idle connections are closed, and the former holder counts as ended for the isolation of prompt parts, which the misdirected attempts showed before. Event 741 logs it.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -59,6 +60,10 @@
 	services  map[string]*service
 	// notices holds what endpoints have said about themselves.
 	notices map[incarnation]*notice
+	// addresses holds who has which address. addressesSweptAt is when those that no
+	// endpoint has any more were last removed.
+	addresses        map[netip.AddrPort]*address
+	addressesSweptAt time.Time
 	// entriesListed reports whether the full list of endpoints has been read at
 	// least once.
 	entriesListed bool
@@ -71,8 +76,10 @@
 	missingUntil time.Time
 	// viewLost reports whether the last attempt to read the view failed.
 	viewLost bool
-	leaving  bool
-	ready    bool
+	// viewRegainedAt is the last time at which it could be read again.
+	viewRegainedAt time.Time
+	leaving        bool
+	ready          bool
 
 	fleet fleet
 	// isolator finds the prompt parts that crash engines.
@@ -111,7 +118,7 @@
 func New(opts Options) *Director {
 	return &Director{
 		opts: opts, registrar: registrar.New(opts.PublicationInterval),
-		endpoints: map[string]*endpoint{}, notices: map[incarnation]*notice{}, services: map[string]*service{},
+		endpoints: map[string]*endpoint{}, notices: map[incarnation]*notice{}, addresses: map[netip.AddrPort]*address{}, services: map[string]*service{},
 		requests: map[uint64]*request{}, endpointsByNumber: map[uint32]*endpoint{}, fleet: fleet{assumedNodes: opts.AssumedNodes},
 	}
 }
@@ -260,7 +267,7 @@
 
 func (d *Director) endOutage(now time.Time) {
 	if d.viewLost {
-		d.viewLost = false
+		d.viewLost, d.viewRegainedAt = false, now
 		d.registrar.Reconnected(now)
 		d.log(logger.ViewRegained)
 	}
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -56,6 +56,11 @@
 	coldPacer pacer.Pacer
 	// notice holds what the endpoint has said about itself, or is nil.
 	notice *notice
+	// address is shared by all endpoints whose entries have the same address, and
+	// refuted reports whether another endpoint has answered there since this one was
+	// added or last answered.
+	address *address
+	refuted bool
 	// failureShare is the moving share of failed attempts.
 	failureShare float64
 }
@@ -87,6 +92,7 @@
 	}
 	d.log(logger.EndpointAdded, "endpoint", entry.ID, "service", entry.Service, "centre", entry.DataCentre,
 		"draining", entry.Draining, "cold", entry.Cold.String())
+	d.claimAddress(now, e)
 }
 
 func (d *Director) updateEndpoint(now time.Time, entry registrar.Entry) {
@@ -115,7 +121,9 @@
 	d.isolator.RecordEnded(now, e.number)
 	s := d.ensureService(entry.Service)
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(other *endpoint) bool { return other == e })
-	d.emit(CloseIdleConnections{Address: entry.Address})
+	if d.releaseAddress(now, e); e.address.holder == e {
+		d.emit(CloseIdleConnections{Address: e.entry.Address})
+	}
 	d.log(logger.EndpointRemoved, "endpoint", entry.ID, "service", entry.Service)
 }
 
@@ -159,7 +167,7 @@
 
 // usable reports whether an endpoint can receive a request now.
 func (d *Director) usable(now time.Time, e *endpoint) bool {
-	if !d.registrar.Usable(e.entry.ID) || e.leaving() || now.Before(e.pausedUntil()) || now.Before(e.suspendedUntil) {
+	if !d.registrar.Usable(e.entry.ID) || d.displaced(now, e) || e.leaving() || now.Before(e.pausedUntil()) || now.Before(e.suspendedUntil) {
 		return false
 	}
 
--- a/internal/director/notice.go
+++ b/internal/director/notice.go
@@ -124,7 +124,7 @@
 func (d *Director) earliestReturn(now time.Time, req *request, except []string) (time.Time, bool) {
 	var first time.Time
 	for _, e := range req.service.endpoints {
-		if !d.registrar.Usable(e.entry.ID) || e.leaving() || !d.regionAllowed(req, e) || contains(except, e.entry.ID) {
+		if !d.registrar.Usable(e.entry.ID) || d.displaced(now, e) || e.leaving() || !d.regionAllowed(req, e) || contains(except, e.entry.ID) {
 			continue
 		}
 		until := e.pausedUntil()
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -26,6 +26,7 @@
 		d.markChanged(req.endpoint)
 	}
 	d.isolator.RecordSound(now, req.Need.SharedParts)
+	d.confirmAddress(now, req.endpoint)
 	req.endpoint.consecutiveFailures = 0
 	if now.Before(req.endpoint.suspendedUntil) {
 		req.endpoint.suspendedUntil = now
@@ -61,8 +62,8 @@
 	req.lastCause = f.Cause
 	d.emit(Count{Counter: CounterAttempts, Label: f.Result.String()})
 	d.recordResult(now, req, e, f)
-	if e != nil && e.leaving() {
-		// The attempt may have begun before the endpoint said so.
+	if e != nil && (e.leaving() || d.displaced(now, e)) {
+		// The attempt may have begun before.
 		d.emit(CloseIdleConnections{Address: e.entry.Address})
 	}
 	if e != nil && req.usesEngine && f.Result == Broken && !f.Relayed {
@@ -124,12 +125,14 @@
 	}
 	switch f.Result {
 	case Answered:
+		d.confirmAddress(now, e)
 		e.recordOutcome(f.Status >= http.StatusInternalServerError)
 	case Declined:
+		d.confirmAddress(now, e)
 		e.recordOutcome(false)
 	case Misdirected, Unreached:
 		if f.Result == Misdirected {
-			d.logMisdirected(req, e, f)
+			d.handleMisdirected(now, req, e, f)
 		}
 		d.suspend(now, e, f.Result)
 		d.isolator.RecordEnded(now, e.number)
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -363,7 +363,7 @@
 		Urgency: min(d.table.Urgency(req.route, req.account), maxUrgencyRank), Route: req.route, Deadline: req.expiresAt,
 		Resume: req.relayed, MaxIdle: d.idleLimit(now, req.service.name),
 	}
-	if holder != nil {
+	if holder != nil && !d.displaced(now, holder) {
 		dispatch.CacheHolder = holder.entry.Address
 	}
 	if req.route.Repeatable() && len(req.tried)+1 < req.route.Attempts {
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -78,6 +78,7 @@
 	PauseIgnored       = 729
 	AcceptFailed       = 730
 	AttemptMisdirected = 740
+	EndpointDisplaced  = 741
 )
 
 // Definition describes a log event.
@@ -164,6 +165,7 @@
 	{PauseIgnored, hclog.Warn, "malformed request for time ignored", []string{"request", "endpoint", "value"}},
 	{AcceptFailed, hclog.Warn, "connection could not be accepted", []string{"listener", "error"}},
 	{AttemptMisdirected, hclog.Info, "attempt answered by another endpoint", []string{"request", "route", "endpoint", "address", "answered", "known", "leaving"}},
+	{EndpointDisplaced, hclog.Info, "endpoint displaced by another one at its address", []string{"endpoint", "service", "address", "holder"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
