--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -60,6 +61,10 @@
 	services  map[string]*service
 	// notices holds what endpoints have said about themselves.
 	notices map[incarnation]*notice
+	// addresses holds who has which address. addressesSweptAt is when those that no
+	// endpoint has any more were last removed.
+	addresses        map[netip.AddrPort]*address
+	addressesSweptAt time.Time
 	// entriesListed reports whether the full list of endpoints has been read at
 	// least once.
 	entriesListed bool
@@ -72,6 +77,8 @@
 	missingUntil time.Time
 	// viewLost reports whether the last attempt to read the view failed.
 	viewLost bool
+	// viewRegainedAt is the last time at which it could be read again.
+	viewRegainedAt time.Time
 	// leaving reports whether a shutdown has begun, leavingSince when, and answerBy
 	// by when requests must be answered.
 	leaving                bool
@@ -129,7 +136,7 @@
 func New(opts Options) *Director {
 	return &Director{
 		opts: opts, registrar: registrar.New(opts.PublicationInterval),
-		endpoints: map[string]*endpoint{}, notices: map[incarnation]*notice{}, services: map[string]*service{},
+		endpoints: map[string]*endpoint{}, notices: map[incarnation]*notice{}, addresses: map[netip.AddrPort]*address{}, services: map[string]*service{},
 		requests: map[uint64]*request{}, endpointsByNumber: map[uint32]*endpoint{}, fleet: fleet{assumedNodes: opts.AssumedNodes},
 	}
 }
@@ -290,7 +297,7 @@
 
 func (d *Director) endOutage(now time.Time) {
 	if d.viewLost {
-		d.viewLost = false
+		d.viewLost, d.viewRegainedAt = false, now
 		d.registrar.Reconnected(now)
 		d.log(logger.ViewRegained)
 	}
--- a/internal/director/origin.go
+++ b/internal/director/origin.go
@@ -203,13 +203,13 @@
 
 // versionGone reports whether the endpoints that can go on with the request's
 // stream, now or later, are all of other versions than that at which it began.
-func (d *Director) versionGone(req *request) bool {
+func (d *Director) versionGone(now time.Time, req *request) bool {
 	others := false
 	for _, e := range req.service.endpoints {
-		if !d.registrar.Usable(e.entry.ID) || e.leaving() || contains(req.tried, e.entry.ID) || !d.regionAllowed(req, e) {
+		if !d.serves(now, req, e) || contains(req.tried, e.entry.ID) {
 			continue
 		}
-		if e.entry.Version == req.version {
+		if req.fits(e) {
 			return false
 		}
 		others = true
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -28,6 +28,7 @@
 	}
 	d.recordOrigin(now, req)
 	d.isolator.RecordSound(now, req.Need.SharedParts)
+	d.confirmAddress(now, req.endpoint)
 	req.endpoint.consecutiveFailures = 0
 	if now.Before(req.endpoint.suspendedUntil) {
 		req.endpoint.suspendedUntil = now
@@ -62,9 +63,9 @@
 	req.longestPause = max(req.longestPause, f.LongestPause)
 	req.lastCause = f.Cause
 	d.emit(Count{Counter: CounterAttempts, Label: f.Result.String()})
-	d.recordResult(now, e, f)
-	if e != nil && e.leaving() {
-		// The attempt may have begun before the endpoint said so.
+	d.recordResult(now, req, e, f)
+	if e != nil && (e.leaving() || d.displaced(now, e)) {
+		// The attempt may have begun before.
 		d.emit(CloseIdleConnections{Address: e.entry.Address})
 	}
 	if e != nil && req.usesEngine && f.Result == Broken && !f.Relayed {
@@ -121,16 +122,21 @@
 
 // recordResult updates the state of the endpoint from the result of an
 // attempt.
-func (d *Director) recordResult(now time.Time, e *endpoint, f AttemptFinished) {
+func (d *Director) recordResult(now time.Time, req *request, e *endpoint, f AttemptFinished) {
 	if e == nil {
 		return
 	}
 	switch f.Result {
 	case Answered:
+		d.confirmAddress(now, e)
 		e.recordOutcome(f.Status >= http.StatusInternalServerError)
 	case Declined:
+		d.confirmAddress(now, e)
 		e.recordOutcome(false)
 	case Misdirected, Unreached:
+		if f.Result == Misdirected {
+			d.handleMisdirected(now, req, e, f)
+		}
 		d.suspend(now, e, f.Result)
 		d.isolator.RecordEnded(now, e.number)
 	case Broken, TimedOut:
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -209,7 +209,7 @@
 		return
 	}
 	e, holder := d.choose(now, req)
-	if e == nil && req.pinned && d.versionGone(req) {
+	if e == nil && req.pinned && d.versionGone(now, req) {
 		d.fail(now, req, ReasonVersionGone)
 
 		return
@@ -351,10 +351,13 @@
 // takes reports whether an endpoint of the request's service can receive the
 // request now.
 func (d *Director) takes(now time.Time, req *request, e *endpoint) bool {
-	return e != req.endpoint && d.usable(now, e) && !contains(req.tried, e.entry.ID) && d.regionAllowed(req, e) &&
-		(!req.pinned || e.entry.Version == req.version)
+	return e != req.endpoint && d.usable(now, e) && !contains(req.tried, e.entry.ID) && d.regionAllowed(req, e) && req.fits(e)
 }
 
+// fits reports whether an endpoint has the version at which the request's stream
+// began, if it has begun.
+func (r *request) fits(e *endpoint) bool { return !r.pinned || e.entry.Version == r.version }
+
 // regionAllowed reports whether a request may run in an endpoint's region.
 func (d *Director) regionAllowed(req *request, e *endpoint) bool {
 	region := d.opts.Regions[e.entry.DataCentre]
@@ -400,7 +403,7 @@
 		Urgency: min(d.table.Urgency(req.route, req.account), maxUrgencyRank), Route: req.route, Deadline: d.deadline(req),
 		Resume: req.relayed, MaxIdle: d.idleLimit(now, req.service.name),
 	}
-	if holder != nil {
+	if holder != nil && !d.displaced(now, holder) {
 		dispatch.CacheHolder = holder.entry.Address
 	}
 	if req.route.Repeatable() && len(req.tried)+1 < req.route.Attempts {
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -78,7 +78,9 @@
 	PauseIgnored       = 729
 	AcceptFailed       = 730
 	RequestCutOff      = 731
-	StreamTakenUp      = 740
+	StreamTakenUp      = 732
+	AttemptMisdirected = 740
+	EndpointDisplaced  = 741
 )
 
 // Definition describes a log event.
@@ -166,6 +168,8 @@
 	{AcceptFailed, hclog.Warn, "connection could not be accepted", []string{"listener", "error"}},
 	{RequestCutOff, hclog.Warn, "request cut off by shutdown", []string{"request", "route", "endpoint", "age", "leaving", "begun"}},
 	{StreamTakenUp, hclog.Info, "caller takes a stream up again", []string{"request", "resumes", "route", "service", "version", "source", "serving"}},
+	{AttemptMisdirected, hclog.Info, "attempt answered by another endpoint", []string{"request", "route", "endpoint", "address", "answered", "known", "leaving"}},
+	{EndpointDisplaced, hclog.Info, "endpoint displaced by another one at its address", []string{"endpoint", "service", "address", "holder"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
