Keep the error of a read that also returned events

The reader of a chunked body returns the data of a chunk together with the error that CRLF does not follow it. The reader of events took the data, dropped the error and read on, so that such a stream could end as complete: callers got the terminating chunk. The error is now kept until the events are passed on, and the attempt counts as broken.

--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -17,6 +17,9 @@
 	returned int
 	// order checks the events. It includes those returned by next.
 	order eventOrder
+	// err is the error of the last read from r. A read that returns data may fail
+	// as well, and the next one need not fail again.
+	err error
 }
 
 // next returns all complete events that have been read and follow each other, at
@@ -45,16 +48,19 @@
 		if cap(e.buf)-len(e.buf) < minReadBytes {
 			e.buf = append(make([]byte, 0, 2*cap(e.buf)+minReadBytes), e.buf...)
 		}
-		n, err := e.r.Read(e.buf[len(e.buf):cap(e.buf)])
-		e.buf = e.buf[:len(e.buf)+n]
-		if n > 0 {
-			continue
+		if e.err == nil {
+			var n int
+			n, e.err = e.r.Read(e.buf[len(e.buf):cap(e.buf)])
+			e.buf = e.buf[:len(e.buf)+n]
+			if n > 0 {
+				continue
+			}
 		}
-		if err == io.EOF && (len(e.buf) > 0 || e.order.resuming) {
-			err = io.ErrUnexpectedEOF
+		if e.err == io.EOF && (len(e.buf) > 0 || e.order.resuming) {
+			e.err = io.ErrUnexpectedEOF
 		}
-		if err != nil {
-			return nil, err
+		if e.err != nil {
+			return nil, e.err
 		}
 	}
 }
--- a/internal/forwarder/framing_test.go
+++ b/internal/forwarder/framing_test.go
@@ -42,6 +42,24 @@
 	}
 }
 
+// Guards against a stream that ends as complete although one of its chunks is not
+// followed by CRLF.
+func TestStreamWithBrokenChunkIsNotComplete(t *testing.T) {
+	for _, end := range []string{"\n", "x", "\rx"} {
+		c := qt.New(t)
+		e := newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+			stream(conn, r)
+			_, _ = fmt.Fprintf(conn, "%x\r\n%s%s0\r\n\r\n", len(events(1, 2)), events(1, 2), end)
+
+			return false
+		})
+		call := start(t, e).dial(c)
+		call.send("POST", "/stream/x", "r1", "")
+		_, _, err := call.receive()
+		c.Check(err, qt.IsNotNil, qt.Commentf("%q", end))
+	}
+}
+
 // Guards against bytes without end that are read until the caller's time limit
 // or into memory without bound.
 func TestEndlessResponsesAreCutOff(t *testing.T) {
