Refuse response heads with a line that does not end with CRLF

The parser takes a line of LF alone for the end of the head, so a damaged head ended early: callers got a complete 200 with the rest of the head as its body, once the endpoint had closed its connection. The head is now examined as received before it is parsed.

TestHeadWithBareLineFeedIsRefused failed before on all routes (200 with "Content-Length: 4" in the body; on streams the events passed). TestCutResponsesAreNotRelayedAsComplete pins the probes of responses that are cut after each byte; it passed before and fails if an unexpected end of a body is ignored. go test -race ./internal/forwarder passes.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -293,7 +293,14 @@
 func (a *attempt) readHeader() error {
 	h := &a.resp.Header
 	for range maxInterimResponses + 1 {
-		if err := h.Read(a.conn.br); err != nil {
+		head, err := peekHead(a.conn.br)
+		if err == nil {
+			err = checkHead(head)
+		}
+		if err == nil {
+			err = h.Read(a.conn.br)
+		}
+		if err != nil {
 			return err
 		}
 		if h.StatusCode() >= http.StatusOK || h.StatusCode() == http.StatusSwitchingProtocols {
