--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -77,6 +77,7 @@
 	CentreHeld         = 728
 	PauseIgnored       = 729
 	AcceptFailed       = 730
+	StreamTakenUp      = 740
 )
 
 // Definition describes a log event.
@@ -137,18 +138,18 @@
 	{ViewRegained, hclog.Info, "shared view can be read again", nil},
 	{CentreTakenOut, hclog.Info, "data centre taken out of service", []string{"centre"}},
 	{CentreRestored, hclog.Info, "data centre back in service", []string{"centre"}},
-	{EndpointAdded, hclog.Info, "endpoint added", []string{"endpoint", "service", "centre", "draining", "cold"}},
+	{EndpointAdded, hclog.Info, "endpoint added", []string{"endpoint", "service", "centre", "version", "draining", "cold"}},
 	{EndpointDraining, hclog.Info, "endpoint is draining", []string{"endpoint", "service"}},
 	{EndpointRemoved, hclog.Info, "endpoint removed", []string{"endpoint", "service"}},
 	{EndpointSuspended, hclog.Warn, "endpoint temporarily suspended", []string{"endpoint", "service", "result", "failures", "length"}},
 	{EntryIgnored, hclog.Warn, "entry of the shared view ignored", []string{"key", "revision", "error"}},
-	{RequestRetried, hclog.Info, "request retried at another endpoint", []string{"request", "route", "endpoint", "result", "cause", "took", "parts", "relayed"}},
+	{RequestRetried, hclog.Info, "request retried at another endpoint", []string{"request", "route", "endpoint", "version", "result", "cause", "took", "parts", "relayed"}},
 	{RequestFailed, hclog.Warn, "request ended without an answer of an endpoint", []string{"request", "route", "service", "status", "reason", "cause", "waited", "tried", "unreached", "parts", "relayed", "age"}},
 	{LinesOmitted, hclog.Warn, "log lines left out", []string{"lines"}},
 	{ForwarderStarted, hclog.Info, "forwarder started", []string{"callers", "version"}},
 	{HistoryUnavailable, hclog.Info, "history of the shared view is no longer available; reading the whole view", []string{"revision"}},
 	{SettingsReloaded, hclog.Info, "settings reloaded", []string{"changed"}},
-	{RequestAnswered, hclog.Info, "request answered", []string{"request", "route", "endpoint", "status", "took", "first", "pause", "attempts", "late", "engines"}},
+	{RequestAnswered, hclog.Info, "request answered", []string{"request", "route", "endpoint", "version", "status", "took", "first", "pause", "attempts", "late", "engines"}},
 	{NodeCountChanged, hclog.Info, "number of known nodes changed", []string{"nodes", "former"}},
 	{MessageRejected, hclog.Warn, "message from another node rejected", []string{"from", "error"}},
 	{MessageSendFailed, hclog.Warn, "message to another node could not be sent", []string{"to", "error"}},
@@ -162,6 +163,7 @@
 	{CentreHeld, hclog.Info, "data centre stays out of service until it is confirmed", []string{"centre"}},
 	{PauseIgnored, hclog.Warn, "malformed request for time ignored", []string{"request", "endpoint", "value"}},
 	{AcceptFailed, hclog.Warn, "connection could not be accepted", []string{"listener", "error"}},
+	{StreamTakenUp, hclog.Info, "caller takes a stream up again", []string{"request", "resumes", "route", "service", "version", "source", "serving"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
