--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 )
 
@@ -56,7 +57,7 @@
 				continue
 			}
 		}
-		if e.err == io.EOF && (len(e.buf) > 0 || e.order.resuming) {
+		if errors.Is(e.err, io.EOF) && (len(e.buf) > 0 || e.order.resuming) {
 			e.err = io.ErrUnexpectedEOF
 		}
 		if e.err != nil {
