Refuse responses of HTTP/1.0 with a transfer coding

The parser ignores the transfer coding of a response before HTTP/1.1. Callers got the sizes of the chunks as text of a body that ended with the connection, complete also if chunks were missing; with a length, its first bytes. Such a frame is faulty (RFC 9112, section 6.1), so the attempt counts as broken.

TestChunksBeforeHTTP11AreRefused failed before on both routes (200 with "4\r\nbody\r\n" and "4\r\nb"). go test -race ./internal/forwarder passes.

--- a/internal/forwarder/responsehead.go
+++ b/internal/forwarder/responsehead.go
@@ -11,6 +11,7 @@
 var (
 	errNotHTTP = errors.New("response does not begin with an HTTP version")
 	errBareLF  = errors.New("response head has a line that does not end with CRLF")
+	errCoded   = errors.New("response of HTTP/1.0 has a transfer coding")
 )
 
 // peekHead waits for the next head and returns it without consuming it. It ends
@@ -35,12 +36,19 @@
 }
 
 // checkHead returns an error if a response with this head cannot be told from one
-// whose head is damaged. A line that consists of LF would end the head early.
+// whose head is damaged. A line that consists of LF would end the head early, and
+// the parser ignores transfer codings before HTTP/1.1.
 func checkHead(head []byte) error {
+	coded := false
 	for line := range bytes.SplitAfterSeq(head, []byte{'\n'}) {
 		if len(line) > 0 && !bytes.HasSuffix(line, []byte("\r\n")) {
 			return errBareLF
 		}
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		coded = coded || bytes.EqualFold(bytes.TrimSpace(name), []byte("Transfer-Encoding"))
+	}
+	if coded && !bytes.HasPrefix(head, []byte("HTTP/1.1 ")) {
+		return errCoded
 	}
 
 	return nil
--- a/internal/forwarder/responsehead_test.go
+++ b/internal/forwarder/responsehead_test.go
@@ -45,6 +45,14 @@
 	})
 }
 
+// Guards against chunks that are relayed as text, and as complete even if the last
+// ones are missing.
+func TestChunksBeforeHTTP11AreRefused(t *testing.T) {
+	for _, field := range []string{"Transfer-Encoding: chunked\r\n", "transfer-encoding : chunked\r\nContent-Length: 4\r\n"} {
+		checkNotRelayed(t, "HTTP/1.0"+sealedHead[8:]+field+"\r\n4\r\nbody\r\n", "/safe/x", "/unsafe/x")
+	}
+}
+
 // Guards against a response that is cut off anywhere and relayed as complete.
 func TestCutResponsesAreNotRelayedAsComplete(t *testing.T) {
 	body := events(1, 2)
