Refuse responses that switch to another protocol

Nodes remove Upgrade from requests, so no endpoint may answer with 101. It was taken for a final response, and callers got a 101 without content, which their connection does not expect. It is a broken attempt now.

TestSwitchOfProtocolsIsRefused failed before on both routes (101 relayed). go test -race ./internal/forwarder passes.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -49,6 +49,7 @@
 	errUnsealed        = errors.New("response has no seal of the endpoint")
 	errContentEncoded  = errors.New("response has a content encoding")
 	errTooManyInterim  = errors.New("too many interim responses")
+	errSwitched        = errors.New("response switches to another protocol")
 	errNotStream       = errors.New("response does not resume the stream")
 	errPartlySent      = errors.New("response to a part of the request")
 )
@@ -303,8 +304,11 @@
 		if err != nil {
 			return err
 		}
-		if h.StatusCode() >= http.StatusOK || h.StatusCode() == http.StatusSwitchingProtocols {
+		switch {
+		case h.StatusCode() >= http.StatusOK:
 			return nil
+		case h.StatusCode() == http.StatusSwitchingProtocols:
+			return errSwitched
 		}
 	}
 
--- a/internal/forwarder/responsehead_test.go
+++ b/internal/forwarder/responsehead_test.go
@@ -53,6 +53,11 @@
 	}
 }
 
+// Guards against a change of protocol that nobody has asked for.
+func TestSwitchOfProtocolsIsRefused(t *testing.T) {
+	checkNotRelayed(t, "HTTP/1.1 101 Switching"+sealedHead[15:]+"Connection: Upgrade\r\nUpgrade: x\r\n\r\nbytes", "/unsafe/x", "/stream/x")
+}
+
 // Guards against a response that is cut off anywhere and relayed as complete.
 func TestCutResponsesAreNotRelayedAsComplete(t *testing.T) {
 	body := events(1, 2)
