--- a/internal/director/address_test.go
+++ b/internal/director/address_test.go
@@ -252,9 +252,32 @@
 	s.burst(n)
 	c.Check(sound.asked > first, qt.IsTrue)
 	s.bursts(n)
+	n.now = n.now.Add(2 * doubtedPublications * options().PublicationInterval)
+	s.bursts(n)
 	c.Check(sound.misdirected, qt.Equals, first, qt.Commentf("it has answered, so the other is not tried again"))
 }
 
+// Guards against an endpoint that gets no requests because the clock of its host is
+// behind that of the host of the endpoint that had its address before.
+func TestEndpointThatSeemsOlderIsUsedAfterAMisdirectedAnswer(t *testing.T) {
+	c := qt.New(t)
+	for _, known := range []bool{false, true} {
+		n, s := startServers()
+		later, e := s.replace()
+		e.Born = 500
+		if known {
+			n.post(EntryPut{e})
+		}
+		s.burst(n)
+		first := later.misdirected
+		c.Check(first > 0, qt.IsTrue)
+		n.post(EntryPut{e})
+		s.bursts(n)
+		c.Check(later.misdirected, qt.Equals, first, qt.Commentf("known %v", known))
+		c.Check(later.asked > first, qt.IsTrue, qt.Commentf("known %v", known))
+	}
+}
+
 // Guards against an endpoint that gets no requests for good because a wrong entry
 // has its address which is never used, or was removed, and against requests to an
 // ended endpoint while its entry may be a remainder.
