--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -259,6 +259,7 @@
 	write("endpoints_known", float64(s.Endpoints))
 	write("endpoints_leaving", float64(s.Leaving))
 	write("endpoints_paused", float64(s.Paused))
+	write("endpoints_displaced", float64(s.Displaced))
 	write("requests", float64(s.Requests))
 	write("requests_waiting", float64(s.Waiting))
 }
--- a/internal/director/address_test.go
+++ b/internal/director/address_test.go
@@ -363,6 +363,7 @@
 	c.Check(ok, qt.IsTrue)
 	c.Check(closed.Address, qt.Equals, e.Address)
 	c.Check(logged(n.effects, logger.EndpointDisplaced)["holder"], qt.Equals, e.ID)
+	c.Check(n.Status(n.now).Displaced, qt.Equals, 1)
 	_, ok = find[CloseIdleConnections](n.post(EntryRemoved{"desk-0"}))
 	c.Check(ok, qt.IsFalse)
 	_, ok = find[CloseIdleConnections](n.post(EntryRemoved{e.ID}))
@@ -408,3 +409,31 @@
 	_, isolated := n.isolator.Isolated(n.now, []uint64{7})
 	c.Check(isolated, qt.IsTrue)
 }
+
+// Guards against keeping a connection to an ended endpoint that was in use when
+// another one got its address.
+func TestConnectionInUseIsClosedWhenItsAddressHasChangedHands(t *testing.T) {
+	c := qt.New(t)
+	n, s := startServers()
+	id := uint64(1)
+	for ; n.endpoints["desk-0"].load.Own.Running == 0; id++ {
+		n.arrive(id, "/pay/x")
+	}
+	_, e := s.replace()
+	n.post(EntryPut{e})
+	closed, ok := find[CloseIdleConnections](n.post(AttemptFinished{ID: id - 1, Result: Answered, Status: 200}))
+	c.Check(ok, qt.IsTrue)
+	c.Check(closed.Address, qt.Equals, e.Address)
+}
+
+// Guards against an endpoint that gets no requests after it has started anew under
+// its ID on a host whose clock was set back.
+func TestEndpointReturnsUnderItsIDWithAnEarlierStart(t *testing.T) {
+	c := qt.New(t)
+	n, s := startServers()
+	e := n.endpoints["desk-0"].entry
+	e.Born = 500
+	n.post(EntryPut{e})
+	s.burst(n)
+	c.Check(s[e.Address].asked > 0, qt.IsTrue)
+}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -204,8 +204,10 @@
 	Nodes, Endpoints, Requests, Waiting int
 	// Leaving is the number of endpoints that have said that they shut down, and
 	// Paused that of those that get no requests because they asked for time.
-	Leaving, Paused int
-	Ready           bool
+	// Displaced is the number of those that get none because another one has their
+	// address.
+	Leaving, Paused, Displaced int
+	Ready                      bool
 }
 
 // Status returns the current status.
@@ -221,6 +223,9 @@
 		if e.pausedUntil().After(now) {
 			s.Paused++
 		}
+		if d.displaced(now, e) {
+			s.Displaced++
+		}
 	}
 	if d.table != nil {
 		s.Version = d.table.Version()
