--- a/internal/director/address_test.go
+++ b/internal/director/address_test.go
@@ -243,9 +243,32 @@
 	s.burst(n)
 	c.Check(sound.asked > first, qt.IsTrue)
 	s.bursts(n)
+	n.now = n.now.Add(2 * doubtedPublications * options().PublicationInterval)
+	s.bursts(n)
 	c.Check(sound.misdirected, qt.Equals, first, qt.Commentf("it has answered, so the other is not tried again"))
 }
 
+// Guards against an endpoint that gets no requests because the clock of its host is
+// behind that of the host of the endpoint that had its address before.
+func TestEndpointThatSeemsOlderIsUsedAfterAMisdirectedAnswer(t *testing.T) {
+	c := qt.New(t)
+	for _, known := range []bool{false, true} {
+		n, s := startServers()
+		later, e := s.replace()
+		e.Born = 500
+		if known {
+			n.post(EntryPut{e})
+		}
+		s.burst(n)
+		first := later.misdirected
+		c.Check(first > 0, qt.IsTrue)
+		n.post(EntryPut{e})
+		s.bursts(n)
+		c.Check(later.misdirected, qt.Equals, first, qt.Commentf("known %v", known))
+		c.Check(later.asked > first, qt.IsTrue, qt.Commentf("known %v", known))
+	}
+}
+
 // Guards against an endpoint that gets no requests for good because a wrong entry
 // has its address which is never used, or was removed, and against requests to an
 // ended endpoint while its entry may be a remainder.
@@ -331,6 +354,7 @@
 	c.Check(ok, qt.IsTrue)
 	c.Check(closed.Address, qt.Equals, e.Address)
 	c.Check(firstLogged(n.effects, logger.EndpointDisplaced)["holder"], qt.Equals, e.ID)
+	c.Check(n.Status(n.now).Displaced, qt.Equals, 1)
 	_, ok = find[CloseIdleConnections](n.post(EntryRemoved{"desk-0"}))
 	c.Check(ok, qt.IsFalse)
 	_, ok = find[CloseIdleConnections](n.post(EntryRemoved{e.ID}))
@@ -376,3 +400,31 @@
 	_, isolated := n.isolator.Isolated(n.now, []uint64{7})
 	c.Check(isolated, qt.IsTrue)
 }
+
+// Guards against keeping a connection to an ended endpoint that was in use when
+// another one got its address.
+func TestConnectionInUseIsClosedWhenItsAddressHasChangedHands(t *testing.T) {
+	c := qt.New(t)
+	n, s := startServers()
+	id := uint64(1)
+	for ; n.endpoints["desk-0"].load.Own.Running == 0; id++ {
+		n.arrive(id, "/pay/x")
+	}
+	_, e := s.replace()
+	n.post(EntryPut{e})
+	closed, ok := find[CloseIdleConnections](n.post(AttemptFinished{ID: id - 1, Result: Answered, Status: 200}))
+	c.Check(ok, qt.IsTrue)
+	c.Check(closed.Address, qt.Equals, e.Address)
+}
+
+// Guards against an endpoint that gets no requests after it has started anew under
+// its ID on a host whose clock was set back.
+func TestEndpointReturnsUnderItsIDWithAnEarlierStart(t *testing.T) {
+	c := qt.New(t)
+	n, s := startServers()
+	e := n.endpoints["desk-0"].entry
+	e.Born = 500
+	n.post(EntryPut{e})
+	s.burst(n)
+	c.Check(s[e.Address].asked > 0, qt.IsTrue)
+}
