Record no origin for streams that callers do not name

A stream whose caller names neither its request nor, when it takes the stream up again, the first attempt had the key 0, whatever the account and the service. The first such stream recorded its version under this key and announced it to other nodes. From then on, every take-up without a name went to that version, although its stream may have begun at another one: a joined text, which one account could bring about for all others. A reply to a query for the key also bound requests of other services.

The key is now one of the account and the service, and nothing is recorded under it. Such take-ups go on where only one version was in use, and are refused otherwise.

--- a/internal/director/origin.go
+++ b/internal/director/origin.go
@@ -86,7 +86,7 @@
 	if !req.pinned {
 		req.version, req.pinned = req.endpoint.entry.Version, true
 	}
-	if req.route.Kind != router.Stream || !req.route.Resumable || req.relayed {
+	if req.route.Kind != router.Stream || !req.route.Resumable || req.relayed || !req.named {
 		return
 	}
 	d.origins.Begin(now, req.stream, req.service.name, req.version, d.originLife)
--- a/internal/director/origin_test.go
+++ b/internal/director/origin_test.go
@@ -216,3 +216,27 @@
 	_, sent = find[Dispatch](n.effects)
 	c.Check(sent, qt.IsTrue)
 }
+
+// Guards against a joined text where callers do not name the streams that they take
+// up again: what is known of one of them says nothing about another.
+func TestUnnamedStreamsAreNotTakenForEachOther(t *testing.T) {
+	c := qt.New(t)
+	n := newNodeWithVersions("1", "1", "1")
+	c.Assert(n.takeUp(1, ""), qt.Equals, "1")
+	n.post(ResponseStarted{ID: 1, Wait: time.Millisecond})
+	n.post(AttemptFinished{ID: 1, Result: Answered, Status: 200, Relayed: true})
+	n.putVersion(0, "2")
+	n.putVersion(1, "2")
+	c.Check(n.takeUp(2, ""), qt.Equals, "")
+}
+
+// Guards against a stream without a name that is taken for those that callers take up
+// again without naming them.
+func TestStreamsWithoutNameAreNotTakenForUnnamedOnes(t *testing.T) {
+	c := qt.New(t)
+	n := newNodeWithVersions("1", "2", "2")
+	n.post(Arrived{Request{ID: 1, Host: "h", Path: "/draft/1", Key: "key", Deadline: 5 * time.Second}})
+	c.Assert(n.sentTo(), qt.Not(qt.Equals), "")
+	n.post(ResponseStarted{ID: 1, Wait: time.Millisecond})
+	c.Check(n.takeUp(2, ""), qt.Equals, "")
+}
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -90,9 +90,11 @@
 	// Only endpoints of this version can go on with it.
 	version string
 	pinned  bool
-	// stream identifies the stream that the request begins or takes up again. It is
-	// zero if the request continues a stream that it does not name.
+	// stream identifies the stream that the request begins or takes up again. If
+	// named is false, the caller has not named it, and any number of streams have
+	// this key, so that nothing can be recorded under it.
 	stream uint64
+	named  bool
 	// askedAt and askUntil are, for a request that waits for what other nodes know
 	// of its stream, when they were last asked and how long it waits.
 	askedAt, askUntil time.Time
@@ -174,9 +176,7 @@
 		first = q.Resumes
 	}
 	req.service = d.ensureService(req.route.Service(first))
-	if first != "" {
-		req.stream = streamKey(req, first)
-	}
+	req.stream, req.named = streamKey(req, first), first != ""
 	req.Need.Seed, req.Need.Urgency = xxhash.Sum64String(q.Name), req.route.Priority
 	req.service.retryBudget.RecordRequest(now)
 	if d.engineOf(req) != nil {
