Refuse take-ups whose time has passed without asking other nodes

A request that takes a stream up waits up to 150 ms for the answers of other nodes. Neither the deadline of its caller nor the end of a shutdown bounded that wait: a request that arrived in the last 150 ms before the process ends had no answer then. Its time is now checked before other nodes are asked and while it waits.

The test failed before: other nodes were asked with no time left, and a request that was waiting when its time ended was not refused.

--- a/internal/director/origin.go
+++ b/internal/director/origin.go
@@ -108,6 +108,11 @@
 // version at which the stream began. If the node does not know it, the request
 // waits for the answers of other nodes.
 func (d *Director) takeUp(now time.Time, req *request) {
+	if d.deadline(req).Sub(now) < minAttemptTime {
+		d.fail(now, req, d.timeoutReason(req))
+
+		return
+	}
 	req.waitUntil = now.Add(maxMoveWait)
 	if o, ok := d.Origin(now, req.stream, req.service.name); ok {
 		source := takeUpRecorded
@@ -162,6 +167,11 @@
 		if d.requests[req.ID] != req {
 			continue
 		}
+		if d.deadline(req).Sub(now) < minAttemptTime {
+			d.fail(now, req, d.timeoutReason(req))
+
+			continue
+		}
 		if !now.Before(req.askUntil) {
 			d.emit(Count{Counter: CounterTakeUps, Label: takeUpUnknown})
 			d.log(logger.StreamTakenUp, "request", req.Name, "resumes", req.Resumes, "route", req.route.Name, "service", req.service.name,
--- a/internal/director/shutdown_test.go
+++ b/internal/director/shutdown_test.go
@@ -107,3 +107,24 @@
 	c.Check(refused.Status, qt.Equals, http.StatusServiceUnavailable)
 	c.Check(refused.Reason, qt.Equals, ReasonLeaving)
 }
+
+// Guards against requests that wait for the answers of other nodes when the process
+// ends, or longer than their callers do.
+func TestTakeUpsDoNotAskLongerThanTheyHave(t *testing.T) {
+	c := qt.New(t)
+	for _, left := range []time.Duration{0, 50 * time.Millisecond} {
+		n := newNodeWithVersions("1", "2", "2")
+		n.post(ShutdownRequested{AnswerBy: n.now.Add(left)})
+		n.takeUp(1, "x")
+		_, asked := find[AskOrigin](n.effects)
+		c.Check(asked, qt.Equals, left > 0)
+		if asked {
+			n.now = n.answerBy
+			n.post(Ticked{})
+		}
+		refused, _ := find[Refuse](n.effects)
+		c.Check(refused.Status, qt.Equals, http.StatusServiceUnavailable)
+		c.Check(refused.Reason, qt.Equals, ReasonLeaving)
+		c.Check(n.NeedsTick(), qt.IsFalse)
+	}
+}
