Know no versions of streams without a routing table

A node that has endpoints but no table yet does not know how long streams can last, and took the time for zero: it told other nodes that the versions it saw were all that can have begun streams. Lists of the store begin with the table, so that this needs a store without a valid one.

TestNodeWithoutRoutesKnowsNoOrigin failed before.

--- a/internal/director/origin.go
+++ b/internal/director/origin.go
@@ -70,10 +70,10 @@
 
 // soleVersion returns the version at which all streams of a service must have
 // begun that callers can still take up again, and reports whether there is only
-// one. Versions that were in use before the node knew the endpoints, or that are
+// one. How long they can is not known without a table. Versions that were in use before the node knew the endpoints, or that are
 // missing in a view that is too old, are not known.
 func (d *Director) soleVersion(now time.Time, s *service) (string, bool) {
-	if d.knownSince.IsZero() || now.Sub(d.knownSince) < d.originLife || now.Sub(s.reroutedAt) < d.originLife || d.Age(now) > d.opts.FreshView {
+	if d.table == nil || d.knownSince.IsZero() || now.Sub(d.knownSince) < d.originLife || now.Sub(s.reroutedAt) < d.originLife || d.Age(now) > d.opts.FreshView {
 		return "", false
 	}
 
--- a/internal/director/origin_test.go
+++ b/internal/director/origin_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"snipedyke/internal/registrar"
 	"snipedyke/internal/router"
 	"snipedyke/pkg/encoder"
 )
@@ -240,3 +241,14 @@
 	n.post(ResponseStarted{ID: 1, Wait: time.Millisecond})
 	c.Check(n.takeUp(2, ""), qt.Equals, "")
 }
+
+// Guards against a joined text because a node that has not yet read the routes after
+// its start tells another node that only one version was in use.
+func TestNodeWithoutRoutesKnowsNoOrigin(t *testing.T) {
+	c := qt.New(t)
+	n := &node{Director: New(options()), now: start}
+	n.post(EntriesListed{[]registrar.Entry{entry("model", 0)}})
+	n.post(ViewConfirmed{n.now})
+	_, known := n.Origin(n.now, 1, "model")
+	c.Check(known, qt.IsFalse)
+}
