--- a/internal/director/origin.go
+++ b/internal/director/origin.go
@@ -70,10 +70,10 @@
 
 // soleVersion returns the version at which all streams of a service must have
 // begun that callers can still take up again, and reports whether there is only
-// one. Versions that were in use before the node knew the endpoints, or that are
+// one. How long they can is not known without a table. Versions that were in use before the node knew the endpoints, or that are
 // missing in a view that is too old, are not known.
 func (d *Director) soleVersion(now time.Time, s *service) (string, bool) {
-	if d.knownSince.IsZero() || now.Sub(d.knownSince) < d.originLife || now.Sub(s.reroutedAt) < d.originLife || d.Age(now) > d.opts.FreshView {
+	if d.table == nil || d.knownSince.IsZero() || now.Sub(d.knownSince) < d.originLife || now.Sub(s.reroutedAt) < d.originLife || d.Age(now) > d.opts.FreshView {
 		return "", false
 	}
 
@@ -86,7 +86,7 @@
 	if !req.pinned {
 		req.version, req.pinned = req.endpoint.entry.Version, true
 	}
-	if req.route.Kind != router.Stream || !req.route.Resumable || req.relayed {
+	if req.route.Kind != router.Stream || !req.route.Resumable || req.relayed || !req.named {
 		return
 	}
 	d.origins.Begin(now, req.stream, req.service.name, req.version, d.originLife)
@@ -108,6 +108,11 @@
 // version at which the stream began. If the node does not know it, the request
 // waits for the answers of other nodes.
 func (d *Director) takeUp(now time.Time, req *request) {
+	if d.deadline(req).Sub(now) < minAttemptTime {
+		d.fail(now, req, d.timeoutReason(req))
+
+		return
+	}
 	req.waitUntil = now.Add(maxMoveWait)
 	if o, ok := d.Origin(now, req.stream, req.service.name); ok {
 		source := takeUpRecorded
@@ -162,6 +167,11 @@
 		if d.requests[req.ID] != req {
 			continue
 		}
+		if d.deadline(req).Sub(now) < minAttemptTime {
+			d.fail(now, req, d.timeoutReason(req))
+
+			continue
+		}
 		if !now.Before(req.askUntil) {
 			d.emit(Count{Counter: CounterTakeUps, Label: takeUpUnknown})
 			d.log(logger.StreamTakenUp, "request", req.Name, "resumes", req.Resumes, "route", req.route.Name, "service", req.service.name,
