Refuse requests that a shutdown leaves no time for

A request that comes late in the grace period and cannot be finished ran in vain: its caller got an error at the end that says nothing about the run, and a request that may not be repeated was lost to it.

While the node leaves, a request that has not run is refused with 503, Retry-After and "Connection: close" if requests of its kind usually take longer than what is left: the mean plus two mean deviations, or four where the request must not run again, for each service, kind of route and resumability; half of its time where none has been answered yet. A request that may have run goes on.

The random test of the director ends with a shutdown now.

--- /dev/null
+++ b/internal/admitter/duration_test.go
@@ -0,0 +1,25 @@
+package admitter
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against an estimate that most requests exceed, or that stays far above
+// what they take.
+func TestDurationFollowsTheSamples(t *testing.T) {
+	c := qt.New(t)
+	var d Duration
+	for i := range 100 {
+		d.Record(time.Duration(1+i%3) * time.Second)
+	}
+	estimate := d.Estimate(2)
+	c.Check(estimate > 3*time.Second, qt.IsTrue, qt.Commentf("%s", estimate))
+	for range 100 {
+		d.Record(10 * time.Millisecond)
+	}
+	estimate = d.Estimate(4)
+	c.Check(estimate < 20*time.Millisecond, qt.IsTrue, qt.Commentf("%s", estimate))
+}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -108,6 +108,9 @@
 	retryBudget pacer.Budget
 	estimator   admitter.Estimator
 	shedder     admitter.Shedder
+	// durations estimates, for each kind of request, the time from its arrival to
+	// the end of its answer.
+	durations map[requestKind]*admitter.Duration
 }
 
 // New returns a director without routes or endpoints.
@@ -398,9 +401,10 @@
 func (d *Director) ensureService(name string) *service {
 	s := d.services[name]
 	if s == nil {
-		s = &service{name: name, retryBudget: pacer.Budget{
-			Window: d.opts.RetryWindow, Ratio: d.opts.RetryRatio,
-		}}
+		s = &service{
+			name: name, durations: map[requestKind]*admitter.Duration{},
+			retryBudget: pacer.Budget{Window: d.opts.RetryWindow, Ratio: d.opts.RetryRatio},
+		}
 		d.services[name] = s
 	}
 
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -393,6 +393,22 @@
 				t.Fatalf("request %d has no answer and no attempt in progress: %+v", r, s)
 			}
 		}
+		check(n.post(ShutdownRequested{AnswerBy: n.now.Add(time.Second)}))
+		n.now = n.now.Add(time.Second)
+		effects := n.post(Ticked{})
+		check(effects)
+		for _, e := range effects {
+			if cancel, ok := e.(Cancel); ok {
+				s := requests[cancel.ID]
+				s.endpoint, s.mayHaveRun = "", true
+				check(n.post(AttemptFinished{ID: cancel.ID, Result: Cancelled}))
+			}
+		}
+		for r, s := range requests {
+			if !s.ended {
+				t.Fatalf("request %d has no answer at the end of the shutdown: %+v", r, s)
+			}
+		}
 	})
 }
 
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -156,6 +156,9 @@
 			}
 		}
 	}
+	if f.Status < http.StatusInternalServerError {
+		req.recordDuration(now.Sub(req.arrivedAt))
+	}
 	if req.usesEngine && f.Status == http.StatusOK {
 		req.service.estimator.RecordRunTime(f.Took)
 		if !req.Need.Long() && req.route.MaxPause > 0 && e.load.HadLongPrefill(req.arrivedAt.Add(req.timeToFirstByte)) {
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -183,6 +183,11 @@
 
 		return
 	}
+	if !d.canFinish(now, req) {
+		d.fail(now, req, ReasonLeaving)
+
+		return
+	}
 	if d.failIsolated(now, req) {
 		return
 	}
--- a/internal/director/shutdown.go
+++ b/internal/director/shutdown.go
@@ -5,7 +5,9 @@
 	"slices"
 	"time"
 
+	"snipedyke/internal/admitter"
 	"snipedyke/internal/logger"
+	"snipedyke/internal/router"
 )
 
 func (d *Director) startShutdown(now, answerBy time.Time) {
@@ -39,6 +41,55 @@
 	return ReasonTimeout
 }
 
+const (
+	// finishDeviations is the number of mean deviations by which requests may exceed
+	// the mean to be finished before the process ends, and onceDeviations that of
+	// requests that must not run again if they are not finished.
+	finishDeviations = 2
+	onceDeviations   = 4
+	// unknownShare is the part of its time that a request is taken to need where
+	// none of its kind has been answered yet.
+	unknownShare = 0.5
+)
+
+// requestKind is a kind of requests that take similar times at one service.
+type requestKind struct {
+	kind      router.Kind
+	resumable bool
+}
+
+func (r *request) kind() requestKind { return requestKind{r.route.Kind, r.route.Resumable} }
+
+// recordDuration records how long it took to answer the request.
+func (r *request) recordDuration(took time.Duration) {
+	e := r.service.durations[r.kind()]
+	if e == nil {
+		e = &admitter.Duration{}
+		r.service.durations[r.kind()] = e
+	}
+	e.Record(took)
+}
+
+// canFinish reports whether a request that has not run can be expected to be
+// answered before the process ends. If not, it is refused while another node can
+// serve it.
+func (d *Director) canFinish(now time.Time, req *request) bool {
+	if !d.endsEarly(req) || req.mayHaveRun {
+		return true
+	}
+	left := d.answerBy.Sub(now)
+	e := req.service.durations[req.kind()]
+	if e == nil {
+		return time.Duration(unknownShare*float64(req.expiresAt.Sub(now))) <= left
+	}
+	deviations := onceDeviations
+	if req.route.Repeatable() {
+		deviations = finishDeviations
+	}
+
+	return e.Estimate(deviations) <= left
+}
+
 // endRequests cancels the attempts whose answers have not begun when the process
 // is about to end, so that their requests are answered with an error.
 func (d *Director) endRequests(now time.Time) {
