--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -130,6 +130,9 @@
 	versions    pinner.Versions
 	// reroutedAt is when a table last changed which requests the service gets.
 	reroutedAt time.Time
+	// durations estimates, for each kind of request, the time from its arrival to
+	// the end of its answer.
+	durations map[requestKind]*admitter.Duration
 }
 
 // New returns a director without routes or endpoints.
@@ -433,9 +436,10 @@
 func (d *Director) ensureService(name string) *service {
 	s := d.services[name]
 	if s == nil {
-		s = &service{name: name, retryBudget: pacer.Budget{
-			Window: d.opts.RetryWindow, Ratio: d.opts.RetryRatio,
-		}}
+		s = &service{
+			name: name, durations: map[requestKind]*admitter.Duration{},
+			retryBudget: pacer.Budget{Window: d.opts.RetryWindow, Ratio: d.opts.RetryRatio},
+		}
 		d.services[name] = s
 	}
 
