Refuse responses without a frame whose connection was to stay open

A head that has lost its length describes a response that ends with its connection, and the close that follows made it complete: callers got a 200 with an empty or short body. Where the head says that the connection stays open, or where nothing follows the head and it does not say that the connection ends, the response is a broken attempt now. Responses without a frame that have a body, or that announce the end of the connection, are relayed as before.

TestUnframedResponseOfPersistentConnectionIsRefused failed before on all routes (complete 200). TestAnnouncedEndOfConnectionEndsEmptyResponse guards the allowed ones. go test -race ./internal/forwarder passes.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -78,6 +78,8 @@
 	// partlySent reports whether the write of the request has failed. The end of
 	// the connection then does not end a response.
 	partlySent bool
+	// persistence is what the last response head said about the connection.
+	persistence persistence
 	// leaving reports whether the endpoint has said that it shuts down.
 	leaving bool
 
@@ -296,7 +298,7 @@
 	for range maxInterimResponses + 1 {
 		head, err := peekHead(a.conn.br)
 		if err == nil {
-			err = checkHead(head)
+			a.persistence, err = checkHead(head)
 		}
 		if err == nil {
 			err = h.Read(a.conn.br)
@@ -337,6 +339,8 @@
 		return a.failureResult(errContentEncoded)
 	case a.partlySent && (h.ContentLength() == identityLength || a.dispatch.Route.Kind == router.Stream && h.StatusCode() == http.StatusOK):
 		return a.failureResult(errPartlySent)
+	case a.endsWithConn() && a.persistence == persistent:
+		return a.failureResult(errNoFrame)
 	}
 	if a.dispatch.Route.Kind == router.Stream && h.StatusCode() == http.StatusOK {
 		return a.beginStream()
@@ -348,11 +352,15 @@
 	if a.extendDeadline() != nil {
 		return director.Broken
 	}
+	unframed := a.endsWithConn()
 	if a.call.req.Header.IsHead() {
 		a.resp.SkipBody = true
 	} else if err := a.readBody(); err != nil {
 		return a.failureResult(err)
 	}
+	if unframed && len(a.resp.Body()) == 0 && a.persistence != closing {
+		return a.failureResult(errNoFrame)
+	}
 	a.releaseConn()
 	a.call.response, a.resp = a.resp, nil
 
@@ -367,6 +375,12 @@
 	return status == http.StatusNoContent || status == http.StatusNotModified
 }
 
+// endsWithConn reports whether the body of the response ends with the connection.
+// A head that has lost its end describes such a response, too.
+func (a *attempt) endsWithConn() bool {
+	return a.resp.Header.ContentLength() == identityLength && !a.withoutBody() && !a.call.req.Header.IsHead()
+}
+
 // noteEndpoint reports what the response says about the endpoint. A response to
 // another request, or of another endpoint at the address, says nothing about it.
 func (a *attempt) noteEndpoint(m ResponseMetadata) {
--- a/internal/forwarder/responsehead.go
+++ b/internal/forwarder/responsehead.go
@@ -12,6 +12,7 @@
 	errNotHTTP = errors.New("response does not begin with an HTTP version")
 	errBareLF  = errors.New("response head has a line that does not end with CRLF")
 	errCoded   = errors.New("response of HTTP/1.0 has a transfer coding")
+	errNoFrame = errors.New("response has no length, and the connection was not to be closed")
 )
 
 // peekHead waits for the next head and returns it without consuming it. It ends
@@ -35,21 +36,55 @@
 	}
 }
 
-// checkHead returns an error if a response with this head cannot be told from one
-// whose head is damaged. A line that consists of LF would end the head early, and
-// the parser ignores transfer codings before HTTP/1.1.
-func checkHead(head []byte) error {
-	coded := false
+// persistence is what a response head says about the connection.
+type persistence int
+
+const (
+	// unstated means that the head says nothing, as of HTTP/1.1.
+	unstated persistence = iota
+	// persistent means that the connection stays open.
+	persistent
+	// closing means that the connection will be closed.
+	closing
+)
+
+// checkHead returns what a head says about the connection, or an error if the
+// response cannot be told from one whose head is damaged. A line that consists of
+// LF would end the head early, and the parser ignores transfer codings before
+// HTTP/1.1.
+func checkHead(head []byte) (persistence, error) {
+	conn, coded, closes := unstated, false, false
+	current := bytes.HasPrefix(head, []byte("HTTP/1.1 "))
+	if !current {
+		conn = closing
+	}
 	for line := range bytes.SplitAfterSeq(head, []byte{'\n'}) {
 		if len(line) > 0 && !bytes.HasSuffix(line, []byte("\r\n")) {
-			return errBareLF
+			return conn, errBareLF
+		}
+		name, value, _ := bytes.Cut(line, []byte{':'})
+		switch string(bytes.ToLower(bytes.TrimSpace(name))) {
+		case "transfer-encoding":
+			coded = true
+		case "keep-alive":
+			conn = persistent
+		case "connection":
+			for option := range bytes.SplitSeq(bytes.ToLower(value), []byte{','}) {
+				switch string(bytes.TrimSpace(option)) {
+				case "close":
+					closes = true
+				case "keep-alive":
+					conn = persistent
+				}
+			}
 		}
-		name, _, _ := bytes.Cut(line, []byte{':'})
-		coded = coded || bytes.EqualFold(bytes.TrimSpace(name), []byte("Transfer-Encoding"))
 	}
-	if coded && !bytes.HasPrefix(head, []byte("HTTP/1.1 ")) {
-		return errCoded
+	switch {
+	case coded && !current:
+		return conn, errCoded
+	case closes:
+		return closing, nil
+	default:
+		return conn, nil
 	}
-
-	return nil
 }
--- a/internal/forwarder/responsehead_test.go
+++ b/internal/forwarder/responsehead_test.go
@@ -53,6 +53,40 @@
 	}
 }
 
+// Guards against a head that has lost its length, so that the end of the
+// connection makes an empty or short body complete.
+func TestUnframedResponseOfPersistentConnectionIsRefused(t *testing.T) {
+	for name, rest := range map[string]string{
+		"field":    "Keep-Alive: timeout=10\r\n\r\n" + events(1, 2),
+		"option":   "Connection: x, Keep-Alive\r\n\r\n" + events(1, 2),
+		"no field": "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			checkNotRelayed(t, sealedHead+rest, "/safe/x", "/unsafe/x", "/stream/x", "/resume/x")
+		})
+	}
+	t.Run("HTTP/1.0", func(t *testing.T) {
+		checkNotRelayed(t, "HTTP/1.0"+sealedHead[8:]+"Connection: keep-alive\r\n\r\nbody", "/unsafe/x")
+	})
+}
+
+// Guards against the loss of an empty response whose end was announced.
+func TestAnnouncedEndOfConnectionEndsEmptyResponse(t *testing.T) {
+	for _, head := range []string{sealedHead + "Keep-Alive: timeout=10\r\nConnection: x, Close\r\n", "HTTP/1.0" + sealedHead[8:]} {
+		c := qt.New(t)
+		call := start(t, newEndpoint(t, func(conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, head+"\r\n")
+
+			return false
+		})).dial(c)
+		call.send("POST", "/unsafe/x", "r", "")
+		resp, body, err := call.receive()
+		c.Assert(err, qt.IsNil)
+		c.Check(resp.StatusCode, qt.Equals, 200)
+		c.Check(body, qt.Equals, "")
+	}
+}
+
 // Guards against a change of protocol that nobody has asked for.
 func TestSwitchOfProtocolsIsRefused(t *testing.T) {
 	checkNotRelayed(t, "HTTP/1.1 101 Switching"+sealedHead[15:]+"Connection: Upgrade\r\nUpgrade: x\r\n\r\nbytes", "/unsafe/x", "/stream/x")
