--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,7 +23,7 @@
 	Servers int           `arg:"--servers" default:"5" help:"number of stand-in servers"`
 	Callers int           `arg:"--callers" default:"12" help:"number of callers"`
 	Length  time.Duration `arg:"--length" default:"20s" help:"time during which faults are injected"`
-	Logs    string        `arg:"--logs" help:"directory for the logs of failed seeds"`
+	Logs    string        `arg:"--logs" help:"directory for the logs of failed seeds, created if missing [default: that for temporary files]"`
 }
 
 // Description implements arg.Described.
@@ -54,30 +54,54 @@
 // run runs the soak test of one seed and prints its result. ok reports whether
 // it found no violation.
 func run(a arguments, seed uint64) (ok bool, err error) {
-	out := io.Discard
-	path := filepath.Join(a.Logs, fmt.Sprintf("soak-%d.log", seed))
-	if a.Logs != "" {
-		f, err := os.Create(path)
+	path, err := withLog(a.Logs, seed, func(log io.Writer) (bool, error) {
+		r, err := soaker.Run(soaker.Options{
+			Binary: a.Binary, Nodes: a.Nodes, Servers: a.Servers, Seed: seed, Length: a.Length, Callers: a.Callers, Output: log,
+		})
 		if err != nil {
 			return false, err
 		}
-		defer func() { _ = f.Close() }()
-		out = f
-	}
-	r, err := soaker.Run(soaker.Options{
-		Binary: a.Binary, Nodes: a.Nodes, Servers: a.Servers, Seed: seed, Length: a.Length, Callers: a.Callers, Output: out,
+		fmt.Printf("seed %d: %d faults, %d attempts, %d ran, %.3f succeeded after the faults, %d violations\n",
+			seed, r.Faults, r.Attempts, r.Runs, r.FinalSuccessRate, len(r.Violations))
+		for _, v := range r.Violations {
+			fmt.Println("  ", v)
+		}
+
+		return len(r.Violations) == 0, nil
 	})
+	if path != "" {
+		fmt.Println("   log:", path)
+	}
+
+	return path == "" && err == nil, err
+}
+
+// withLog runs test with a log file in dir, or in the directory for temporary
+// files if dir is empty. It removes the file if the test passes, and returns its
+// path otherwise.
+func withLog(dir string, seed uint64, test func(log io.Writer) (ok bool, err error)) (path string, err error) {
+	f, err := createLog(dir, seed)
 	if err != nil {
-		return false, err
+		return "", err
+	}
+	ok, err := test(f)
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if !ok || err != nil {
+		return f.Name(), err
 	}
-	fmt.Printf("seed %d: %d faults, %d attempts, %d ran, %.3f succeeded after the faults, %d violations\n",
-		seed, r.Faults, r.Attempts, r.Runs, r.FinalSuccessRate, len(r.Violations))
-	for _, v := range r.Violations {
-		fmt.Println("  ", v)
+
+	return "", os.Remove(f.Name())
+}
+
+func createLog(dir string, seed uint64) (*os.File, error) {
+	if dir == "" {
+		return os.CreateTemp("", fmt.Sprintf("soak-%d-*.log", seed))
 	}
-	if len(r.Violations) == 0 && a.Logs != "" {
-		return true, os.Remove(path)
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
 	}
 
-	return len(r.Violations) == 0, nil
+	return os.Create(filepath.Join(dir, fmt.Sprintf("soak-%d.log", seed)))
 }
