Count only notices that nodes have relayed in the soak

The check took the last answer that was written to a request for the one that the node relayed.

Responses show which endpoint wrote them: events of streams now name it, besides the seal. The check counts the notices of the endpoints whose seal or events the caller has received. It is as strict for answers of one endpoint, and stricter for streams that a second endpoint goes on with: the notice of the first one counted for nothing. Two cases of the unit test show both; the first was a violation before, the second was not.

--- a/internal/assembler/versions_test.go
+++ b/internal/assembler/versions_test.go
@@ -193,8 +193,20 @@
 	return err
 }
 
+// events returns the received text without the endpoints that wrote the events.
+func (s *callerStream) events() string {
+	events, rest := standin.ParseEvents(s.text)
+	var b strings.Builder
+	for _, e := range events {
+		e.Server = ""
+		b.WriteString(e.String())
+	}
+
+	return b.String() + rest
+}
+
 // eventsOf returns the encoded events of a stream from one number to another, as
-// endpoints of a version write them.
+// endpoints of a version write them, without the endpoint.
 func eventsOf(version, attempt string, from, to int) string {
 	var b strings.Builder
 	for i := from; i <= to; i++ {
@@ -216,7 +228,7 @@
 	f.awaitKnown(c)
 	f.endpoints[0].Crash()
 	err := s.readAll()
-	c.Check(s.text, qt.Equals, eventsOf("v1", "a1", 1, heldEvents))
+	c.Check(s.events(), qt.Equals, eventsOf("v1", "a1", 1, heldEvents))
 	c.Check(err, qt.IsNotNil, qt.Commentf("the answer ends as complete"))
 }
 
@@ -232,7 +244,7 @@
 	f.awaitKnown(c)
 	f.endpoints[0].Crash()
 	c.Check(s.readAll(), qt.IsNil)
-	c.Check(s.text, qt.Equals, eventsOf("v1", "a1", 1, standin.Events))
+	c.Check(s.events(), qt.Equals, eventsOf("v1", "a1", 1, standin.Events))
 }
 
 // Guards against a stream that goes on at another software version when its caller
@@ -257,6 +269,6 @@
 		err := s.readAll()
 		c.Check(s.response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("stream %d of version %s", i, version))
 		c.Check(err, qt.IsNil)
-		c.Check(s.text, qt.Equals, eventsOf(version, attempt, heldEvents+1, standin.Events), qt.Commentf("stream %d of version %s", i, version))
+		c.Check(s.events(), qt.Equals, eventsOf(version, attempt, heldEvents+1, standin.Events), qt.Commentf("stream %d of version %s", i, version))
 	}
 }
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -168,12 +168,18 @@
 	resp, err := q.client.Do(r)
 	var wait time.Duration
 	if err == nil {
-		o.status, o.sealed = resp.StatusCode, standin.HasSeal(resp, q.id)
+		o.status = resp.StatusCode
+		if server, sealed := standin.SealedBy(resp, q.id); sealed {
+			o.servers = append(o.servers, server)
+		}
 		if seconds, parseErr := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); parseErr == nil {
 			wait = time.Duration(seconds * float64(time.Second))
 		}
 		a.events, err = c.checkResponse(q, resp)
 		a.complete = err == nil && o.status == http.StatusOK
+		for _, e := range a.events {
+			o.servers = append(o.servers, e.Server)
+		}
 	}
 	o.cut = err != nil && ctx.Err() == nil && !errors.Is(err, errLost)
 	o.ended = time.Now()
@@ -215,7 +221,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, err
 	}
-	if !standin.HasSeal(resp, q.id) {
+	if _, sealed := standin.SealedBy(resp, q.id); !sealed {
 		c.soaker.history.AddViolation("%s received a success response that no server sent for it", q.id)
 	}
 	if strings.Contains(q.path, "stream") {
--- a/internal/soaker/history.go
+++ b/internal/soaker/history.go
@@ -20,10 +20,10 @@
 	status int
 	// cut reports whether the connection ended without a complete response.
 	cut bool
-	// sealed reports whether the response was one of an endpoint.
-	sealed bool
-	ended  time.Time
-	node   int
+	// servers holds the endpoints whose seal or events the response has.
+	servers []string
+	ended   time.Time
+	node    int
 }
 
 // period is a period of time.
--- a/internal/soaker/history_test.go
+++ b/internal/soaker/history_test.go
@@ -26,7 +26,7 @@
 	// leave lets node 0 relay the notice that i-1 leaves and then send it a request
 	// that arrives at the given time.
 	leave := func(h *History, sent, arrived time.Time) {
-		answered(h, "r1", outcome{status: 200, sealed: true, ended: now}, standin.Answer{Leaving: true})
+		answered(h, "r1", outcome{status: 200, servers: []string{"i-1"}, ended: now}, standin.Answer{Leaving: true})
 		h.setOutcome("r2", outcome{status: 503, sent: sent})
 		h.AddArrival(standin.Arrival{Server: "i-1", Request: "r2", At: arrived})
 	}
@@ -95,8 +95,17 @@
 		"leaving, sent in time": {func(h *History) { leave(h, now.Add(drainBound), late) }, ""},
 		"leaving, unknown to the node": {func(h *History) {
 			leave(h, late, late)
-			h.setOutcome("r1", outcome{status: 200, sealed: true, ended: now, node: 1})
+			h.setOutcome("r1", outcome{status: 200, servers: []string{"i-1"}, ended: now, node: 1})
 		}, ""},
+		"leaving, in an answer that was given up": {func(h *History) {
+			leave(h, late, late)
+			h.setOutcome("r1", outcome{status: 200, servers: []string{"i-2"}, ended: now})
+		}, ""},
+		"leaving, in an answer that another endpoint went on with": {func(h *History) {
+			leave(h, late, late)
+			h.AddAnswer(standin.Answer{Server: "i-2", Request: "r1"})
+			h.setOutcome("r1", outcome{status: 200, servers: []string{"i-1", "i-2"}, ended: now})
+		}, "after node 0 knew that i-1 leaves"},
 		"leaving, never answered": {func(h *History) {
 			leave(h, late, late)
 			h.setOutcome("r1", outcome{cut: true, ended: now})
--- a/internal/soaker/notice.go
+++ b/internal/soaker/notice.go
@@ -37,9 +37,9 @@
 }
 
 // checkNotices returns the violations of what endpoints say about themselves. It
-// takes only answers into account that the node has certainly received: those of
-// requests that it has answered in full, except for answers that may have been
-// replaced. The caller holds mu.
+// takes only answers into account that the node has certainly received: of requests
+// that it has answered in full, those that have turned the request away and those
+// that it has relayed. The caller holds mu.
 func (h *History) checkNotices() []string {
 	leaving, pauses := map[link][]time.Time{}, map[link][]standin.Answer{}
 	for request, answers := range h.answers {
@@ -47,10 +47,9 @@
 		if o.status == 0 || o.cut {
 			continue
 		}
-		for i, a := range answers {
+		for _, a := range answers {
 			l := link{o.node, a.Server}
-			last := o.sealed && i == len(answers)-1
-			if a.Leaving && (a.Declined || last) {
+			if a.Leaving && (a.Declined || slices.Contains(o.servers, a.Server)) {
 				leaving[l] = append(leaving[l], o.ended)
 			}
 			if a.RetryAfter > 0 {
