Let soak tests that run at the same time use different addresses

Soak tests whose seeds are equal modulo 100 gave their nodes the same addresses. Two at a time, as of several work trees, broke each other: nodes could not start ("address already in use"), and callers reached the nodes of the other test.

A soak test now holds an address of its block while it runs, and takes the next block if it cannot.

--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -94,6 +95,10 @@
 	store   *standin.Store
 	nodes   []*node
 	dir     string
+	// block is the third byte of the addresses of the nodes, which blockLock keeps
+	// from other soak tests.
+	block     byte
+	blockLock net.Listener
 	// absentUntil holds the times until which servers leave or ask for time.
 	absentUntil []time.Time
 
@@ -146,9 +151,12 @@
 			return err
 		}
 	}
+	if err := s.reserveBlock(); err != nil {
+		return err
+	}
 	for i := range s.opts.Nodes {
 		// Nodes share port numbers, so each needs its own loopback address.
-		address := netip.AddrFrom4([4]byte{127, 0, byte(100 + s.opts.Seed%100), byte(1 + i)})
+		address := s.address(1 + i)
 		proxy, err := NewProxy(s.store.Addr())
 		if err != nil {
 			return err
@@ -169,9 +177,33 @@
 	return nil
 }
 
+// address returns a loopback address of the block.
+func (s *Soaker) address(n int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, s.block, byte(n)}) }
+
+const (
+	// firstBlock is the first of the blocks, which are as many as blocks.
+	firstBlock, blocks = 100, 100
+	// lockAddress is the last byte of the address that locks a block.
+	lockAddress = 254
+)
+
+// reserveBlock chooses the block of the seed, or the next one that no other soak test
+// uses.
+func (s *Soaker) reserveBlock() error {
+	var err error
+	for i := range uint64(blocks) {
+		s.block = byte(firstBlock + (s.opts.Seed+i)%blocks)
+		if s.blockLock, err = net.Listen("tcp", netip.AddrPortFrom(s.address(lockAddress), peerPort).String()); err == nil {
+			return nil
+		}
+	}
+
+	return err
+}
+
 // nodeSettings returns the settings file of a node.
 func (s *Soaker) nodeSettings(n *node) string {
-	first := netip.AddrFrom4([4]byte{127, 0, byte(100 + s.opts.Seed%100), 1})
+	first := s.address(1)
 
 	return fmt.Sprintf(`{"name": "node-%d", "centre": "c%d", "regions": [{"centre": "c0", "region": "r"}, {"centre": "c1", "region": "r"}],
  "callers": "%s", "readiness": "%s:%d", "peers": "%s:%d", "seeds": ["%s:1"], "store": "%s",
@@ -334,4 +366,7 @@
 	for _, server := range s.servers {
 		server.Crash()
 	}
+	if s.blockLock != nil {
+		_ = s.blockLock.Close()
+	}
 }
