Bound the streams that have not been announced

While a service has one version, its streams are not announced. Their list was bounded by their life alone, up to 10 minutes, and not by the number of streams that are remembered. Each stream of a service with several versions searched the whole list under the lock of the forwarder.

There is a list for each service now, with at most as many elements as streams are remembered.

TestNumberOfUnannouncedStreamsIsBounded failed before, with 98,304 elements.

--- a/internal/pinner/pinner.go
+++ b/internal/pinner/pinner.go
@@ -5,7 +5,6 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"slices"
 	"time"
 
 	"snipedyke/pkg/encoder"
@@ -53,22 +52,26 @@
 	// order.
 	expiries []expiry
 	// unannounced holds the streams of this node of which other nodes have not been
-	// told, oldest first.
-	unannounced []announcement
+	// told, by service and oldest first. It has no empty lists, and none with more
+	// than maxStreams elements.
+	unannounced map[string][]announcement
 }
 
 // announcement is a stream of which other nodes are to be told.
 type announcement struct {
-	service string
-	key     uint64
-	at      time.Time
+	key uint64
+	at  time.Time
 }
 
 // Begin records that a stream of this node has begun, or has been taken up again.
 // It is remembered for the given time.
 func (t *Table) Begin(now time.Time, key uint64, service, version string, life time.Duration) {
 	t.record(now, key, stream{version: version, recordedAt: now}, now.Add(life))
-	t.unannounced = append(t.unannounced, announcement{service, key, now.Add(life)})
+	if t.unannounced == nil {
+		t.unannounced = map[string][]announcement{}
+	}
+	list := append(t.unannounced[service], announcement{key, now.Add(life)})
+	t.unannounced[service] = list[max(len(list)-maxStreams, 0):]
 }
 
 // Learn records what another node knows of a stream. It does not replace what this
@@ -102,9 +105,15 @@
 		}
 	}
 	t.expiries = t.expiries[n:]
-	for n = 0; n < len(t.unannounced) && !now.Before(t.unannounced[n].at); n++ {
+	for service, list := range t.unannounced {
+		for n = 0; n < len(list) && !now.Before(list[n].at); n++ {
+		}
+		if n == len(list) {
+			delete(t.unannounced, service)
+		} else if n > 0 {
+			t.unannounced[service] = list[n:]
+		}
 	}
-	t.unannounced = t.unannounced[n:]
 }
 
 // Lookup returns what is known of a stream, and reports whether anything is.
@@ -124,16 +133,12 @@
 func (t *Table) TakeUnannounced(now time.Time, service string) []encoder.Origin {
 	t.expire(now)
 	var list []encoder.Origin
-	t.unannounced = slices.DeleteFunc(t.unannounced, func(a announcement) bool {
-		if a.service != service {
-			return false
-		}
+	for _, a := range t.unannounced[service] {
 		if s, ok := t.streams[a.key]; ok {
 			list = append(list, s.origin(now, a.key))
 		}
-
-		return true
-	})
+	}
+	delete(t.unannounced, service)
 
 	return list
 }
--- a/internal/pinner/pinner_test.go
+++ b/internal/pinner/pinner_test.go
@@ -118,3 +118,14 @@
 	c.Check(sole, qt.IsTrue)
 	c.Check(version, qt.Equals, "2")
 }
+
+// Guards against memory that grows with the streams of services with one version, of
+// which other nodes are not told.
+func TestNumberOfUnannouncedStreamsIsBounded(t *testing.T) {
+	c := qt.New(t)
+	var table Table
+	for key := range uint64(3 * maxStreams) {
+		table.Begin(start, key, "s", "v1", life)
+	}
+	c.Check(len(table.unannounced["s"]) <= maxStreams, qt.IsTrue, qt.Commentf("%d", len(table.unannounced["s"])))
+}
