Refuse streams that arrive after the listener was closed

A stream whose request was completed late in the grace period was passed on, and cut off at its end after its first events: once it has begun, it cannot be answered with an error. The director now refuses streams from the time at which the listener is closed, with 503, as they have not run. Requests without a stream are served until they must be answered.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -80,10 +80,11 @@
 	// viewRegainedAt is the last time at which it could be read again.
 	viewRegainedAt time.Time
 	// leaving reports whether a shutdown has begun, leavingSince when, and answerBy
-	// by when requests must be answered.
-	leaving                bool
-	leavingSince, answerBy time.Time
-	ready                  bool
+	// by when requests must be answered. Streams that arrive at refuseStreamsFrom or
+	// later are refused.
+	leaving                                   bool
+	leavingSince, refuseStreamsFrom, answerBy time.Time
+	ready                                     bool
 
 	fleet fleet
 	// isolator finds the prompt parts that crash engines.
@@ -200,7 +201,7 @@
 			s.retryBudget.Window, s.retryBudget.Ratio = d.opts.RetryWindow, d.opts.RetryRatio
 		}
 	case ShutdownRequested:
-		d.startShutdown(now, e.AnswerBy)
+		d.startShutdown(now, e)
 	case ShutdownEnded:
 		d.logCutOff(now)
 	}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -205,6 +205,9 @@
 
 // ShutdownRequested starts a graceful shutdown.
 type ShutdownRequested struct {
+	// RefuseStreamsFrom is the time from which no stream is begun for a request that
+	// arrives, as it could be cut off when the process ends, or zero if there is none.
+	RefuseStreamsFrom time.Time
 	// AnswerBy is the time by which requests must be answered for the answers to be
 	// written before the process ends.
 	AnswerBy time.Time
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -182,6 +182,11 @@
 	if d.engineOf(req) != nil {
 		req.usesEngine = true
 	}
+	if req.route.Kind == router.Stream && d.refusesStreams(now) {
+		d.fail(now, req, ReasonLeaving)
+
+		return
+	}
 	if q.Continues && req.route.Kind == router.Stream && req.route.Resumable {
 		d.takeUp(now, req)
 
--- a/internal/director/shutdown.go
+++ b/internal/director/shutdown.go
@@ -8,13 +8,19 @@
 	"snipedyke/internal/logger"
 )
 
-func (d *Director) startShutdown(now, answerBy time.Time) {
+func (d *Director) startShutdown(now time.Time, e ShutdownRequested) {
 	if !d.leaving {
-		d.leaving, d.leavingSince, d.answerBy = true, now, answerBy
+		d.leaving, d.leavingSince, d.refuseStreamsFrom, d.answerBy = true, now, e.RefuseStreamsFrom, e.AnswerBy
 		d.log(logger.ShutdownStarted, "requests", len(d.requests))
 	}
 }
 
+// refusesStreams reports whether a stream that arrives could be cut off when the
+// process ends.
+func (d *Director) refusesStreams(now time.Time) bool {
+	return d.leaving && !d.refuseStreamsFrom.IsZero() && !now.Before(d.refuseStreamsFrom)
+}
+
 // deadline returns the time by which the answer to a request must be complete. A
 // stream that has begun may go on until the process ends.
 func (d *Director) deadline(req *request) time.Time {
--- a/internal/director/shutdown_test.go
+++ b/internal/director/shutdown_test.go
@@ -128,3 +128,24 @@
 		c.Check(n.NeedsTick(), qt.IsFalse)
 	}
 }
+
+// Guards against streams that arrive late in a shutdown, begin, and are cut off at its
+// end: a stream that has begun cannot be answered with an error.
+func TestLateStreamsAreRefused(t *testing.T) {
+	c := qt.New(t)
+	n := newNodeWithVersions("1", "1", "1")
+	n.post(ShutdownRequested{RefuseStreamsFrom: n.now.Add(time.Second), AnswerBy: n.now.Add(3 * time.Second)})
+	n.now = n.now.Add(time.Second - 1)
+	_, sent := find[Dispatch](n.arrive(1, "/chat/x"))
+	c.Check(sent, qt.IsTrue)
+	n.now = n.now.Add(1)
+	n.arrive(2, "/draft/x")
+	for id, effects := range [][]Effect{n.effects, n.arrive(3, "/chat/x")} {
+		refused, _ := find[Refuse](effects)
+		c.Check(refused.Status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%d", id))
+		c.Check(refused.Reason, qt.Equals, ReasonLeaving)
+	}
+	c.Check(n.takeUp(4, "x"), qt.Equals, "")
+	_, sent = find[Dispatch](n.arrive(5, "/pay/x"))
+	c.Check(sent, qt.IsTrue)
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -165,7 +165,8 @@
 func (f *Forwarder) shutdown(served <-chan struct{}) {
 	start := time.Now()
 	f.shuttingDown.Store(true)
-	f.Post(director.ShutdownRequested{AnswerBy: f.opts.Clock().Add(f.opts.GracePeriod - exitMargin - answerMargin)})
+	now := f.opts.Clock()
+	f.Post(director.ShutdownRequested{RefuseStreamsFrom: now.Add(drainDelay), AnswerBy: now.Add(f.opts.GracePeriod - exitMargin - answerMargin)})
 	time.Sleep(drainDelay)
 	_ = f.listener.stop()
 	// A connection that has just been accepted may not be known to the listener
--- a/internal/forwarder/grace_test.go
+++ b/internal/forwarder/grace_test.go
@@ -69,3 +69,35 @@
 		c.Check(resp.Close, qt.IsTrue, qt.Commentf("%s", target))
 	}
 }
+
+// Guards against streams that are completed late in a shutdown, passed on, and cut off
+// at its end after their first events.
+func TestLateStreamsAreNotBegunAndCutOff(t *testing.T) {
+	c := qt.New(t)
+	finish := make(chan bool)
+	defer close(finish)
+	s := startWithGrace(t, newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+		stream(conn, r, events(1, 1))
+		<-finish
+
+		return false
+	}))
+	idle := s.dial(c)
+	calls, rests := map[string]*caller{}, map[string]string{}
+	for _, target := range []string{"/stream/x", "/resume/x"} {
+		calls[target] = s.dial(c)
+		rests[target] = calls[target].sendHalf("POST", target, target)
+	}
+	s.stop()
+	awaitListenerClosed(c, idle)
+	for target, call := range calls {
+		_, _ = io.WriteString(call, rests[target])
+	}
+	// The process ends when Run returns.
+	c.Check(<-s.done, qt.IsNil)
+	for target, call := range calls {
+		c.Assert(call.SetDeadline(time.Now().Add(time.Second)), qt.IsNil)
+		_, _, err := call.receive()
+		c.Check(err, qt.IsNil, qt.Commentf("%s", target))
+	}
+}
