--- a/internal/director/shutdown.go
+++ b/internal/director/shutdown.go
@@ -43,10 +43,10 @@
 
 const (
 	// finishDeviations is the number of mean deviations by which requests may exceed
-	// the mean to be finished before the process ends, and onceDeviations that of
-	// requests that must not run again if they are not finished.
+	// the mean to be finished before the process ends. For unsafe requests it is
+	// unsafeDeviations, as their callers cannot send them again.
 	finishDeviations = 2
-	onceDeviations   = 4
+	unsafeDeviations = 4
 	// unknownShare is the part of its time that a request is taken to need where
 	// none of its kind has been answered yet.
 	unknownShare = 0.5
@@ -82,9 +82,9 @@
 	if e == nil {
 		return time.Duration(unknownShare*float64(req.expiresAt.Sub(now))) <= left
 	}
-	deviations := onceDeviations
-	if req.route.Repeatable() {
-		deviations = finishDeviations
+	deviations := finishDeviations
+	if req.route.Kind == router.Unsafe {
+		deviations = unsafeDeviations
 	}
 
 	return e.Estimate(deviations) <= left
