--- a/internal/admitter/duration.go
+++ b/internal/admitter/duration.go
@@ -2,12 +2,9 @@
 
 import "time"
 
-// The weights of a new sample in the mean and in its deviation, as in the estimate
-// of round-trip times of RFC 6298.
-const (
-	meanWeight      = 1.0 / 8
-	deviationWeight = 1.0 / 4
-)
+// durationWeight is the weight of a new sample in the mean and in its deviation.
+// Requests vary more than the load does, so it is small.
+const durationWeight = 1.0 / 16
 
 // Duration estimates how long requests of one kind take. The estimate of the zero
 // value is zero.
@@ -22,8 +19,8 @@
 
 		return
 	}
-	d.deviation += time.Duration(deviationWeight * float64((took-d.mean).Abs()-d.deviation))
-	d.mean += time.Duration(meanWeight * float64(took-d.mean))
+	d.deviation += time.Duration(durationWeight * float64((took-d.mean).Abs()-d.deviation))
+	d.mean += time.Duration(durationWeight * float64(took-d.mean))
 }
 
 // Estimate returns the mean plus a number of mean deviations.
--- a/internal/admitter/duration_test.go
+++ b/internal/admitter/duration_test.go
@@ -7,8 +7,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against an estimate that most requests exceed, or that stays far above
-// what they take.
+// Guards against an estimate that most requests exceed, that one slow request moves
+// far, or that stays far above what they take.
 func TestDurationFollowsTheSamples(t *testing.T) {
 	c := qt.New(t)
 	var d Duration
@@ -17,7 +17,9 @@
 	}
 	estimate := d.Estimate(2)
 	c.Check(estimate > 3*time.Second, qt.IsTrue, qt.Commentf("%s", estimate))
-	for range 100 {
+	d.Record(10 * time.Second)
+	c.Check(d.Estimate(2)-estimate < 2*time.Second, qt.IsTrue, qt.Commentf("%s", d.Estimate(2)))
+	for range 200 {
 		d.Record(10 * time.Millisecond)
 	}
 	estimate = d.Estimate(4)
