Tell callers to wait for full endpoints of their stream's version

A take-up whose endpoints of the right version all declined it was refused with version_gone and without Retry-After, as if the version had left. Its caller came back at once, and used up its attempts while the endpoints were full. Retry-After is now left out only where no endpoint of the version serves.

TestTakeUpAtFullEndpointsIsToldToWait failed before.

--- a/internal/director/origin.go
+++ b/internal/director/origin.go
@@ -228,6 +228,12 @@
 	return others
 }
 
+// versionServes reports whether an endpoint of the version at which the request's
+// stream began serves, even if it has declined the request.
+func (d *Director) versionServes(now time.Time, req *request) bool {
+	return slices.ContainsFunc(req.service.endpoints, func(e *endpoint) bool { return req.fits(e) && d.serves(now, req, e) })
+}
+
 func (s *service) sortedVersions() []string {
 	list := s.versions.List()
 	slices.Sort(list)
--- a/internal/director/refusal.go
+++ b/internal/director/refusal.go
@@ -68,7 +68,7 @@
 			}
 			retryAfter += time.Duration(xxhash.Sum64String(req.Name) % uint64(retryAfterSpread))
 		}
-		if reason == ReasonVersionGone {
+		if reason == ReasonVersionGone && !d.versionServes(now, req) {
 			retryAfter = 0
 		}
 		d.emit(Refuse{ID: req.ID, Status: status, Reason: reason, RetryAfter: retryAfter})
--- a/internal/director/version_test.go
+++ b/internal/director/version_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"snipedyke/internal/router"
+	"snipedyke/pkg/encoder"
 )
 
 // putVersion publishes an endpoint of the model service with a version.
@@ -69,3 +72,21 @@
 		c.Check(n.endpoints[resumed.Endpoint].entry.Version, qt.Equals, "1")
 	}
 }
+
+// Guards against callers that take a stream up again and again at endpoints that are
+// full, as they are not told to wait.
+func TestTakeUpAtFullEndpointsIsToldToWait(t *testing.T) {
+	c := qt.New(t)
+	n := newNodeWithVersions("1", "2", "2")
+	n.post(OriginsLearned{[]encoder.Origin{{Key: streamKey(&request{account: &router.Account{Name: "club"}, service: &service{name: "model"}}, "x"), Version: "1"}}})
+	c.Assert(n.takeUp(1, "x"), qt.Equals, "1")
+	refused, _ := find[Refuse](n.post(AttemptFinished{ID: 1, Result: Declined}))
+	c.Check(refused.Status, qt.Equals, 503)
+	c.Check(refused.RetryAfter > 0, qt.IsTrue)
+	// Callers have no reason to wait for a version that has left.
+	n.post(EntryRemoved{ID: entry("model", 0).ID})
+	n.takeUp(2, "x")
+	refused, _ = find[Refuse](n.effects)
+	c.Check(refused.Reason, qt.Equals, ReasonVersionGone)
+	c.Check(refused.RetryAfter, qt.Equals, time.Duration(0))
+}
