Count versions of which other nodes may still have begun streams

A node took a version for the only one that can have begun a stream although another node, whose view was older but still accepted, had sent requests to an endpoint of another version. A stream that broke in the last 1.8 s of its route's timeout could be joined from both.

A version now counts for as long after its last endpoint was removed as views are accepted, and a stream lasts.

--- a/internal/director/origin.go
+++ b/internal/director/origin.go
@@ -70,14 +70,16 @@
 
 // soleVersion returns the version at which all streams of a service must have
 // begun that callers can still take up again, and reports whether there is only
-// one. How long they can is not known without a table. Versions that were in use before the node knew the endpoints, or that are
-// missing in a view that is too old, are not known.
+// one. That is not known without a table, which says how long streams last, for the
+// time before the node knew the endpoints, or in a view that is too old. Other nodes
+// may have begun streams in views as old as those in which they accept keys.
 func (d *Director) soleVersion(now time.Time, s *service) (string, bool) {
-	if d.table == nil || d.knownSince.IsZero() || now.Sub(d.knownSince) < d.originLife || now.Sub(s.reroutedAt) < d.originLife || d.Age(now) > d.opts.FreshView {
+	within := d.originLife + d.opts.KeyLease
+	if d.table == nil || d.knownSince.IsZero() || now.Sub(d.knownSince) < within || now.Sub(s.reroutedAt) < within || d.Age(now) > d.opts.FreshView {
 		return "", false
 	}
 
-	return s.versions.Sole(now, d.originLife)
+	return s.versions.Sole(now, within)
 }
 
 // recordOrigin binds the request to the version of the endpoint that has brought
--- a/internal/director/origin_test.go
+++ b/internal/director/origin_test.go
@@ -89,7 +89,7 @@
 			if told {
 				learner = other
 			}
-			learner.post(OriginsLearned{announced.List})
+			learner.post(OriginsLearned(announced))
 			sent := other.takeUp(id, fmt.Sprint("r", id))
 			if !told {
 				c.Check(sent, qt.Equals, "")
