Cut off streams at endpoints that have restarted with another version

A stream that began at an endpoint which had started again under its ID and address, before the view showed it, was recorded at the endpoint's former version, and went on there after the endpoint failed: a joined text.

When the view shows the restart, the version of the streams in progress there becomes uncertain: they may have begun before it, and not have broken off yet. What was recorded of them is forgotten, and no endpoint goes on with them.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -415,13 +415,16 @@
 // applyEndpointEvents applies changes of endpoints and then retries the waiting
 // requests.
 func (d *Director) applyEndpointEvents(now time.Time, events []registrar.Event) {
-	for _, e := range events {
+	for i, e := range events {
 		switch e.Change {
 		case registrar.Added:
 			d.addEndpoint(now, e.Entry)
 		case registrar.Updated:
 			d.updateEndpoint(now, e.Entry)
 		case registrar.Removed:
+			if i+1 < len(events) && events[i+1].Change == registrar.Added {
+				d.doubtStreams(e.Entry, events[i+1].Entry)
+			}
 			d.removeEndpoint(now, e.Entry)
 		case registrar.Outdated:
 			d.log(logger.EntryOutdated, "endpoint", e.Entry.ID, "service", e.Entry.Service,
--- a/internal/director/origin.go
+++ b/internal/director/origin.go
@@ -6,6 +6,7 @@
 
 	"snipedyke/internal/logger"
 	"snipedyke/internal/pinner"
+	"snipedyke/internal/registrar"
 	"snipedyke/internal/router"
 	"snipedyke/pkg/encoder"
 )
@@ -87,14 +88,31 @@
 func (d *Director) recordOrigin(now time.Time, req *request) {
 	if !req.pinned {
 		req.version, req.pinned = req.endpoint.entry.Version, true
+		// The endpoint may have started again with another version meanwhile.
+		current := d.endpoints[req.endpoint.entry.ID]
+		req.doubted = current != nil && current.entry.Version != req.version
 	}
-	if req.route.Kind != router.Stream || !req.route.Resumable || req.relayed || !req.named {
+	if req.route.Kind != router.Stream || !req.route.Resumable || req.relayed || req.doubted || !req.named {
 		return
 	}
 	d.origins.Begin(now, req.stream, req.service.name, req.version, d.originLife)
 	d.announceOrigins(now, req.service)
 }
 
+// doubtStreams forgets at which version the streams in progress at an endpoint began
+// that has started again with another one. They may have begun after that.
+func (d *Director) doubtStreams(former, e registrar.Entry) {
+	if former.ID != e.ID || former.Version == e.Version {
+		return
+	}
+	for _, req := range d.requests {
+		if req.pinned && req.endpoint != nil && req.endpoint.entry.ID == e.ID {
+			req.doubted = true
+			d.origins.Forget(req.stream)
+		}
+	}
+}
+
 // announceOrigins tells other nodes of the streams of a service, unless one version
 // has begun them all.
 func (d *Director) announceOrigins(now time.Time, s *service) {
--- a/internal/director/origin_gap_test.go
+++ b/internal/director/origin_gap_test.go
@@ -39,3 +39,18 @@
 	c.Check(n.sentTo(), qt.Not(qt.Equals), "1")
 	c.Check(n.takeUp(2, "r1"), qt.Not(qt.Equals), "1")
 }
+
+// Guards against a stream that is bound to the version that its endpoint had when the
+// request was sent, after the endpoint has started again with another one.
+func TestStreamThatBeginsAfterItsEndpointHasRestartedIsNotBound(t *testing.T) {
+	c := qt.New(t)
+	n := newNodeWithVersions("1", "1", "1")
+	sent, _ := find[Dispatch](n.arrive(1, "/draft/1"))
+	restarted := n.endpoints[sent.Endpoint].entry
+	restarted.Version, restarted.Born = "2", n.now.UnixMilli()
+	n.post(EntryPut{restarted})
+	n.post(ResponseStarted{ID: 1, Wait: time.Millisecond})
+	n.post(AttemptFinished{ID: 1, Result: Broken, Relayed: true})
+	c.Check(n.sentTo(), qt.Equals, "")
+	c.Check(n.takeUp(2, "r1"), qt.Equals, "")
+}
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -90,6 +90,9 @@
 	// Only endpoints of this version can go on with it.
 	version string
 	pinned  bool
+	// doubted reports whether the version is uncertain, so that no endpoint can go on
+	// with the stream.
+	doubted bool
 	// stream identifies the stream that the request begins or takes up again. If
 	// named is false, the caller has not named it, and any number of streams have
 	// this key, so that nothing can be recorded under it.
@@ -361,7 +364,9 @@
 
 // fits reports whether an endpoint has the version at which the request's stream
 // began, if it has begun.
-func (r *request) fits(e *endpoint) bool { return !r.pinned || e.entry.Version == r.version }
+func (r *request) fits(e *endpoint) bool {
+	return !r.pinned || !r.doubted && e.entry.Version == r.version
+}
 
 // regionAllowed reports whether a request may run in an endpoint's region.
 func (d *Director) regionAllowed(req *request, e *endpoint) bool {
--- a/internal/pinner/pinner.go
+++ b/internal/pinner/pinner.go
@@ -116,6 +116,9 @@
 	}
 }
 
+// Forget removes what is known of a stream.
+func (t *Table) Forget(key uint64) { delete(t.streams, key) }
+
 // Lookup returns what is known of a stream, and reports whether anything is.
 func (t *Table) Lookup(now time.Time, key uint64) (encoder.Origin, bool) {
 	t.expire(now)
