--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -9,6 +10,7 @@
 	"snipedyke/internal/isolator"
 	"snipedyke/internal/logger"
 	"snipedyke/internal/pacer"
+	"snipedyke/internal/pinner"
 	"snipedyke/internal/registrar"
 	"snipedyke/internal/router"
 )
@@ -59,6 +61,10 @@
 	services  map[string]*service
 	// notices holds what endpoints have said about themselves.
 	notices map[incarnation]*notice
+	// addresses holds who has which address. addressesSweptAt is when those that no
+	// endpoint has any more were last removed.
+	addresses        map[netip.AddrPort]*address
+	addressesSweptAt time.Time
 	// entriesListed reports whether the full list of endpoints has been read at
 	// least once.
 	entriesListed bool
@@ -71,6 +77,8 @@
 	missingUntil time.Time
 	// viewLost reports whether the last attempt to read the view failed.
 	viewLost bool
+	// viewRegainedAt is the last time at which it could be read again.
+	viewRegainedAt time.Time
 	// leaving reports whether a shutdown has begun, leavingSince when, and answerBy
 	// by when requests must be answered.
 	leaving                bool
@@ -81,6 +89,17 @@
 	// isolator finds the prompt parts that crash engines.
 	isolator isolator.Isolator
 
+	// origins holds the versions at which streams have begun that callers may take
+	// up again, for originLife. That is at least the longest time that a resumable
+	// stream can last; it never becomes shorter.
+	origins    pinner.Table
+	originLife time.Duration
+	// knownSince is the time since which all endpoints are known, or zero.
+	knownSince time.Time
+	// asking holds the requests that wait until other nodes say at which version
+	// their streams began.
+	asking []*request
+
 	requests map[uint64]*request
 	// waiting holds the requests that wait for an endpoint, oldest first.
 	waiting []*request
@@ -108,6 +127,9 @@
 	retryBudget pacer.Budget
 	estimator   admitter.Estimator
 	shedder     admitter.Shedder
+	versions    pinner.Versions
+	// reroutedAt is when a table last changed which requests the service gets.
+	reroutedAt time.Time
 	// durations estimates, for each kind of request, the time from its arrival to
 	// the end of its answer.
 	durations map[requestKind]*admitter.Duration
@@ -117,7 +139,7 @@
 func New(opts Options) *Director {
 	return &Director{
 		opts: opts, registrar: registrar.New(opts.PublicationInterval),
-		endpoints: map[string]*endpoint{}, notices: map[incarnation]*notice{}, services: map[string]*service{},
+		endpoints: map[string]*endpoint{}, notices: map[incarnation]*notice{}, addresses: map[netip.AddrPort]*address{}, services: map[string]*service{},
 		requests: map[uint64]*request{}, endpointsByNumber: map[uint32]*endpoint{}, fleet: fleet{assumedNodes: opts.AssumedNodes},
 	}
 }
@@ -143,9 +165,12 @@
 	case Ticked:
 		d.handleTick(now)
 	case TableLoaded:
-		d.setTable(e.Table)
+		d.setTable(now, e.Table)
 	case EntriesListed:
 		d.entriesListed = true
+		if d.knownSince.IsZero() {
+			d.knownSince = now
+		}
 		d.applyEndpointEvents(now, d.registrar.Replace(now, e.Entries))
 	case EntryPut:
 		d.applyEndpointEvents(now, d.registrar.Put(e.Entry))
@@ -163,6 +188,8 @@
 		d.updateOthersLoad(now, e.Others)
 	case CrashesObserved:
 		d.isolator.Merge(now, e.Crashes)
+	case OriginsLearned:
+		d.learnOrigins(now, e.List)
 	case ViewRestored:
 		d.restoreView(now)
 	case TableMissing:
@@ -205,8 +232,10 @@
 	Nodes, Endpoints, Requests, Waiting int
 	// Leaving is the number of endpoints that have said that they shut down, and
 	// Paused that of those that get no requests because they asked for time.
-	Leaving, Paused int
-	Ready           bool
+	// Displaced is the number of those that get none because another one has their
+	// address.
+	Leaving, Paused, Displaced int
+	Ready                      bool
 }
 
 // Status returns the current status.
@@ -222,6 +251,9 @@
 		if e.pausedUntil().After(now) {
 			s.Paused++
 		}
+		if d.displaced(now, e) {
+			s.Displaced++
+		}
 	}
 	if d.table != nil {
 		s.Version = d.table.Version()
@@ -243,13 +275,14 @@
 func (d *Director) Active() int { return len(d.requests) }
 
 // NeedsTick reports whether a Ticked event is needed soon, because requests are
-// waiting, or must be answered before the process ends, vanished entries are held,
-// or entries or data centres are held back after the store was restored.
+// waiting for endpoints or other nodes, or must be answered before the process ends,
+// vanished entries are held, or entries or data centres are held back after the store
+// was restored.
 func (d *Director) NeedsTick() bool {
-	return len(d.waiting) > 0 || d.leaving && len(d.requests) > 0 || d.registrar.HasHeld()
+	return len(d.waiting)+len(d.asking) > 0 || d.leaving && len(d.requests) > 0 || d.registrar.HasHeld()
 }
 
-func (d *Director) setTable(t *router.Table) {
+func (d *Director) setTable(now time.Time, t *router.Table) {
 	if d.table != nil && t.Version() <= d.table.Version() {
 		return
 	}
@@ -257,12 +290,14 @@
 	if d.table != nil {
 		former = d.table.Version()
 	}
+	d.noteRerouted(now, d.table, t)
 	d.table = t
 	d.log(logger.RouteTableInForce, "version", t.Version(), "former", former, "routes", t.NumRoutes())
 }
 
 func (d *Director) confirmView(now, at time.Time) {
 	if at.After(d.confirmedAt) {
+		d.noteGap(now, at)
 		d.confirmedAt = at
 	}
 	d.endOutage(now)
@@ -270,7 +305,7 @@
 
 func (d *Director) endOutage(now time.Time) {
 	if d.viewLost {
-		d.viewLost = false
+		d.viewLost, d.viewRegainedAt = false, now
 		d.registrar.Reconnected(now)
 		d.log(logger.ViewRegained)
 	}
@@ -421,5 +456,6 @@
 		d.returnCentres(now, d.registrar.ReleaseCentres(now))
 	}
 	d.endRequests(now)
+	d.askAgain(now)
 	d.retryWaiting(now)
 }
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -56,6 +56,11 @@
 	coldPacer pacer.Pacer
 	// notice holds what the endpoint has said about itself, or is nil.
 	notice *notice
+	// address is shared by all endpoints whose entries have the same address, and
+	// refuted reports whether another endpoint has answered there since this one was
+	// added or last answered.
+	address *address
+	refuted bool
 	// failureShare is the moving share of failed attempts.
 	failureShare float64
 }
@@ -82,11 +87,14 @@
 	d.endpoints[entry.ID], d.endpointsByNumber[e.number] = e, e
 	s := d.ensureService(entry.Service)
 	s.endpoints = append(s.endpoints, e)
+	s.versions.Add(entry.Version)
+	d.announceOrigins(now, s)
 	if entry.Cold > 0 {
 		d.markCold(now, e, entry.Cold)
 	}
 	d.log(logger.EndpointAdded, "endpoint", entry.ID, "service", entry.Service, "centre", entry.DataCentre,
-		"draining", entry.Draining, "cold", entry.Cold.String())
+		"version", entry.Version, "draining", entry.Draining, "cold", entry.Cold.String())
+	d.claimAddress(now, e)
 }
 
 func (d *Director) updateEndpoint(now time.Time, entry registrar.Entry) {
@@ -115,7 +123,10 @@
 	d.isolator.RecordEnded(now, e.number)
 	s := d.ensureService(entry.Service)
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(other *endpoint) bool { return other == e })
-	d.emit(CloseIdleConnections{Address: entry.Address})
+	s.versions.Remove(now, e.entry.Version)
+	if d.releaseAddress(now, e); e.address.holder == e {
+		d.emit(CloseIdleConnections{Address: e.entry.Address})
+	}
 	d.log(logger.EndpointRemoved, "endpoint", entry.ID, "service", entry.Service)
 }
 
@@ -157,9 +168,15 @@
 // current reports whether an endpoint has not been removed.
 func (d *Director) current(e *endpoint) bool { return d.endpoints[e.entry.ID] == e }
 
+// serves reports whether an endpoint can run requests like the given one, though
+// perhaps not at once.
+func (d *Director) serves(now time.Time, req *request, e *endpoint) bool {
+	return d.registrar.Usable(e.entry.ID) && !d.displaced(now, e) && !e.leaving() && d.regionAllowed(req, e)
+}
+
 // usable reports whether an endpoint can receive a request now.
 func (d *Director) usable(now time.Time, e *endpoint) bool {
-	if !d.registrar.Usable(e.entry.ID) || e.leaving() || now.Before(e.pausedUntil()) || now.Before(e.suspendedUntil) {
+	if !d.registrar.Usable(e.entry.ID) || d.displaced(now, e) || e.leaving() || now.Before(e.pausedUntil()) || now.Before(e.suspendedUntil) {
 		return false
 	}
 
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -36,6 +36,11 @@
 	Path string
 	// Key is the caller's key, or empty.
 	Key string
+	// Continues reports whether the caller takes a stream up again after its last
+	// event, and Resumes is then the Name of the request that brought the stream's
+	// first event, or empty if the caller does not state it.
+	Continues bool
+	Resumes   string
 	// Deadline is how long the caller waits for the answer, or zero if it sets no
 	// limit.
 	Deadline time.Duration
@@ -96,6 +101,11 @@
 	// Cold, if not zero, is the remaining cold time that the endpoint has
 	// reported.
 	Cold time.Duration
+	// AnsweredBy is the ID by which the endpoint that answered in place of the
+	// expected one names itself, or empty, and OtherLeaving reports whether it shuts
+	// down. Both count for Misdirected only.
+	AnsweredBy   string
+	OtherLeaving bool
 }
 
 // Result is the outcome of an attempt.
@@ -334,6 +344,9 @@
 	// CounterNotices counts what endpoints have said about themselves in their
 	// responses.
 	CounterNotices Counter = "notices"
+	// CounterTakeUps counts the streams that callers take up again, by where their
+	// versions are known from.
+	CounterTakeUps Counter = "take_ups"
 )
 
 // LabelReplaced is the label of CounterRetries for an attempt that was given up
@@ -360,13 +373,19 @@
 	ReasonHarmful    Reason = "harmful_prompt"
 	ReasonPaused     Reason = "endpoints_paused"
 	ReasonLeaving    Reason = "leaving"
+	// ReasonVersionGone is that no endpoint of the version at which a stream began
+	// can go on with it.
+	ReasonVersionGone Reason = "version_gone"
+	// ReasonVersionUnknown is that no node knows the version at which a stream began
+	// that its caller takes up again.
+	ReasonVersionUnknown Reason = "version_unknown"
 )
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	ReasonNotReady, ReasonNoRoute, ReasonNoKey, ReasonStaleView, ReasonTooLarge, ReasonMalformed,
 	ReasonNoEndpoint, ReasonOverload, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmful,
-	ReasonPaused, ReasonLeaving,
+	ReasonPaused, ReasonLeaving, ReasonVersionGone, ReasonVersionUnknown,
 }
 
 // Results lists all results.
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -26,7 +26,9 @@
 		req.endpoint.load.Own.PrefillTokens -= req.Need.PrefillTokens()
 		d.markChanged(req.endpoint)
 	}
+	d.recordOrigin(now, req)
 	d.isolator.RecordSound(now, req.Need.SharedParts)
+	d.confirmAddress(now, req.endpoint)
 	req.endpoint.consecutiveFailures = 0
 	if now.Before(req.endpoint.suspendedUntil) {
 		req.endpoint.suspendedUntil = now
@@ -61,9 +63,9 @@
 	req.longestPause = max(req.longestPause, f.LongestPause)
 	req.lastCause = f.Cause
 	d.emit(Count{Counter: CounterAttempts, Label: f.Result.String()})
-	d.recordResult(now, e, f)
-	if e != nil && e.leaving() {
-		// The attempt may have begun before the endpoint said so.
+	d.recordResult(now, req, e, f)
+	if e != nil && (e.leaving() || d.displaced(now, e)) {
+		// The attempt may have begun before.
 		d.emit(CloseIdleConnections{Address: e.entry.Address})
 	}
 	if e != nil && req.usesEngine && f.Result == Broken && !f.Relayed {
@@ -82,7 +84,7 @@
 		if req.relayed {
 			req.declined++
 		}
-		d.retry(now, req, f, ReasonDeclined, reserved)
+		d.retry(now, req, e, f, ReasonDeclined, reserved)
 	case Misdirected, Unreached, Unsent:
 		req.unreachedCount++
 		if req.unreachedCount >= maxUnreached {
@@ -102,7 +104,7 @@
 
 			return
 		}
-		d.retry(now, req, f, failureReason(f.Result), reserved)
+		d.retry(now, req, e, f, failureReason(f.Result), reserved)
 	case Cancelled:
 		req.mayHaveRun = true
 		d.fail(now, req, ReasonLeaving)
@@ -120,16 +122,21 @@
 
 // recordResult updates the state of the endpoint from the result of an
 // attempt.
-func (d *Director) recordResult(now time.Time, e *endpoint, f AttemptFinished) {
+func (d *Director) recordResult(now time.Time, req *request, e *endpoint, f AttemptFinished) {
 	if e == nil {
 		return
 	}
 	switch f.Result {
 	case Answered:
+		d.confirmAddress(now, e)
 		e.recordOutcome(f.Status >= http.StatusInternalServerError)
 	case Declined:
+		d.confirmAddress(now, e)
 		e.recordOutcome(false)
 	case Misdirected, Unreached:
+		if f.Result == Misdirected {
+			d.handleMisdirected(now, req, e, f)
+		}
 		d.suspend(now, e, f.Result)
 		d.isolator.RecordEnded(now, e.number)
 	case Broken, TimedOut:
@@ -180,7 +187,7 @@
 		first = took
 	}
 	late := first > req.route.LatencyTarget || req.route.MaxPause > 0 && req.longestPause > req.route.MaxPause
-	d.log(logger.RequestAnswered, "request", req.Name, "route", req.route.Name, "endpoint", e.entry.ID, "status", f.Status,
+	d.log(logger.RequestAnswered, "request", req.Name, "route", req.route.Name, "endpoint", e.entry.ID, "version", e.entry.Version, "status", f.Status,
 		"took", took.String(), "first", first.String(), "pause", req.longestPause.String(), "attempts", len(req.tried)+1,
 		"late", late, "engines", req.service.splitter.LongEngines())
 }
@@ -193,9 +200,9 @@
 	return s.retryBudget.AllowRetry(now)
 }
 
-// retry sends a request to another endpoint, that of its reservation if there is
+// retry sends a request to another endpoint than e, that of its reservation if there is
 // one, if the attempts of its route and the retry budget allow it.
-func (d *Director) retry(now time.Time, req *request, f AttemptFinished, reason Reason, reserved *reservation) {
+func (d *Director) retry(now time.Time, req *request, e *endpoint, f AttemptFinished, reason Reason, reserved *reservation) {
 	if d.failIsolated(now, req) {
 		return
 	}
@@ -216,8 +223,12 @@
 	if req.replaced {
 		label = LabelReplaced
 	}
+	version := ""
+	if e != nil {
+		version = e.entry.Version
+	}
 	d.emit(Count{Counter: CounterRetries, Label: label})
-	d.log(logger.RequestRetried, "request", req.Name, "route", req.route.Name, "endpoint", req.tried[len(req.tried)-1],
+	d.log(logger.RequestRetried, "request", req.Name, "route", req.route.Name, "endpoint", req.tried[len(req.tried)-1], "version", version,
 		"result", f.Result.String(), "cause", f.Cause, "took", f.Took.String(), "parts", formatParts(req.Need.SharedParts), "relayed", req.relayed)
 	if reserved != nil && d.current(reserved.endpoint) && d.takes(now, req, reserved.endpoint) {
 		req.prefixCached = reserved.prefixCached
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -86,6 +86,18 @@
 	// started reports whether a streamed answer has begun, and relayed whether any
 	// byte of it has reached the caller.
 	started, relayed bool
+	// version is the software version at which the stream began, if pinned is true.
+	// Only endpoints of this version can go on with it.
+	version string
+	pinned  bool
+	// stream identifies the stream that the request begins or takes up again. If
+	// named is false, the caller has not named it, and any number of streams have
+	// this key, so that nothing can be recorded under it.
+	stream uint64
+	named  bool
+	// askedAt and askUntil are, for a request that waits for what other nodes know
+	// of its stream, when they were last asked and how long it waits.
+	askedAt, askUntil time.Time
 	// callerGone reports whether the caller has disconnected, and ended whether the
 	// attempt in progress was cancelled at the end of a shutdown.
 	callerGone, ended bool
@@ -159,12 +171,22 @@
 	if q.Deadline > 0 && q.Deadline < req.route.Timeout {
 		req.expiresAt = now.Add(q.Deadline)
 	}
-	req.service = d.ensureService(req.route.Service(q.Name))
+	first := q.Name
+	if q.Continues {
+		first = q.Resumes
+	}
+	req.service = d.ensureService(req.route.Service(first))
+	req.stream, req.named = streamKey(req, first), first != ""
 	req.Need.Seed, req.Need.Urgency = xxhash.Sum64String(q.Name), req.route.Priority
 	req.service.retryBudget.RecordRequest(now)
 	if d.engineOf(req) != nil {
 		req.usesEngine = true
 	}
+	if q.Continues && req.route.Kind == router.Stream && req.route.Resumable {
+		d.takeUp(now, req)
+
+		return
+	}
 	d.place(now, req)
 }
 
@@ -192,6 +214,11 @@
 		return
 	}
 	e, holder := d.choose(now, req)
+	if e == nil && req.pinned && d.versionGone(now, req) {
+		d.fail(now, req, ReasonVersionGone)
+
+		return
+	}
 	if e == nil {
 		back, ok := d.earliestReturn(now, req, req.tried)
 		if !ok {
@@ -240,6 +267,10 @@
 // lengthens the pauses. For a short prompt, a free slot is enough, as engines
 // prefill it before less urgent ones.
 func (d *Director) admit(now time.Time, req *request, e *endpoint) *endpoint {
+	if req.pinned && d.hasSlot(req, e) {
+		// Part of the stream has been generated already.
+		return e
+	}
 	if req.service.shedder.Yields(now, req.class()) {
 		return nil
 	}
@@ -325,9 +356,13 @@
 // takes reports whether an endpoint of the request's service can receive the
 // request now.
 func (d *Director) takes(now time.Time, req *request, e *endpoint) bool {
-	return e != req.endpoint && d.usable(now, e) && !contains(req.tried, e.entry.ID) && d.regionAllowed(req, e)
+	return e != req.endpoint && d.usable(now, e) && !contains(req.tried, e.entry.ID) && d.regionAllowed(req, e) && req.fits(e)
 }
 
+// fits reports whether an endpoint has the version at which the request's stream
+// began, if it has begun.
+func (r *request) fits(e *endpoint) bool { return !r.pinned || e.entry.Version == r.version }
+
 // regionAllowed reports whether a request may run in an endpoint's region.
 func (d *Director) regionAllowed(req *request, e *endpoint) bool {
 	region := d.opts.Regions[e.entry.DataCentre]
@@ -373,7 +408,7 @@
 		Urgency: min(d.table.Urgency(req.route, req.account), maxUrgencyRank), Route: req.route, Deadline: d.deadline(req),
 		Resume: req.relayed, MaxIdle: d.idleLimit(now, req.service.name),
 	}
-	if holder != nil {
+	if holder != nil && !d.displaced(now, holder) {
 		dispatch.CacheHolder = holder.entry.Address
 	}
 	if req.route.Repeatable() && len(req.tried)+1 < req.route.Attempts {
--- a/internal/forwarder/protocol.go
+++ b/internal/forwarder/protocol.go
@@ -27,6 +27,11 @@
 type RequestMetadata struct {
 	// AttemptID is the caller's ID of this attempt.
 	AttemptID string
+	// Continues reports whether the caller takes a stream up again after its last
+	// event, and Resumes is the ID of the attempt that brought the stream's first
+	// event, or empty if it is not stated.
+	Continues bool
+	Resumes   string
 	// APIKey is the API key, or empty if there is none.
 	APIKey string
 	// Deadline is the time allowed for the request, or zero if there is no
@@ -66,6 +71,8 @@
 	Declined bool
 	// Leaving reports whether the endpoint shuts down and wants no new requests.
 	Leaving bool
+	// Instance is the ID by which the endpoint names itself, or empty.
+	Instance string
 	// RetryAfter is the time for which the endpoint wants no requests from this
 	// node, or zero. InvalidRetryAfter is the value of the field if it is malformed,
 	// or empty. They count in a response with status 503 only.
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -78,6 +78,9 @@
 	PauseIgnored       = 729
 	AcceptFailed       = 730
 	RequestCutOff      = 731
+	StreamTakenUp      = 732
+	AttemptMisdirected = 740
+	EndpointDisplaced  = 741
 )
 
 // Definition describes a log event.
@@ -138,18 +141,18 @@
 	{ViewRegained, hclog.Info, "shared view can be read again", nil},
 	{CentreTakenOut, hclog.Info, "data centre taken out of service", []string{"centre"}},
 	{CentreRestored, hclog.Info, "data centre back in service", []string{"centre"}},
-	{EndpointAdded, hclog.Info, "endpoint added", []string{"endpoint", "service", "centre", "draining", "cold"}},
+	{EndpointAdded, hclog.Info, "endpoint added", []string{"endpoint", "service", "centre", "version", "draining", "cold"}},
 	{EndpointDraining, hclog.Info, "endpoint is draining", []string{"endpoint", "service"}},
 	{EndpointRemoved, hclog.Info, "endpoint removed", []string{"endpoint", "service"}},
 	{EndpointSuspended, hclog.Warn, "endpoint temporarily suspended", []string{"endpoint", "service", "result", "failures", "length"}},
 	{EntryIgnored, hclog.Warn, "entry of the shared view ignored", []string{"key", "revision", "error"}},
-	{RequestRetried, hclog.Info, "request retried at another endpoint", []string{"request", "route", "endpoint", "result", "cause", "took", "parts", "relayed"}},
+	{RequestRetried, hclog.Info, "request retried at another endpoint", []string{"request", "route", "endpoint", "version", "result", "cause", "took", "parts", "relayed"}},
 	{RequestFailed, hclog.Warn, "request ended without an answer of an endpoint", []string{"request", "route", "service", "status", "reason", "cause", "waited", "tried", "unreached", "parts", "relayed", "age"}},
 	{LinesOmitted, hclog.Warn, "log lines left out", []string{"lines"}},
 	{ForwarderStarted, hclog.Info, "forwarder started", []string{"callers", "version"}},
 	{HistoryUnavailable, hclog.Info, "history of the shared view is no longer available; reading the whole view", []string{"revision"}},
 	{SettingsReloaded, hclog.Info, "settings reloaded", []string{"changed"}},
-	{RequestAnswered, hclog.Info, "request answered", []string{"request", "route", "endpoint", "status", "took", "first", "pause", "attempts", "late", "engines"}},
+	{RequestAnswered, hclog.Info, "request answered", []string{"request", "route", "endpoint", "version", "status", "took", "first", "pause", "attempts", "late", "engines"}},
 	{NodeCountChanged, hclog.Info, "number of known nodes changed", []string{"nodes", "former"}},
 	{MessageRejected, hclog.Warn, "message from another node rejected", []string{"from", "error"}},
 	{MessageSendFailed, hclog.Warn, "message to another node could not be sent", []string{"to", "error"}},
@@ -164,6 +167,9 @@
 	{PauseIgnored, hclog.Warn, "malformed request for time ignored", []string{"request", "endpoint", "value"}},
 	{AcceptFailed, hclog.Warn, "connection could not be accepted", []string{"listener", "error"}},
 	{RequestCutOff, hclog.Warn, "request cut off by shutdown", []string{"request", "route", "endpoint", "age", "leaving", "begun"}},
+	{StreamTakenUp, hclog.Info, "caller takes a stream up again", []string{"request", "resumes", "route", "service", "version", "source", "serving"}},
+	{AttemptMisdirected, hclog.Info, "attempt answered by another endpoint", []string{"request", "route", "endpoint", "address", "answered", "known", "leaving"}},
+	{EndpointDisplaced, hclog.Info, "endpoint displaced by another one at its address", []string{"endpoint", "service", "address", "holder"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -46,6 +47,7 @@
 	// FinalSuccessRate is the ratio of attempts that succeeded after the faults
 	// had ended and settleTime had passed.
 	FinalSuccessRate float64
+	TakeUps          TakeUps
 	Violations       []string
 }
 
@@ -87,24 +89,30 @@
 
 // Soaker is the state of a soak test.
 type Soaker struct {
-	opts       Options
-	rng        *rand.Rand
-	history    *History
-	store      *standin.Store
-	nodes      []*node
-	dir        string
-	faultCount int
+	opts    Options
+	rng     *rand.Rand
+	history *History
+	store   *standin.Store
+	nodes   []*node
+	dir     string
+	// block is the third byte of the addresses of the nodes, which blockLock keeps
+	// from other soak tests.
+	block     byte
+	blockLock net.Listener
 	// absentUntil holds the times until which servers leave or ask for time.
 	absentUntil []time.Time
 
 	mu          sync.Mutex
 	servers     map[string]*standin.Server
 	serverCount int
-	closed      bool
+	// release is the number of releases of the servers' software.
+	release int
+	closed  bool
 	// manifestVersion is the version of the published manifest.
 	manifestVersion int
-	// outputMu guards Options.Output.
-	outputMu sync.Mutex
+	// outputMu guards Options.Output and faultCount.
+	outputMu   sync.Mutex
+	faultCount int
 }
 
 // Run runs a soak test.
@@ -143,9 +151,12 @@
 			return err
 		}
 	}
+	if err := s.reserveBlock(); err != nil {
+		return err
+	}
 	for i := range s.opts.Nodes {
 		// Nodes share port numbers, so each needs its own loopback address.
-		address := netip.AddrFrom4([4]byte{127, 0, byte(100 + s.opts.Seed%100), byte(1 + i)})
+		address := s.address(1 + i)
 		proxy, err := NewProxy(s.store.Addr())
 		if err != nil {
 			return err
@@ -166,9 +177,33 @@
 	return nil
 }
 
+// address returns a loopback address of the block.
+func (s *Soaker) address(n int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, s.block, byte(n)}) }
+
+const (
+	// firstBlock is the first of the blocks, which are as many as blocks.
+	firstBlock, blocks = 100, 100
+	// lockAddress is the last byte of the address that locks a block.
+	lockAddress = 254
+)
+
+// reserveBlock chooses the block of the seed, or the next one that no other soak test
+// uses.
+func (s *Soaker) reserveBlock() error {
+	var err error
+	for i := range uint64(blocks) {
+		s.block = byte(firstBlock + (s.opts.Seed+i)%blocks)
+		if s.blockLock, err = net.Listen("tcp", netip.AddrPortFrom(s.address(lockAddress), peerPort).String()); err == nil {
+			return nil
+		}
+	}
+
+	return err
+}
+
 // nodeSettings returns the settings file of a node.
 func (s *Soaker) nodeSettings(n *node) string {
-	first := netip.AddrFrom4([4]byte{127, 0, byte(100 + s.opts.Seed%100), 1})
+	first := s.address(1)
 
 	return fmt.Sprintf(`{"name": "node-%d", "centre": "c%d", "regions": [{"centre": "c0", "region": "r"}, {"centre": "c1", "region": "r"}],
  "callers": "%s", "readiness": "%s:%d", "peers": "%s:%d", "seeds": ["%s:1"], "store": "%s",
@@ -198,19 +233,22 @@
 	}, keys)
 }
 
-// addServer starts a server on an address and registers it in the store.
+// addServer starts a server of the latest software version on an address and
+// registers it in the store.
 func (s *Soaker) addServer(addr netip.AddrPort) error {
 	s.mu.Lock()
 	s.serverCount++
-	id := fmt.Sprintf("i-%d-%d", s.opts.Seed, s.serverCount)
+	count, version := s.serverCount, fmt.Sprint("v1.", s.release)
 	s.mu.Unlock()
-	server, err := standin.NewServer(id, addr, 20*time.Millisecond, s.opts.Seed+uint64(s.serverCount), s.history)
+	id := fmt.Sprintf("i-%d-%d", s.opts.Seed, count)
+	server, err := standin.NewServer(id, version, addr, 20*time.Millisecond, s.opts.Seed+uint64(count), s.history)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	s.servers[id] = server
 	s.mu.Unlock()
+	s.history.MarkServing(id, version)
 
 	return s.store.Register(server, service, "c0", false)
 }
@@ -279,18 +317,28 @@
 	for i := range s.opts.Callers {
 		wg.Go(func() { newCaller(s, i).run(stop) })
 	}
+	ended := make(chan struct{})
+	var releases conc.WaitGroup
+	if s.releases() {
+		for i := range streamCallers {
+			wg.Go(func() { newStreamCaller(s, i).run(stop) })
+		}
+		releases.Go(func() { newReleaser(s).run(ended) })
+	}
 	end := time.Now().Add(s.opts.Length)
 	for time.Now().Before(end) {
 		s.injectFault()
 		time.Sleep(time.Duration(100+s.rng.IntN(900)) * time.Millisecond)
 	}
+	close(ended)
+	releases.Wait()
 	s.clearFaults()
 	from := time.Now().Add(settleTime)
 	time.Sleep(faultFreeTime)
 	to := time.Now()
 	close(stop)
 	wg.Wait()
-	r := Result{Faults: s.faultCount, Violations: s.history.Check()}
+	r := Result{Faults: s.faultCount, TakeUps: s.history.TakeUps(), Violations: s.history.Check()}
 	s.history.mu.Lock()
 	r.Attempts, r.Runs = len(s.history.outcomes), len(s.history.runs)
 	s.history.mu.Unlock()
@@ -318,4 +366,7 @@
 	for _, server := range s.servers {
 		server.Crash()
 	}
+	if s.blockLock != nil {
+		_ = s.blockLock.Close()
+	}
 }
