--- a/internal/forwarder/framing_test.go
+++ b/internal/forwarder/framing_test.go
@@ -147,6 +147,7 @@
 func TestResponseWithoutContentIsRelayed(t *testing.T) {
 	for name, response := range map[string]string{
 		"204":         "HTTP/1.1 204 No Content\r\n",
+		"204 kept":    "HTTP/1.1 204 No Content\r\nKeep-Alive: timeout=10\r\n",
 		"304":         "HTTP/1.1 304 Not Modified\r\n",
 		"304 chunked": "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n",
 		"304 length":  "HTTP/1.1 304 Not Modified\r\nContent-Length: 10\r\n",
--- a/internal/forwarder/responsehead_test.go
+++ b/internal/forwarder/responsehead_test.go
@@ -87,6 +87,20 @@
 	}
 }
 
+// Guards against a response to HEAD that is taken for one without a frame.
+func TestResponseToHeadNeedsNoLength(t *testing.T) {
+	c := qt.New(t)
+	call := start(t, newEndpoint(t, func(conn net.Conn, _ *http.Request) bool {
+		_, err := io.WriteString(conn, sealedHead+"Keep-Alive: timeout=10\r\n\r\n")
+
+		return err == nil
+	})).dial(c)
+	call.send("HEAD", "/unsafe/x", "r", "")
+	resp, err := http.ReadResponse(call.br, &http.Request{Method: "HEAD"})
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.StatusCode, qt.Equals, 200)
+}
+
 // Guards against a change of protocol that nobody has asked for.
 func TestSwitchOfProtocolsIsRefused(t *testing.T) {
 	checkNotRelayed(t, "HTTP/1.1 101 Switching"+sealedHead[15:]+"Connection: Upgrade\r\nUpgrade: x\r\n\r\nbytes", "/unsafe/x", "/stream/x")
