Compute keys of streams only for requests that can be taken up again

A key was hashed for each request, and a request with the ID of a last event on a route without resumable streams went to a service by the ID of another attempt. Both now apply to resumable streams only; what is logged and counted of a take-up stands in one place.

--- a/internal/director/origin.go
+++ b/internal/director/origin.go
@@ -92,7 +92,7 @@
 		current := d.endpoints[req.endpoint.entry.ID]
 		req.doubted = current != nil && current.entry.Version != req.version
 	}
-	if req.route.Kind != router.Stream || !req.route.Resumable || req.relayed || req.doubted || !req.named {
+	if !req.named || req.relayed || req.doubted {
 		return
 	}
 	d.origins.Begin(now, req.stream, req.service.name, req.version, d.originLife)
@@ -151,10 +151,16 @@
 // bind places a request that takes up a stream which began at the version.
 func (d *Director) bind(now time.Time, req *request, version, source string) {
 	req.version, req.pinned = version, true
+	d.logTakeUp(req, source)
+	d.place(now, req)
+}
+
+// logTakeUp logs and counts a request that takes a stream up again, and where the
+// version of the stream is known from.
+func (d *Director) logTakeUp(req *request, source string) {
 	d.emit(Count{Counter: CounterTakeUps, Label: source})
 	d.log(logger.StreamTakenUp, "request", req.Name, "resumes", req.Resumes, "route", req.route.Name, "service", req.service.name,
-		"version", version, "source", source, "serving", req.service.sortedVersions())
-	d.place(now, req)
+		"version", req.version, "source", source, "serving", req.service.sortedVersions())
 }
 
 // learnOrigins records what other nodes know of streams, and places the requests
@@ -193,9 +199,7 @@
 			continue
 		}
 		if !now.Before(req.askUntil) {
-			d.emit(Count{Counter: CounterTakeUps, Label: takeUpUnknown})
-			d.log(logger.StreamTakenUp, "request", req.Name, "resumes", req.Resumes, "route", req.route.Name, "service", req.service.name,
-				"version", "", "source", takeUpUnknown, "serving", req.service.sortedVersions())
+			d.logTakeUp(req, takeUpUnknown)
 			d.fail(now, req, ReasonVersionUnknown)
 
 			continue
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -93,9 +93,9 @@
 	// doubted reports whether the version is uncertain, so that no endpoint can go on
 	// with the stream.
 	doubted bool
-	// stream identifies the stream that the request begins or takes up again. If
-	// named is false, the caller has not named it, and any number of streams have
-	// this key, so that nothing can be recorded under it.
+	// stream identifies the resumable stream that the request begins or takes up
+	// again. If named is false, the caller has not named it, and any number of streams
+	// have this key, so that nothing can be recorded under it.
 	stream uint64
 	named  bool
 	// askedAt and askUntil are, for a request that waits for what other nodes know
@@ -174,18 +174,21 @@
 	if q.Deadline > 0 && q.Deadline < req.route.Timeout {
 		req.expiresAt = now.Add(q.Deadline)
 	}
+	resumable := req.route.Kind == router.Stream && req.route.Resumable
 	first := q.Name
-	if q.Continues {
+	if q.Continues && resumable {
 		first = q.Resumes
 	}
 	req.service = d.ensureService(req.route.Service(first))
-	req.stream, req.named = streamKey(req, first), first != ""
+	if resumable {
+		req.stream, req.named = streamKey(req, first), first != ""
+	}
 	req.Need.Seed, req.Need.Urgency = xxhash.Sum64String(q.Name), req.route.Priority
 	req.service.retryBudget.RecordRequest(now)
 	if d.engineOf(req) != nil {
 		req.usesEngine = true
 	}
-	if q.Continues && req.route.Kind == router.Stream && req.route.Resumable {
+	if q.Continues && resumable {
 		d.takeUp(now, req)
 
 		return
