Leave streams their time in a shutdown

A stream that has begun may go on until the node ends, so attempts of streams have the time of their route again. Those that have not begun are cancelled in time as before.

--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -405,7 +405,7 @@
 	}
 	dispatch := Dispatch{
 		ID: req.ID, Endpoint: e.entry.ID, Address: e.entry.Address, Account: account,
-		Urgency: min(d.table.Urgency(req.route, req.account), maxUrgencyRank), Route: req.route, Deadline: d.deadline(req),
+		Urgency: min(d.table.Urgency(req.route, req.account), maxUrgencyRank), Route: req.route, Deadline: d.deadlineOfAttempt(req),
 		Resume: req.relayed, MaxIdle: d.idleLimit(now, req.service.name),
 	}
 	if holder != nil && !d.displaced(now, holder) {
--- a/internal/director/shutdown.go
+++ b/internal/director/shutdown.go
@@ -27,6 +27,16 @@
 	return req.expiresAt
 }
 
+// deadlineOfAttempt returns the time by which the endpoint must have answered. A
+// stream is not bounded by the shutdown, as it may go on once it has begun.
+func (d *Director) deadlineOfAttempt(req *request) time.Time {
+	if req.route.Kind == router.Stream {
+		return req.expiresAt
+	}
+
+	return d.deadline(req)
+}
+
 // endsEarly reports whether the shutdown leaves a request less time than it has.
 func (d *Director) endsEarly(req *request) bool {
 	return d.leaving && !req.begun() && d.answerBy.Before(req.expiresAt)
