--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -26,9 +26,6 @@
 // write again as a data centre may take to go out of service.
 const CentreHoldTime = 5 * time.Second
 
-// MaxVersionBytes is the maximum length of the version of an endpoint's software.
-const MaxVersionBytes = 128
-
 // Entry is the information that an endpoint publishes about itself.
 type Entry struct {
 	// ID is unique among the running endpoints.
