Send longer chunks in the test of endless responses

The chunks have 1,000 bytes now. The bound is the same, and the endpoint still sends four times as much: with the limit of the body taken out, the test fails ("the forwarder read all bytes").

--- a/internal/forwarder/framing_test.go
+++ b/internal/forwarder/framing_test.go
@@ -67,7 +67,7 @@
 		"head":     {"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
 		"line":     {"", "x"},
 		"body":     {unframedHead, "bytes"},
-		"chunks":   {"HTTP/1.1 200 OK\r\nName: r1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nbytes\r\n"},
+		"chunks":   {"HTTP/1.1 200 OK\r\nName: r1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + strings.Repeat("x", 1000) + "\r\n"},
 		"trailer":  {"HTTP/1.1 200 OK\r\nName: r1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Field: value\r\n"},
 		"informal": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
 	} {
