Do not take an older view for proof of the only software version

Cause: without a record of a stream, a view of up to 3.5 s that has one version only was taken for proof. So was the first answer of another node, even if its view was older or the asking node knew of more versions.

Change: the node reads the changes of the store when such a request arrives, and goes on only if the view was complete after that. The answer of another node counts for the time before the node knew the endpoints. While the store does not answer, most nodes must agree.

--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -118,7 +118,7 @@
 		Protocol: opts.Protocol, Logger: n.logger, Meter: routedMeter{n.exporter}, Callers: s.Callers, Clock: opts.Clock,
 		MaxBodyBytes: maxRequestBody, MaxHeaderBytes: maxRequestHeader,
 		MaxConnections: max(s.Descriptors-reservedDescriptors, minConnections), MaxIdleConnections: min(maxIdleConnections, s.Descriptors/4),
-		GracePeriod: s.Grace, AnnounceOrigins: n.announceOrigins, AskOrigin: n.askOrigin,
+		GracePeriod: s.Grace, AnnounceOrigins: n.announceOrigins, AskOrigin: n.askOrigin, ConfirmView: n.confirmView,
 	})
 	if err != nil {
 		err = errors.Join(&Error{Op: "callers", Kind: KindListen, Err: err}, n.readiness.Close())
@@ -141,7 +141,9 @@
 		Crashes:         n.forwarder.Crashes,
 		MergeCrashes:    func(list []encoder.Crash) { n.forwarder.Post(director.CrashesObserved{Crashes: list}) },
 		Origin:          n.forwarder.Origin,
-		LearnOrigins:    func(list []encoder.Origin) { n.forwarder.Post(director.OriginsLearned{List: list}) },
+		LearnOrigins: func(list []encoder.Origin, from netip.Addr) {
+			n.forwarder.Post(director.OriginsLearned{List: list, From: from})
+		},
 	})
 	if err != nil {
 		return nil, errors.Join(&Error{Op: "nodes", Kind: KindListen, Err: err}, n.readiness.Close())
@@ -165,6 +167,14 @@
 	}
 }
 
+// confirmView starts a read of the changes of the shared view. The forwarder exists
+// before the follower.
+func (n *RoutingNode) confirmView() {
+	if n.follower != nil {
+		n.follower.Confirm()
+	}
+}
+
 // listen returns a listener whose failures to accept are logged.
 func (n *RoutingNode) listen(name string, address netip.AddrPort) (net.Listener, error) {
 	l, err := listen(name, address)
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -168,9 +168,7 @@
 		d.setTable(now, e.Table)
 	case EntriesListed:
 		d.entriesListed = true
-		if d.knownSince.IsZero() {
-			d.knownSince = now
-		}
+		d.noteList(now)
 		d.applyEndpointEvents(now, d.registrar.Replace(now, e.Entries))
 	case EntryPut:
 		d.applyEndpointEvents(now, d.registrar.Put(e.Entry))
@@ -189,7 +187,7 @@
 	case CrashesObserved:
 		d.isolator.Merge(now, e.Crashes)
 	case OriginsLearned:
-		d.learnOrigins(now, e.List)
+		d.learnOrigins(now, e.List, e.From)
 	case ViewRestored:
 		d.restoreView(now)
 	case TableMissing:
@@ -297,8 +295,8 @@
 
 func (d *Director) confirmView(now, at time.Time) {
 	if at.After(d.confirmedAt) {
-		d.noteGap(now, at)
 		d.confirmedAt = at
+		d.placeAsking(now)
 	}
 	d.endOutage(now)
 }
--- a/internal/director/origin_test.go
+++ b/internal/director/origin_test.go
@@ -89,14 +89,14 @@
 			if told {
 				learner = other
 			}
-			learner.post(OriginsLearned(announced))
+			learner.post(OriginsLearned{List: announced.List})
 			sent := other.takeUp(id, fmt.Sprint("r", id))
 			if !told {
 				c.Check(sent, qt.Equals, "")
 				asked, _ := find[AskOrigin](other.effects)
 				reply, known := informed.Origin(informed.now, asked.Key, asked.Service)
 				c.Assert(known, qt.IsTrue)
-				other.post(OriginsLearned{[]encoder.Origin{reply}})
+				other.post(OriginsLearned{List: []encoder.Origin{reply}})
 				sent = other.sentTo()
 			}
 			c.Check(sent, qt.Equals, version)
@@ -166,13 +166,15 @@
 	c := qt.New(t)
 	n := newNodeWithVersions("1", "1", "1")
 	n.now = n.now.Add(5 * time.Second)
+	n.post(EntriesListed{n.entries("model")})
 	n.post(ViewConfirmed{n.now})
 	c.Check(n.takeUp(1, "x"), qt.Equals, "")
 	asked, _ := find[AskOrigin](n.effects)
 	informed := newNodeWithVersions("1", "1", "1")
+	informed.advance(5 * time.Second)
 	reply, known := informed.Origin(informed.now, asked.Key, asked.Service)
 	c.Check(known && reply.Sole, qt.IsTrue)
-	n.post(OriginsLearned{[]encoder.Origin{reply}})
+	n.post(OriginsLearned{List: []encoder.Origin{reply}})
 	c.Check(n.sentTo(), qt.Equals, "1")
 	n.advance(time.Minute)
 	c.Check(n.takeUp(2, "x"), qt.Equals, "1")
@@ -187,7 +189,7 @@
 	}
 	c.Check(key(&a), qt.Not(qt.Equals), key(&b))
 	n := newNodeWithVersions("1", "2", "2")
-	n.post(OriginsLearned{[]encoder.Origin{{Key: key(&a), Version: "1"}}})
+	n.post(OriginsLearned{List: []encoder.Origin{{Key: key(&a), Version: "1"}}})
 	c.Check(n.takeUp(1, "r1"), qt.Equals, "")
 }
 
@@ -208,6 +210,14 @@
 	}
 	n.post(TableLoaded{definition(2, "model")})
 	c.Check(n.takeUp(1, "x"), qt.Equals, "1")
+	outdated := newNodeWithVersions("1", "1", "1")
+	outdated.post(TableLoaded{definition(2, "model")})
+	outdated.now = outdated.now.Add(time.Second)
+	outdated.takeUp(1, "x")
+	outdated.post(TableLoaded{definition(3, "desk")})
+	outdated.post(ViewConfirmed{outdated.now})
+	c.Check(outdated.sentTo(), qt.Equals, "")
+	c.Check(outdated.tickUntilRefused().Reason, qt.Equals, ReasonVersionUnknown)
 	n.post(TableLoaded{definition(3, "desk")})
 	n.takeUp(2, "x")
 	_, sent := find[Dispatch](n.effects)
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -98,9 +99,19 @@
 	// have this key, so that nothing can be recorded under it.
 	stream uint64
 	named  bool
-	// askedAt and askUntil are, for a request that waits for what other nodes know
-	// of its stream, when they were last asked and how long it waits.
-	askedAt, askUntil time.Time
+	// takenUpAt is when a request arrived that takes a stream up again. askedAt is,
+	// while it waits for what other nodes know of the stream, when they or the store
+	// were last asked.
+	takenUpAt, askedAt time.Time
+	// severalVersions reports whether another node knows of several versions that can
+	// have begun the stream. soleAt holds the other nodes that know of one only, and
+	// which one.
+	severalVersions bool
+	soleAt          map[netip.Addr]string
+	// soleVersion is the only version that was in use until soleUntil, according to
+	// another node. soleUntil is zero if none has answered so.
+	soleVersion string
+	soleUntil   time.Time
 	// callerGone reports whether the caller has disconnected, and ended whether the
 	// attempt in progress was cancelled at the end of a shutdown.
 	callerGone, ended bool
--- a/internal/director/version_test.go
+++ b/internal/director/version_test.go
@@ -78,7 +78,7 @@
 func TestTakeUpAtFullEndpointsIsToldToWait(t *testing.T) {
 	c := qt.New(t)
 	n := newNodeWithVersions("1", "2", "2")
-	n.post(OriginsLearned{[]encoder.Origin{{Key: streamKey(&request{account: &router.Account{Name: "club"}, service: &service{name: "model"}}, "x"), Version: "1"}}})
+	n.post(OriginsLearned{List: []encoder.Origin{{Key: streamKey(&request{account: &router.Account{Name: "club"}, service: &service{name: "model"}}, "x"), Version: "1"}}})
 	c.Assert(n.takeUp(1, "x"), qt.Equals, "1")
 	refused, _ := find[Refuse](n.post(AttemptFinished{ID: 1, Result: Declined}))
 	c.Check(refused.Status, qt.Equals, 503)
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -54,9 +54,10 @@
 	Crashes      func() []encoder.Crash
 	MergeCrashes func([]encoder.Crash)
 	// Origin returns the version at which a stream of a service has begun, if the
-	// node knows it. LearnOrigins is called with what other nodes know.
+	// node knows it. LearnOrigins is called with what another node knows, and its
+	// address.
 	Origin       func(key uint64, service string) (encoder.Origin, bool)
-	LearnOrigins func([]encoder.Origin)
+	LearnOrigins func(list []encoder.Origin, from netip.Addr)
 	Logger       Logger
 	// Clock returns the time on the clock that the node's decisions use.
 	Clock func() time.Time
@@ -180,7 +181,7 @@
 
 			continue
 		case *encoder.Origins:
-			x.opts.LearnOrigins(m.List)
+			x.opts.LearnOrigins(m.List, from.Addr().Unmap())
 
 			continue
 		case *encoder.OriginQuery:
--- a/internal/exchanger/origin_test.go
+++ b/internal/exchanger/origin_test.go
@@ -30,7 +30,9 @@
 	refused chan struct{}
 
 	// mu is held by the callbacks like the lock of a forwarder.
-	mu    sync.Mutex
+	mu sync.Mutex
+	// from is the address of the node that has sent the last origins.
+	from  netip.Addr
 	known map[uint64]encoder.Origin
 }
 
@@ -55,14 +57,22 @@
 	return o, ok
 }
 
-func (n *node) learn(list []encoder.Origin) {
+func (n *node) learn(list []encoder.Origin, from netip.Addr) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.from = from
 	for _, o := range list {
 		n.learned <- o
 	}
 }
 
+func (n *node) lastSender() netip.Addr {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.from
+}
+
 // receive returns the next origin that the node learns.
 func (n *node) receive(c *qt.C) encoder.Origin {
 	select {
@@ -165,8 +175,10 @@
 	nodes[1].Ask(3, "chat")
 	nodes[1].Ask(1, "chat")
 	c.Check(nodes[1].receive(c), qt.Equals, local)
+	c.Check(nodes[1].lastSender(), qt.Equals, nodes[0].opts.Address.Addr())
 	nodes[1].Ask(2, "chat")
 	c.Check(nodes[1].receive(c), qt.Equals, foreign)
+	c.Check(nodes[1].lastSender(), qt.Equals, nodes[2].opts.Address.Addr())
 	c.Check(nodes[1].learned, qt.HasLen, 0)
 }
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"snipedyke/internal/director"
 	"snipedyke/internal/logger"
 	"snipedyke/internal/registrar"
@@ -148,6 +150,10 @@
 	// which the store counts as rebuilt. A node makes one call at a time, so a
 	// late answer is a single one, and the calls take about 5 s.
 	maxOlderAnswers = 15
+	// confirmCallTimeout bounds a call that confirms the view on request, and
+	// confirmInterval is the time from its end to the next one.
+	confirmCallTimeout = 400 * time.Millisecond
+	confirmInterval    = 10 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a repeated failure.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
@@ -196,18 +202,24 @@
 	centresOut map[string]bool
 	// failures is the number of consecutive failed calls.
 	failures int
+	// confirmRequested receives a value when the view must be confirmed by a call
+	// that begins after that.
+	confirmRequested chan struct{}
 }
 
 // New returns a Follower. Run starts it.
 func New(opts Options) *Follower {
 	return &Follower{
 		opts: opts, itemRevisions: map[string]uint64{}, centresOut: map[string]bool{},
-		wake: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), confirmRequested: make(chan struct{}, 1),
 	}
 }
 
 // Run keeps the shared view up to date until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { f.confirmOnRequest(ctx) })
 	for ctx.Err() == nil {
 		if f.relayIsFresh() {
 			select {
@@ -307,13 +319,20 @@
 // the changes: until they are in force, keys that they withdraw must not be
 // accepted again.
 func (f *Follower) confirm(at time.Time) {
-	f.relayed = false
 	if at.After(f.confirmed) {
 		f.confirmed = at
 	}
 	f.opts.Post(director.ViewConfirmed{At: at})
 }
 
+// setUnrelayed records that the node has read the view itself since it last relied on
+// another node.
+func (f *Follower) setUnrelayed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relayed = false
+}
+
 // call makes a call of the source. When ctx ends, it returns without waiting for
 // the call, since a source may be unable to cancel it.
 func call(ctx context.Context, makeCall func() (View, error)) (View, error) {
@@ -350,15 +369,10 @@
 	if len(view.Changes) == 0 && f.opts.Clock().Sub(sent) >= wait {
 		sent = sent.Add(wait)
 	}
-	f.mu.Lock()
-	err = f.checkEra(view)
-	current := err == nil && view.Era == f.era
+	current, err := f.applyWatch(view, sent)
 	if current {
-		f.endOutage()
-		f.applyChanges(view)
-		f.confirm(sent)
+		f.setUnrelayed()
 	}
-	f.mu.Unlock()
 	if current && len(view.Changes) > 0 {
 		// Changes come in bursts, and each call to the store has a cost.
 		sleep(ctx, batchDelay)
@@ -367,6 +381,23 @@
 	return err
 }
 
+// applyWatch applies the answer of a watch that was sent at the given time, or whose
+// answer shows that the view was complete then. It reports whether the answer is of
+// the present era.
+func (f *Follower) applyWatch(view View, sent time.Time) (current bool, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	err = f.checkEra(view)
+	current = err == nil && view.Era == f.era
+	if current {
+		f.endOutage()
+		f.applyChanges(view)
+		f.confirm(sent)
+	}
+
+	return current, err
+}
+
 // updateByList reads a full list and applies it. sent is the present time.
 func (f *Follower) updateByList(ctx context.Context, sent time.Time) error {
 	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -380,6 +411,7 @@
 	repeated := err == nil && f.listed
 	if err == nil && (!repeated || view.Era != f.era || view.Revision >= f.revision) {
 		f.applyList(view)
+		f.relayed = false
 		f.confirm(sent)
 	}
 	f.mu.Unlock()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -58,6 +58,9 @@
 	// forwarder, and must not keep the list. Either may be nil.
 	AnnounceOrigins func([]encoder.Origin)
 	AskOrigin       func(key uint64, service string)
+	// ConfirmView starts a read of the changes of the shared view, which is followed
+	// by director.ViewConfirmed. It must not block and may be nil.
+	ConfirmView func()
 }
 
 const (
@@ -238,6 +241,10 @@
 		if f.opts.AskOrigin != nil {
 			f.opts.AskOrigin(e.Key, e.Service)
 		}
+	case director.ConfirmView:
+		if f.opts.ConfirmView != nil {
+			f.opts.ConfirmView()
+		}
 	case director.Log:
 		f.opts.Logger.Event(e.Event, e.Args...)
 	case director.Count:
--- a/internal/pinner/versions.go
+++ b/internal/pinner/versions.go
@@ -49,6 +49,16 @@
 	return version, count == 1
 }
 
+// Several reports whether the service has had endpoints of more than one version
+// within the given time.
+func (v *Versions) Several(now time.Time, within time.Duration) bool {
+	if _, sole := v.Sole(now, within); sole {
+		return false
+	}
+
+	return len(v.endpoints)+len(v.removedAt) > 1
+}
+
 // List returns the versions of the present endpoints in no particular order.
 func (v *Versions) List() []string {
 	list := make([]string, 0, len(v.endpoints))
--- a/pkg/encoder/load.go
+++ b/pkg/encoder/load.go
@@ -162,7 +162,11 @@
 	// Sole reports whether Version is that of all endpoints that can have begun
 	// the stream. Otherwise it was recorded when the stream began.
 	Sole bool `msg:"s"`
-	// Age is the time since the origin was recorded in milliseconds.
+	// Several reports whether endpoints of several versions can have begun the
+	// stream, so that Version is unknown.
+	Several bool `msg:"n"`
+	// Age is the time since the origin was recorded in milliseconds, or the age of
+	// the sender's view if it was not.
 	Age uint32 `msg:"a"`
 }
 
--- a/pkg/encoder/load_gen.go
+++ b/pkg/encoder/load_gen.go
@@ -1447,8 +1447,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Key, err = dc.ReadUint64()
@@ -1466,6 +1466,11 @@
 		err = msgp.WrapError(err, "Sole")
 		return
 	}
+	z.Several, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Several")
+		return
+	}
 	z.Age, err = dc.ReadUint32()
 	if err != nil {
 		err = msgp.WrapError(err, "Age")
@@ -1476,8 +1481,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Origin) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -1496,6 +1501,11 @@
 		err = msgp.WrapError(err, "Sole")
 		return
 	}
+	err = en.WriteBool(z.Several)
+	if err != nil {
+		err = msgp.WrapError(err, "Several")
+		return
+	}
 	err = en.WriteUint32(z.Age)
 	if err != nil {
 		err = msgp.WrapError(err, "Age")
@@ -1507,11 +1517,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Origin) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendUint64(o, z.Key)
 	o = msgp.AppendString(o, z.Version)
 	o = msgp.AppendBool(o, z.Sole)
+	o = msgp.AppendBool(o, z.Several)
 	o = msgp.AppendUint32(o, z.Age)
 	return
 }
@@ -1524,8 +1535,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Key, bts, err = msgp.ReadUint64Bytes(bts)
@@ -1543,6 +1554,11 @@
 		err = msgp.WrapError(err, "Sole")
 		return
 	}
+	z.Several, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Several")
+		return
+	}
 	z.Age, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Age")
@@ -1554,7 +1570,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Origin) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Version) + msgp.BoolSize + msgp.Uint32Size
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Version) + msgp.BoolSize + msgp.BoolSize + msgp.Uint32Size
 	return
 }
 
