Bound the memory of all messages of a process

Other operators reported an endpoint that sent bytes without end until the node that had called it ran out of memory.

The smallest machine has 112 MB.

Change: a budget over bodies and events, a quarter of the process's memory. The largest incomplete message gives way (event 742, counter routed_memory_cuts, refusal reason memory). Callers' bodies are read as streams, and another quarter bounds the number of their connections. The soak has endpoints that send without end and checks the memory of the processes.

--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -117,7 +117,7 @@
 		Director: directorOptions(s),
 		Protocol: opts.Protocol, Logger: n.logger, Meter: routedMeter{n.exporter}, Callers: s.Callers, Clock: opts.Clock,
 		MaxBodyBytes: maxRequestBody, MaxHeaderBytes: maxRequestHeader,
-		MaxConnections: max(s.Descriptors-reservedDescriptors, minConnections), MaxIdleConnections: min(maxIdleConnections, s.Descriptors/4),
+		MaxConnections: maxConnections(s), MemoryBudget: memoryShare(s), MaxIdleConnections: min(maxIdleConnections, s.Descriptors/4),
 		GracePeriod: s.Grace, AnnounceOrigins: n.announceOrigins, AskOrigin: n.askOrigin, ConfirmView: n.confirmView,
 	})
 	if err != nil {
@@ -215,9 +215,26 @@
 	n.logger.Event(logger.SettingsRejected, "error", err.Error())
 }
 
-// minConnections is the minimum limit of callers' connections. It applies even if
-// the limit of file descriptors is too low for it.
-const minConnections = 128
+const (
+	// minConnections is the minimum limit of callers' connections. It applies even if
+	// the limits of file descriptors or of memory are too low for it.
+	minConnections = 128
+	// memoryShares is the number of shares into which the process's memory is divided.
+	// Messages may take up one, and connections another one. The rest is for the
+	// program, its other state and memory that has not been collected.
+	memoryShares = 4
+	// connectionBytes is the memory of a caller's connection: its buffers, which hold
+	// request heads, and the stacks of its goroutines.
+	connectionBytes = 32 << 10
+)
+
+// memoryShare returns the size of a share of the process's memory in bytes.
+func memoryShare(s configurer.Routing) int { return s.Memory << 20 / memoryShares }
+
+// maxConnections returns the maximum number of callers' connections.
+func maxConnections(s configurer.Routing) int {
+	return max(min(s.Descriptors-reservedDescriptors, memoryShare(s)/connectionBytes), minConnections)
+}
 
 // CallerAddr returns the address that callers connect to.
 func (n *RoutingNode) CallerAddr() netip.AddrPort { return n.forwarder.Addr() }
@@ -287,6 +304,10 @@
 	write("endpoints_leaving", float64(s.Leaving))
 	write("endpoints_paused", float64(s.Paused))
 	write("endpoints_displaced", float64(s.Displaced))
+	memory := n.forwarder.Memory()
+	write("memory_budget_bytes", float64(memory.Limit))
+	write("memory_budget_used_bytes", float64(memory.Used))
+	write("memory_budget_peak_bytes", float64(memory.Peak))
 	write("requests", float64(s.Requests))
 	write("requests_waiting", float64(s.Waiting))
 }
@@ -314,6 +335,8 @@
 		return exporter.RoutedNotices
 	case director.CounterTakeUps:
 		return exporter.RoutedTakeUps
+	case director.CounterCuts:
+		return exporter.RoutedCuts
 	default:
 		return reducer.Counter(c)
 	}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -347,6 +347,9 @@
 	// CounterTakeUps counts the streams that callers take up again, by where their
 	// versions are known from.
 	CounterTakeUps Counter = "take_ups"
+	// CounterCuts counts the messages that gave way because the memory budget was used
+	// up, by what they were.
+	CounterCuts Counter = "memory_cuts"
 )
 
 // LabelReplaced is the label of CounterRetries for an attempt that was given up
@@ -379,13 +382,15 @@
 	// ReasonVersionUnknown is that no node knows the version at which a stream began
 	// that its caller takes up again.
 	ReasonVersionUnknown Reason = "version_unknown"
+	// ReasonMemory is that the memory budget has no room for the body of the request.
+	ReasonMemory Reason = "memory"
 )
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	ReasonNotReady, ReasonNoRoute, ReasonNoKey, ReasonStaleView, ReasonTooLarge, ReasonMalformed,
 	ReasonNoEndpoint, ReasonOverload, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmful,
-	ReasonPaused, ReasonLeaving, ReasonVersionGone, ReasonVersionUnknown,
+	ReasonPaused, ReasonLeaving, ReasonVersionGone, ReasonVersionUnknown, ReasonMemory,
 }
 
 // Results lists all results.
--- a/internal/exporter/exporter.go
+++ b/internal/exporter/exporter.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"snipedyke/internal/budgeter"
 	"snipedyke/internal/director"
 	"snipedyke/internal/reducer"
 )
@@ -42,6 +43,7 @@
 	RoutedAttempts reducer.Counter = "routed_attempts"
 	RoutedNotices  reducer.Counter = "routed_notices"
 	RoutedTakeUps  reducer.Counter = "routed_take_ups"
+	RoutedCuts     reducer.Counter = "routed_memory_cuts"
 )
 
 // labelNames maps each counter to the name of its label, and initialValues to
@@ -61,6 +63,7 @@
 		RoutedAttempts:           "result",
 		RoutedNotices:            "notice",
 		RoutedTakeUps:            "source",
+		RoutedCuts:               "content",
 	}
 	initialValues = map[reducer.Counter][]string{
 		reducer.CounterRefusals:  reasonNames(),
@@ -74,6 +77,7 @@
 		RoutedAttempts:           routedResultNames(),
 		RoutedNotices:            director.NoticeLabels,
 		RoutedTakeUps:            director.TakeUpLabels,
+		RoutedCuts:               contentNames(),
 	}
 	// perClass lists the counters whose initial time series are also created
 	// for each class.
@@ -95,6 +99,15 @@
 	return names
 }
 
+func contentNames() []string {
+	names := make([]string, 0, len(budgeter.Contents))
+	for _, c := range budgeter.Contents {
+		names = append(names, string(c))
+	}
+
+	return names
+}
+
 func routedResultNames() []string {
 	names := make([]string, 0, len(director.Results))
 	for _, r := range director.Results {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"snipedyke/internal/budgeter"
 	"snipedyke/internal/director"
 	"snipedyke/internal/dispatcher"
 	"snipedyke/internal/router"
@@ -87,6 +88,9 @@
 	stream *eventReader
 	// firstEvents holds the first events of the stream.
 	firstEvents []byte
+	// holding accounts for the memory of the response, or of the events of a stream. It
+	// is nil before that is read.
+	holding *budgeter.Holding
 	// lastRead is the time at which events were last read, or the start of the
 	// attempt.
 	lastRead time.Time
@@ -114,6 +118,7 @@
 		_ = a.conn.Close()
 		a.conn = nil
 	}
+	a.holding.Release()
 	if a.resp != nil {
 		_ = a.resp.CloseBodyStream()
 		fasthttp.ReleaseResponse(a.resp)
@@ -127,6 +132,10 @@
 // failureResult returns the result for an error that occurred after the write
 // began, and records the error as the cause.
 func (a *attempt) failureResult(err error) director.Result {
+	if a.holding.Cut() {
+		// The connection was closed for that.
+		err = budgeter.ErrExhausted
+	}
 	a.finished.Cause = err.Error()
 	if a.givenUp || isTimeout(err) || errors.Is(err, fasthttp.ErrTimeout) {
 		return director.TimedOut
@@ -365,7 +374,8 @@
 		return a.failureResult(errNoFrame)
 	}
 	a.releaseConn()
-	a.call.response, a.resp = a.resp, nil
+	a.call.setResponse(a.resp, a.holding)
+	a.resp, a.holding = nil, nil
 
 	return director.Answered
 }
@@ -404,17 +414,28 @@
 	if a.withoutBody() {
 		return nil
 	}
-	chunked := a.resp.Header.ContentLength() == -1
-	if err := a.resp.ReadBody(a.conn.br, maxResponseBytes); err != nil {
+	a.hold(budgeter.Response)
+	a.resp.StreamBody = true
+	if err := a.resp.ReadBody(a.conn.br, 0); err != nil {
 		return err
 	}
-	if chunked {
-		return a.resp.Header.ReadTrailer(a.conn.br)
+	body, err := budgeter.ReadAll(a.resp.BodyStream(), a.resp.Header.ContentLength(), maxResponseBytes, a.holding)
+	if err = errors.Join(err, a.resp.CloseBodyStream()); err != nil {
+		return err
 	}
+	a.resp.SetBodyRaw(body)
+	a.resp.Header.SetContentLength(len(body))
 
 	return nil
 }
 
+// hold begins to account for memory of the response.
+func (a *attempt) hold(content budgeter.Content) {
+	a.holding.Release()
+	conn := a.conn
+	a.holding = a.call.f.budget.Hold(content, func() { _ = conn.Close() })
+}
+
 // releaseConn returns the connection to the pool after a complete response, or
 // closes it if the endpoint asked for that.
 func (a *attempt) releaseConn() {
@@ -443,7 +464,8 @@
 	if err := a.resp.ReadBody(a.conn.br, 0); err != nil {
 		return a.failureResult(err)
 	}
-	stream := &eventReader{r: a.resp.BodyStream(), order: order}
+	a.hold(budgeter.Event)
+	stream := &eventReader{r: a.resp.BodyStream(), order: order, holding: a.holding}
 	events, err := stream.next()
 	if err != nil {
 		return a.failureResult(err)
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"snipedyke/internal/budgeter"
 	"snipedyke/internal/director"
 )
 
@@ -34,8 +35,12 @@
 	order eventOrder
 	// mediaType is the content type of a streamed response.
 	mediaType string
-	// response is the complete response of the last attempt, or nil.
-	response *fasthttp.Response
+	// response is the complete response of the last attempt, or nil, and
+	// responseHolding accounts for its body.
+	response        *fasthttp.Response
+	responseHolding *budgeter.Holding
+	// requestHolding accounts for the body of the request.
+	requestHolding *budgeter.Holding
 
 	mu sync.Mutex
 	// endpointConn is the connection that cancel closes, or nil.
@@ -63,7 +68,16 @@
 		f: f, id: f.lastID.Add(1), attemptID: metadata.AttemptID, effects: make(chan director.Effect, 2),
 		conn: ctx.Conn().(*callerConn), req: fasthttp.AcquireRequest(),
 	}
+	body, err := c.readRequestBody(ctx)
+	if err != nil {
+		c.requestHolding.Release()
+		fasthttp.ReleaseRequest(c.req)
+		f.handleReadError(ctx, err)
+
+		return
+	}
 	ctx.Request.CopyTo(c.req)
+	c.req.SetBodyRaw(body)
 	f.prepare(c.req)
 	f.mu.Lock()
 	f.calls[c.id] = c
@@ -71,7 +85,7 @@
 	c.conn.watch(func() { f.Post(director.CallerDisconnected{ID: c.id}) })
 	f.Post(director.Arrived{Request: director.Request{
 		ID: c.id, Name: metadata.AttemptID, Continues: metadata.Continues, Resumes: metadata.Resumes, Key: metadata.APIKey, Deadline: metadata.Deadline, Need: metadata.Need,
-		Body: len(ctx.Request.Body()),
+		Body: len(body),
 		Host: hostName(ctx.Request.Header.Host()), Path: rawPath(ctx.Request.Header.RequestURI()),
 	}})
 	if !c.run(ctx) {
@@ -79,6 +93,41 @@
 	}
 }
 
+// fieldTooLarge marks a request whose body exceeds the limit. It is never forwarded.
+const fieldTooLarge = "Snipedyke-Body-Too-Large"
+
+// checkBodyLength marks a request whose announced body exceeds the limit, so that it
+// is refused before any of the body is awaited.
+func (f *Forwarder) checkBodyLength(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	h.Del(fieldTooLarge)
+	if h.ContentLength() > f.opts.MaxBodyBytes {
+		h.Set(fieldTooLarge, "1")
+		h.SetContentLength(0)
+	}
+
+	return fasthttp.RequestConfig{}
+}
+
+// readRequestBody reads the body of the caller's request.
+func (c *call) readRequestBody(ctx *fasthttp.RequestCtx) ([]byte, error) {
+	conn := c.conn.Conn
+	c.requestHolding = c.f.budget.Hold(budgeter.Request, func() { _ = conn.SetReadDeadline(expiredDeadline) })
+	if len(ctx.Request.Header.Peek(fieldTooLarge)) > 0 {
+		return nil, budgeter.ErrTooLarge
+	}
+	stream := ctx.RequestBodyStream()
+	if stream == nil {
+		return nil, nil
+	}
+	body, err := budgeter.ReadAll(stream, ctx.Request.Header.ContentLength(), c.f.opts.MaxBodyBytes, c.requestHolding)
+	if c.requestHolding.Cut() {
+		err = budgeter.ErrExhausted
+	}
+	c.requestHolding.Complete(nil)
+
+	return body, err
+}
+
 // hostName returns the value of a Host field without the port.
 func hostName(field []byte) string {
 	name, _, _ := bytes.Cut(field, []byte{':'})
@@ -126,6 +175,8 @@
 	c.f.mu.Lock()
 	delete(c.f.calls, c.id)
 	c.f.mu.Unlock()
+	c.requestHolding.Release()
+	c.setResponse(nil, nil)
 	fasthttp.ReleaseRequest(c.req)
 }
 
@@ -159,12 +210,43 @@
 	}
 }
 
-// relayResponse sends a complete response to the caller.
+// setResponse replaces the complete response, which may be nil.
+func (c *call) setResponse(resp *fasthttp.Response, holding *budgeter.Holding) {
+	if c.response != nil {
+		fasthttp.ReleaseResponse(c.response)
+	}
+	c.responseHolding.Release()
+	c.response, c.responseHolding = resp, holding
+}
+
+// relayResponse sends a complete response to the caller. Its memory is accounted for
+// until it is written.
 func (c *call) relayResponse(ctx *fasthttp.RequestCtx) {
 	copyHeader(&ctx.Response.Header, &c.response.Header)
-	ctx.Response.SetBody(c.response.Body())
-	fasthttp.ReleaseResponse(c.response)
-	c.response = nil
+	body := c.response.Body()
+	if len(body) <= budgeter.FreeBytes {
+		ctx.Response.SetBodyRaw(body)
+	} else {
+		conn := c.conn.Conn
+		c.responseHolding.Complete(func() { _ = conn.Close() })
+		ctx.Response.SetBodyStream(&heldBody{Reader: bytes.NewReader(body), holding: c.responseHolding}, len(body))
+		c.responseHolding = nil
+	}
+	c.setResponse(nil, nil)
+}
+
+// heldBody is the body of a response that is released when it has been written.
+type heldBody struct {
+	*bytes.Reader
+	holding *budgeter.Holding
+}
+
+// Close implements io.Closer. The HTTP server calls it after the last Read, even if
+// the caller has disconnected.
+func (b *heldBody) Close() error {
+	b.holding.Release()
+
+	return nil
 }
 
 // copyHeader copies the status and the end-to-end header fields.
@@ -252,6 +334,11 @@
 func (f *Forwarder) handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
+	case errors.Is(err, budgeter.ErrExhausted):
+		f.opts.Meter.Count(director.Count{Counter: director.CounterRefusals, Label: string(director.ReasonMemory)})
+		writeError(ctx, http.StatusServiceUnavailable, director.ReasonMemory, memoryRetryAfter)
+	case errors.Is(err, budgeter.ErrTooLarge):
+		writeError(ctx, http.StatusRequestEntityTooLarge, director.ReasonTooLarge, 0)
 	case errors.As(err, &small):
 		writeError(ctx, http.StatusRequestHeaderFieldsTooLarge, director.ReasonTooLarge, 0)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"snipedyke/internal/budgeter"
 )
 
 // maxEventBytes is the maximum size of one event of a stream.
@@ -18,6 +20,8 @@
 	returned int
 	// order checks the events. It includes those returned by next.
 	order eventOrder
+	// holding accounts for buf.
+	holding *budgeter.Holding
 	// err is the error of the last read from r. A read that returns data may fail
 	// as well, and the next one need not fail again.
 	err error
@@ -47,7 +51,9 @@
 			return nil, io.ErrShortBuffer
 		}
 		if cap(e.buf)-len(e.buf) < minReadBytes {
-			e.buf = append(make([]byte, 0, 2*cap(e.buf)+minReadBytes), e.buf...)
+			if err := e.grow(); err != nil {
+				return nil, err
+			}
 		}
 		if e.err == nil {
 			var n int
@@ -66,6 +72,17 @@
 	}
 }
 
+// grow replaces the buffer by one of twice its capacity.
+func (e *eventReader) grow() error {
+	size := 2*cap(e.buf) + minReadBytes
+	if err := e.holding.Resize(cap(e.buf) + size); err != nil {
+		return err
+	}
+	e.buf = append(make([]byte, 0, size), e.buf...)
+
+	return e.holding.Resize(size)
+}
+
 // minReadBytes is the minimum free space in the buffer for a read.
 const minReadBytes = 512
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"snipedyke/internal/acceptor"
+	"snipedyke/internal/budgeter"
 	"snipedyke/internal/director"
 	"snipedyke/internal/logger"
 	"snipedyke/pkg/encoder"
@@ -51,6 +52,9 @@
 	MaxBodyBytes, MaxHeaderBytes, MaxConnections int
 	// MaxIdleConnections is the maximum number of idle connections to endpoints.
 	MaxIdleConnections int
+	// MemoryBudget is the number of bytes that the bodies of requests and responses and
+	// the events of streams may take up together. It must be positive.
+	MemoryBudget int
 	// GracePeriod is the maximum duration of a graceful shutdown.
 	GracePeriod time.Duration
 	// AnnounceOrigins tells other nodes at which versions streams have begun, and
@@ -80,7 +84,10 @@
 	// readTimeout limits the time to read a request, and idleTimeout the time
 	// between two requests on a connection.
 	readTimeout = 10 * time.Second
-	idleTimeout = 60 * time.Second
+	// memoryRetryAfter is the retry delay of callers whose requests do not fit into the
+	// memory budget. Messages that are too large have given way by then.
+	memoryRetryAfter = time.Second
+	idleTimeout      = 60 * time.Second
 )
 
 // Forwarder is a node that serves routed requests. Its methods are safe for
@@ -90,6 +97,7 @@
 	listener     *listener
 	server       *fasthttp.Server
 	pool         *pool
+	budget       *budgeter.Budget
 	lastID       atomic.Uint64
 	shuttingDown atomic.Bool
 	// streamIdleTimeout is the constant of that name, or shorter in tests.
@@ -112,12 +120,15 @@
 		opts: opts, pool: newPool(opts.MaxIdleConnections), director: director.New(opts.Director), calls: map[uint64]*call{}, streamIdleTimeout: streamIdleTimeout,
 		listener: &listener{Listener: acceptor.New(ln, "callers", opts.Logger), conns: map[*callerConn]struct{}{}},
 	}
+	f.budget = budgeter.New(budgeter.Options{Limit: opts.MemoryBudget, Clock: opts.Clock, OnCut: f.noteCut})
 	f.server = &fasthttp.Server{
 		Handler:                      f.serve,
 		ErrorHandler:                 f.handleReadError,
 		ConnState:                    func(conn net.Conn, s fasthttp.ConnState) { conn.(*callerConn).setServerState(s) },
 		ReadBufferSize:               opts.MaxHeaderBytes,
 		MaxRequestBodySize:           opts.MaxBodyBytes,
+		StreamRequestBody:            true,
+		HeaderReceived:               f.checkBodyLength,
 		Concurrency:                  opts.MaxConnections,
 		ReadTimeout:                  readTimeout,
 		IdleTimeout:                  idleTimeout,
@@ -131,6 +142,16 @@
 	return f, nil
 }
 
+// noteCut logs and counts a message that had to give way because the memory budget was
+// used up.
+func (f *Forwarder) noteCut(content budgeter.Content, bytes int) {
+	f.opts.Logger.Event(logger.MessageCut, "content", string(content), "bytes", bytes, "limit", f.opts.MemoryBudget)
+	f.opts.Meter.Count(director.Count{Counter: director.CounterCuts, Label: string(content)})
+}
+
+// Memory returns the use of the memory budget.
+func (f *Forwarder) Memory() budgeter.Usage { return f.budget.Usage() }
+
 // discardLogger discards the log lines of the HTTP server, which report closed
 // connections. Everything that concerns a request is logged as an event.
 type discardLogger struct{}
--- a/internal/forwarder/framing_test.go
+++ b/internal/forwarder/framing_test.go
@@ -133,7 +133,7 @@
 			}()
 			body := strings.Repeat("x", 8<<20)
 			e := &endpoint{addr: ln.Addr().(*net.TCPAddr).AddrPort()}
-			call := startWith(t, func(f *Forwarder) { f.server.MaxRequestBodySize = len(body) }, e).dial(c)
+			call := startWith(t, func(f *Forwarder) { f.opts.MaxBodyBytes = len(body) }, e).dial(c)
 			call.send("POST", test.path, "r1", body)
 			resp, _, err := call.receive()
 			c.Assert(err, qt.IsNil)
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -198,7 +198,7 @@
 			Name: "n", KeyLease: time.Hour, FreshView: time.Hour, AssumedNodes: 1, RetryWindow: time.Minute, RetrySlack: 1000, ColdSlack: 1,
 		},
 		Protocol: protocol{}, Logger: discardSink{}, Meter: discardSink{}, Callers: netip.MustParseAddrPort("127.0.0.1:0"),
-		Clock: time.Now, MaxBodyBytes: 1 << 20, MaxHeaderBytes: 8 << 10, MaxConnections: 100, MaxIdleConnections: 100, GracePeriod: 30 * time.Second,
+		Clock: time.Now, MaxBodyBytes: 1 << 20, MaxHeaderBytes: 8 << 10, MaxConnections: 100, MaxIdleConnections: 100, MemoryBudget: 256 << 20, GracePeriod: 30 * time.Second,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/forwarder/silence_test.go
+++ b/internal/forwarder/silence_test.go
@@ -96,7 +96,7 @@
 		<-silent
 	})
 	body := strings.Repeat("x", 8<<20)
-	call := startWith(t, func(f *Forwarder) { f.opts.Logger, f.server.MaxRequestBodySize = silent, len(body) }, e).dial(c)
+	call := startWith(t, func(f *Forwarder) { f.opts.Logger, f.opts.MaxBodyBytes = silent, len(body) }, e).dial(c)
 	call.send("POST", "/quick/x", "r1", body)
 	resp, _, err := call.receive()
 	c.Assert(err, qt.IsNil)
@@ -111,7 +111,7 @@
 	c := qt.New(t)
 	e := newSlowReader(t, func() { <-time.After(2 * time.Second) })
 	body := strings.Repeat("x", 8<<20)
-	call := startWith(t, func(f *Forwarder) { f.server.MaxRequestBodySize = len(body) }, e).dial(c)
+	call := startWith(t, func(f *Forwarder) { f.opts.MaxBodyBytes = len(body) }, e).dial(c)
 	call.send("POST", "/unsafe/x", "r1", body)
 	resp, _, err := call.receive()
 	c.Assert(err, qt.IsNil)
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -81,6 +81,7 @@
 	StreamTakenUp      = 732
 	AttemptMisdirected = 740
 	EndpointDisplaced  = 741
+	MessageCut         = 742
 )
 
 // Definition describes a log event.
@@ -170,6 +171,7 @@
 	{StreamTakenUp, hclog.Info, "caller takes a stream up again", []string{"request", "resumes", "route", "service", "version", "source", "serving"}},
 	{AttemptMisdirected, hclog.Info, "attempt answered by another endpoint", []string{"request", "route", "endpoint", "address", "answered", "known", "leaving"}},
 	{EndpointDisplaced, hclog.Info, "endpoint displaced by another one at its address", []string{"endpoint", "service", "address", "holder"}},
+	{MessageCut, hclog.Warn, "message cut off because the memory budget is used up", []string{"content", "bytes", "limit"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -157,10 +157,13 @@
 func (s *Soaker) injectServerFault(length time.Duration) {
 	server := s.randomServer()
 	f := standin.Faults{}
-	switch s.rng.IntN(4) {
+	switch s.rng.IntN(5) {
 	case 0:
 		f.Break = 0.5
 		s.markAllCuts(length)
+	case 4:
+		f.Endless = 0.5
+		s.markAllCuts(length)
 	case 1:
 		f.Decline = 0.7
 	case 2:
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -71,6 +72,8 @@
 	service       = "desk"
 	host          = "soak.example"
 	peerPort      = 7300
+	// nodeMemory is the memory of a node in megabytes. No process may exceed it.
+	nodeMemory = 112
 )
 
 // node is a node of the fleet, whose process is restarted when it ends.
@@ -208,8 +211,8 @@
 	return fmt.Sprintf(`{"name": "node-%d", "centre": "c%d", "regions": [{"centre": "c0", "region": "r"}, {"centre": "c1", "region": "r"}],
  "callers": "%s", "readiness": "%s:%d", "peers": "%s:%d", "seeds": ["%s:1"], "store": "%s",
  "withdrawal": "5s", "grace": "%s", "cold": {"factor": 1.5, "slack": 5},
- "retries": {"window": "10s", "ratio": 0.2, "slack": 52}, "memory": 256, "descriptors": 4096}`,
-		n.index, n.index%2, n.callerAddr, n.addr, peerPort+2, n.addr, peerPort, first, n.storeProxy.Addr(), shutdownGrace)
+ "retries": {"window": "10s", "ratio": 0.2, "slack": 52}, "memory": %d, "descriptors": 4096}`,
+		n.index, n.index%2, n.callerAddr, n.addr, peerPort+2, n.addr, peerPort, first, n.storeProxy.Addr(), shutdownGrace, nodeMemory)
 }
 
 // publishManifest writes a new version of the manifest to the store. The
@@ -338,6 +341,7 @@
 	to := time.Now()
 	close(stop)
 	wg.Wait()
+	s.checkMemory()
 	r := Result{Faults: s.faultCount, TakeUps: s.history.TakeUps(), Violations: s.history.Check()}
 	s.history.mu.Lock()
 	r.Attempts, r.Runs = len(s.history.outcomes), len(s.history.runs)
@@ -350,6 +354,26 @@
 	return r, nil
 }
 
+// checkMemory checks the highest memory use of the processes. Where the system does not
+// state it, nothing is checked.
+func (s *Soaker) checkMemory() {
+	for _, n := range s.nodes {
+		n.mu.Lock()
+		pid := n.cmd.Process.Pid
+		n.mu.Unlock()
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+		if err != nil {
+			// The process has just ended and is started again.
+			continue
+		}
+		_, field, _ := strings.Cut(string(status), "VmHWM:")
+		kilobytes := 0
+		if _, err := fmt.Sscan(field, &kilobytes); err == nil && kilobytes > nodeMemory<<10 {
+			s.history.AddViolation("node %d used %d MB of memory, more than %d", n.index, kilobytes>>10, nodeMemory)
+		}
+	}
+}
+
 // shutDown kills the processes of the nodes and closes proxies and servers.
 func (s *Soaker) shutDown() {
 	s.mu.Lock()
