Let less urgent requests leave room instead of refusing them

Cause: after one urgent request was refused, every less urgent request of the service was refused for a second, at whatever engine. Ruled out: the learned prefill rate, and asking all engines (docs/decisions/load.md).

Change: for that second, a less urgent request is admitted where it leaves room for another one like the refused. The logged cause is the one that decided.

--- a/internal/director/overload_test.go
+++ b/internal/director/overload_test.go
@@ -116,3 +116,39 @@
 	}
 	c.Check(send("/chat/", 100), qt.IsFalse)
 }
+
+// Guards against refusing less urgent requests beside engines that are nearly idle,
+// because of one more urgent request that another engine has refused (pawbin-ops, a
+// burst of long prompts on engines that have cached nothing).
+func TestLessUrgentRequestsRunBesideIdleEngines(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	id := uint64(0)
+	send := func(path string, tokens int) bool {
+		id++
+		n.post(Arrived{Request{
+			ID: id, Name: fmt.Sprint(id), Host: "h", Path: path, Key: "key", Deadline: 5 * time.Second,
+			Need: chooser.Need{PromptTokens: tokens},
+		}})
+		_, sent := find[Dispatch](n.effects)
+
+		return sent
+	}
+	// The engines prefill 30 tokens per millisecond. Chats are refused while a burst
+	// of them is prefilled.
+	c.Assert(send("/chat/", 1800), qt.IsTrue)
+	n.post(ResponseStarted{ID: id, Wait: 60 * time.Millisecond})
+	burst := id + 1
+	for send("/chat/", 9000) {
+		c.Assert(id < 100, qt.IsTrue)
+	}
+	end := id
+	n.now = n.now.Add(500 * time.Millisecond)
+	_, refused := find[Refuse](n.post(Ticked{}))
+	c.Assert(refused, qt.IsTrue)
+	for id := burst; id < end; id++ {
+		n.post(ResponseStarted{ID: id, Wait: 300 * time.Millisecond})
+		n.post(AttemptFinished{ID: id, Result: Answered, Status: 200, Took: 400 * time.Millisecond, Relayed: true})
+	}
+	c.Check(send("/draft/", 2700), qt.IsTrue, qt.Commentf("all engines are idle"))
+}
--- a/internal/director/refusal.go
+++ b/internal/director/refusal.go
@@ -1,7 +1,6 @@
 package director
 
 import (
-	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -35,10 +34,9 @@
 // fail ends a request without an answer from an endpoint. The status of the
 // refusal states whether the request may have run.
 func (d *Director) fail(now time.Time, req *request, reason Reason) {
-	if reason == ReasonOverload && req.rejectedBy != nil {
-		req.service.shedder.RecordRefusal(now, req.class())
-		req.lastCause = fmt.Sprintf("engine %s: %.0f prompt tokens to prefill, estimated to take %s; %d requests running",
-			req.rejectedBy.entry.ID, req.rejectedBy.load.PrefillTokens(), req.service.estimator.PrefillTime(req.rejectedBy.load.PrefillTokens()), req.rejectedBy.load.Running())
+	if reason == ReasonOverload && req.rejection != "" {
+		req.service.shedder.RecordRefusal(now, req.class(), req.demand())
+		req.lastCause = req.rejection
 	}
 	status := http.StatusServiceUnavailable
 	switch {
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"fmt"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -80,8 +81,8 @@
 	// timeToFirstByte is the time from arrival to the first byte of the answer,
 	// and longestPause is the longest pause between two events.
 	timeToFirstByte, longestPause time.Duration
-	// rejectedBy is the engine that did not admit the request, or nil.
-	rejectedBy *endpoint
+	// rejection is why the preferred engine did not admit the request, or empty.
+	rejection string
 	// lastCause describes why the last attempt failed, for the log.
 	lastCause string
 	// started reports whether a streamed answer has begun, and relayed whether any
@@ -252,9 +253,7 @@
 		return
 	}
 	if d.engineOf(req) != nil && !req.relayed {
-		preferred := e
 		if e = d.admit(now, req, e); e == nil {
-			req.rejectedBy = preferred
 			if !req.wasQueued {
 				req.service.splitter.NoteRefusal(now, req.Need)
 			}
@@ -278,61 +277,101 @@
 	return isolated
 }
 
-// admit returns the engine that admits a request, or nil. If a request belongs
-// to the more urgent group and its own engines cannot admit it in time, it
-// goes to an engine of the other group or else to one of its own, where it
-// lengthens the pauses. For a short prompt, a free slot is enough, as engines
-// prefill it before less urgent ones.
+// admit returns the engine that admits a request, or nil. e is the preferred one.
+// If it cannot admit the request in time, another engine of its group does. If the
+// request belongs to the more urgent group and none of them can, it goes to an engine
+// of the other group or else to one of its own, where it lengthens the pauses. For a
+// short prompt, a free slot is enough, as engines prefill it before less urgent ones.
 func (d *Director) admit(now time.Time, req *request, e *endpoint) *endpoint {
 	if req.pinned && d.hasSlot(req, e) {
 		// Part of the stream has been generated already.
 		return e
 	}
-	if req.service.shedder.Yields(now, req.class()) {
-		return nil
-	}
-	gap := req.route.MaxPause
-	if req.Need.Long() {
-		// Prefilling a long prompt takes longer than any pause limit on its own.
-		gap = 0
-	}
-	if d.admits(req, e, gap) {
+	gap := req.demand().Gap
+	cause := d.rejects(now, req, e, gap)
+	if cause == "" {
 		return e
 	}
-	splitter := &req.service.splitter
+	if other := d.admitElsewhere(now, req, e, gap); other != nil {
+		return other
+	}
+	tokens := e.load.PrefillTokens()
+	req.rejection = fmt.Sprintf("engine %s: %s; %.0f prompt tokens to prefill, estimated to take %s; %d requests running",
+		e.entry.ID, cause, tokens, req.service.estimator.PrefillTime(tokens), e.load.Running())
+
+	return nil
+}
+
+// admitElsewhere returns the engine that admits a request which its preferred engine e
+// does not admit, or nil.
+func (d *Director) admitElsewhere(now time.Time, req *request, e *endpoint, gap time.Duration) *endpoint {
+	splitter, slots := &req.service.splitter, d.engineOf(req).Slots
 	if !splitter.Urgent(req.Need) {
 		return nil
 	}
 	var spillover *endpoint
-	if other := splitter.ChooseSpillover(req.Need, d.engineOf(req).Slots, d.candidates(now, req)); other != nil {
+	if other := splitter.ChooseSpillover(req.Need, slots, d.candidates(now, req)); other != nil {
 		spillover = d.endpoints[other.ID]
 	}
 	switch {
-	case spillover != nil && d.admits(req, spillover, gap):
+	case spillover != nil && d.rejects(now, req, spillover, gap) == "":
 		return spillover
-	case d.admits(req, e, 0):
+	case d.rejects(now, req, e, 0) == "":
 		return e
 	case req.Need.Long():
 		return nil
-	case spillover != nil && d.hasSlot(req, spillover):
+	case spillover != nil && d.hasSlot(req, spillover) && d.leavesRoom(now, req, spillover):
 		return spillover
-	case d.hasSlot(req, e):
+	case d.hasSlot(req, e) && d.leavesRoom(now, req, e):
 		return e
 	default:
 		return nil
 	}
 }
 
+// demand returns what the request needs of an engine. Prefilling a long prompt takes
+// longer than any limit of pauses on its own.
+func (r *request) demand() admitter.Demand {
+	demand := admitter.Demand{Target: r.route.LatencyTarget, Gap: r.route.MaxPause}
+	if r.Need.Long() {
+		demand.Gap = 0
+	}
+
+	return demand
+}
+
 // hasSlot reports whether an engine has a free slot for a request, or frees one
 // in time.
 func (d *Director) hasSlot(req *request, e *endpoint) bool {
 	return req.service.estimator.HasSlot(e.load.Running(), d.engineOf(req).Slots, req.route.LatencyTarget)
 }
 
-// admits reports whether an engine can admit a request without pauses longer
-// than gap.
-func (d *Director) admits(req *request, e *endpoint, gap time.Duration) bool {
-	return req.service.estimator.Admit(e.load.PrefillTokens(), req.route.LatencyTarget, gap) && d.hasSlot(req, e)
+// leavesRoom reports whether an engine that takes a request would still admit one like
+// the more urgent ones that were refused recently.
+func (d *Director) leavesRoom(now time.Time, req *request, e *endpoint) bool {
+	reserved, yields := req.service.shedder.Reserved(now, req.class())
+	if !yields {
+		return true
+	}
+	estimator := &req.service.estimator
+
+	return estimator.HasSlot(e.load.Running()+1, d.engineOf(req).Slots, reserved.Target) &&
+		estimator.Admit(e.load.PrefillTokens()+req.Need.PrefillTokens(), reserved.Target, reserved.Gap)
+}
+
+// rejects returns why an engine cannot admit a request without pauses longer than gap,
+// or an empty string if it can.
+func (d *Director) rejects(now time.Time, req *request, e *endpoint, gap time.Duration) string {
+	switch {
+	case !d.hasSlot(req, e):
+		return "no slot in time"
+	case !req.service.estimator.Admit(e.load.PrefillTokens(), req.route.LatencyTarget, gap):
+		return "prefill takes too long"
+	case !d.leavesRoom(now, req, e):
+		return "no room beside more urgent requests"
+	default:
+		return ""
+	}
 }
 
 // choose returns the endpoint for a request, or nil, and the endpoint that
