Keep unexpected errors and stops of one part from ending others

Cause: nothing caught a panic, so one fault in the handling of a message ended the process. Closing the listener reset connections that callers had established. Comments without events kept a stalled stream alive, and a route's own pauses were not considered when a stream counted as stalled.

Change: a panic ends the request or message concerned (event 743, reason internal). Established connections are accepted before the listener closes. Only events count as signs of life of a stream, and a stream is awaited for at least twice the pause that its route allows.

--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -25,6 +25,7 @@
 	"snipedyke/internal/exporter"
 	"snipedyke/internal/follower"
 	"snipedyke/internal/forwarder"
+	"snipedyke/internal/guarder"
 	"snipedyke/internal/logger"
 	"snipedyke/internal/reducer"
 	"snipedyke/pkg/encoder"
@@ -269,13 +270,22 @@
 // serveHTTP serves requests until the listener is closed.
 func (n *RoutingNode) serveHTTP(l net.Listener, handler fasthttp.RequestHandler) {
 	server := fasthttp.Server{
-		Handler: handler, ReadTimeout: httpReadTimeout, NoDefaultServerHeader: true, Logger: hclog.NewNullLogger().StandardLogger(&hclog.StandardLoggerOptions{}),
+		Handler:     func(ctx *fasthttp.RequestCtx) { n.guard(ctx, handler) },
+		ReadTimeout: httpReadTimeout, NoDefaultServerHeader: true, Logger: hclog.NewNullLogger().StandardLogger(&hclog.StandardLoggerOptions{}),
 	}
 	// Serve returns once Run has closed the listener at shutdown. Run logs the
 	// shutdown itself.
 	_ = server.Serve(l)
 }
 
+// guard calls a handler and responds with status 500 if it fails unexpectedly.
+func (n *RoutingNode) guard(ctx *fasthttp.RequestCtx, handler fasthttp.RequestHandler) {
+	if !guarder.Run(n.logger, "readiness or metrics", func() { handler(ctx) }) {
+		ctx.Response.Reset()
+		ctx.SetStatusCode(http.StatusInternalServerError)
+	}
+}
+
 // handleReadiness responds with status 200 if the node is ready, and with 503
 // otherwise.
 func (n *RoutingNode) handleReadiness(ctx *fasthttp.RequestCtx) {
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -160,6 +160,8 @@
 		d.handleNotice(now, e)
 	case AttemptFinished:
 		d.handleFinished(now, e)
+	case RequestLost:
+		d.dropRequest(e.ID)
 	case CallerDisconnected:
 		d.handleDisconnect(e.ID)
 	case Ticked:
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -82,6 +82,9 @@
 	InvalidPause string
 }
 
+// RequestLost reports that a request has ended because of an unexpected error.
+type RequestLost struct{ ID uint64 }
+
 // AttemptFinished reports the end of an attempt. Each Dispatch is followed by
 // exactly one AttemptFinished.
 type AttemptFinished struct {
@@ -218,6 +221,7 @@
 func (AttemptStalled) event()     {}
 func (EndpointNoticed) event()    {}
 func (AttemptFinished) event()    {}
+func (RequestLost) event()        {}
 func (CallerDisconnected) event() {}
 func (Ticked) event()             {}
 func (TableLoaded) event()        {}
@@ -382,6 +386,8 @@
 	// ReasonVersionUnknown is that no node knows the version at which a stream began
 	// that its caller takes up again.
 	ReasonVersionUnknown Reason = "version_unknown"
+	// ReasonInternal is that an unexpected error has ended the request.
+	ReasonInternal Reason = "internal"
 	// ReasonMemory is that the memory budget has no room for the body of the request.
 	ReasonMemory Reason = "memory"
 )
@@ -390,7 +396,7 @@
 var Reasons = []Reason{
 	ReasonNotReady, ReasonNoRoute, ReasonNoKey, ReasonStaleView, ReasonTooLarge, ReasonMalformed,
 	ReasonNoEndpoint, ReasonOverload, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmful,
-	ReasonPaused, ReasonLeaving, ReasonVersionGone, ReasonVersionUnknown, ReasonMemory,
+	ReasonPaused, ReasonLeaving, ReasonVersionGone, ReasonVersionUnknown, ReasonMemory, ReasonInternal,
 }
 
 // Results lists all results.
--- a/internal/director/refusal.go
+++ b/internal/director/refusal.go
@@ -105,6 +105,18 @@
 	delete(d.requests, req.ID)
 }
 
+// dropRequest removes a request that has ended without the director's doing.
+func (d *Director) dropRequest(id uint64) {
+	req := d.requests[id]
+	if req == nil {
+		return
+	}
+	d.release(req)
+	d.releaseReservation(req)
+	d.emit(Count{Counter: CounterRefusals, Label: string(ReasonInternal)})
+	delete(d.requests, id)
+}
+
 // handleDisconnect cancels the attempt of a caller that has disconnected. A
 // request that may run only once continues, because its effect may still be
 // wanted.
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"snipedyke/internal/aggregator"
+	"snipedyke/internal/guarder"
 	"snipedyke/internal/logger"
 	"snipedyke/pkg/encoder"
 )
@@ -113,10 +114,10 @@
 
 			return
 		case <-ticker.C:
-			x.sendUpdates()
+			guarder.Run(x.opts.Logger, "updates to other nodes", x.sendUpdates)
 			if now := x.opts.Clock(); now.Sub(last) >= aggregator.Interval {
 				last = now
-				x.sendFullSums()
+				guarder.Run(x.opts.Logger, "sums to other nodes", x.sendFullSums)
 			}
 		}
 	}
@@ -133,28 +134,35 @@
 	x.origins.update()
 	change := x.opts.LoadChange()
 	x.mu.Lock()
+	defer x.mu.Unlock()
 	x.send(x.aggregator.Update(x.opts.Clock(), change))
-	x.mu.Unlock()
 }
 
 func (x *Exchanger) sendFullSums() {
 	load, view, crashes := x.opts.Load(), x.opts.View(), x.opts.Crashes()
+	isSpeaker, others := x.tick(load, view, crashes)
+	x.opts.SetSpeaker(isSpeaker)
+	x.opts.SetOthersLoad(others)
+}
+
+// tick sends full sums. It reports whether the node is the speaker of others, and
+// returns the load of all other nodes.
+func (x *Exchanger) tick(load encoder.LoadSum, view aggregator.View, crashes []encoder.Crash) (isSpeaker bool, others encoder.LoadSum) {
 	x.mu.Lock()
+	defer x.mu.Unlock()
 	now := x.opts.Clock()
 	x.send(x.aggregator.Tick(now, load, view))
 	if len(crashes) > 0 {
 		x.send(x.aggregator.Announce(now, &encoder.Crashes{List: crashes}))
 	}
-	isSpeaker := x.aggregator.IsSpeaker(now)
-	others := x.aggregator.Others(now)
+	others = x.aggregator.Others(now)
 	nodes := int(others.Nodes) + 1
 	if nodes != x.nodes {
 		x.opts.Logger.Event(logger.NodeCountChanged, "nodes", nodes, "former", x.nodes)
 		x.nodes = nodes
 	}
-	x.mu.Unlock()
-	x.opts.SetSpeaker(isSpeaker)
-	x.opts.SetOthersLoad(others)
+
+	return x.aggregator.IsSpeaker(now), others
 }
 
 // receive handles messages until the socket is closed.
@@ -169,48 +177,71 @@
 			// The destination of an earlier message had no listener.
 			continue
 		}
-		m, err := encoder.Decode(buf[:n])
-		if err != nil {
-			x.opts.Logger.Event(logger.MessageRejected, "from", from.String(), "error", err.Error())
+		guarder.Run(x.opts.Logger, "message of another node", func() { x.handle(buf[:n], from) })
+	}
+}
 
-			continue
-		}
-		switch m := m.(type) {
-		case *encoder.Crashes:
-			x.opts.MergeCrashes(m.List)
+// handle decodes and applies a message.
+func (x *Exchanger) handle(data []byte, from netip.AddrPort) {
+	m, err := encoder.Decode(data)
+	if err != nil {
+		x.opts.Logger.Event(logger.MessageRejected, "from", from.String(), "error", err.Error())
 
-			continue
-		case *encoder.Origins:
-			x.opts.LearnOrigins(m.List, from.Addr().Unmap())
+		return
+	}
+	switch m := m.(type) {
+	case *encoder.Crashes:
+		x.opts.MergeCrashes(m.List)
+	case *encoder.Origins:
+		x.opts.LearnOrigins(m.List, from.Addr().Unmap())
+	case *encoder.OriginQuery:
+		x.answer(from.Addr().Unmap(), m)
+	default:
+		x.applyNews(x.aggregate(from.Addr().Unmap(), m))
+	}
+}
 
-			continue
-		case *encoder.OriginQuery:
-			x.answer(from.Addr().Unmap(), m)
+// news is what the aggregator has learned from a message.
+type news struct {
+	// others is the load of all other nodes if hasOthers is true, and changedLoads that
+	// at the endpoints where it has changed if hasChanges is.
+	others, changedLoads  encoder.LoadSum
+	hasOthers, hasChanges bool
+	// relayed is the view that the speaker has sent, if hasView is true.
+	relayed aggregator.RelayedView
+	hasView bool
+	tables  []aggregator.TableState
+}
 
-			continue
-		}
-		x.mu.Lock()
-		x.send(x.aggregator.Receive(x.opts.Clock(), from.Addr().Unmap(), m))
-		relayed, hasView := x.aggregator.Relayed()
-		tables := x.aggregator.TableStates()
-		digestReceived, others := x.aggregator.DigestReceived(), encoder.LoadSum{}
-		changedLoads, changed := x.aggregator.ChangedLoads(x.opts.Clock())
-		if digestReceived {
-			others = x.aggregator.Others(x.opts.Clock())
-		}
-		x.mu.Unlock()
-		switch {
-		case digestReceived:
-			x.opts.SetOthersLoad(others)
-		case changed:
-			x.opts.SetChangedLoads(changedLoads)
-		}
-		if hasView {
-			x.opts.SetRelayedView(relayed)
-		}
-		for _, t := range tables {
-			x.opts.CompareTable(t)
-		}
+// aggregate passes a message to the aggregator and sends the messages that follow.
+func (x *Exchanger) aggregate(from netip.Addr, m encoder.Message) news {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var n news
+	x.send(x.aggregator.Receive(x.opts.Clock(), from, m))
+	n.relayed, n.hasView = x.aggregator.Relayed()
+	n.tables = x.aggregator.TableStates()
+	n.hasOthers = x.aggregator.DigestReceived()
+	n.changedLoads, n.hasChanges = x.aggregator.ChangedLoads(x.opts.Clock())
+	if n.hasOthers {
+		n.others = x.aggregator.Others(x.opts.Clock())
+	}
+
+	return n
+}
+
+func (x *Exchanger) applyNews(n news) {
+	switch {
+	case n.hasOthers:
+		x.opts.SetOthersLoad(n.others)
+	case n.hasChanges:
+		x.opts.SetChangedLoads(n.changedLoads)
+	}
+	if n.hasView {
+		x.opts.SetRelayedView(n.relayed)
+	}
+	for _, t := range n.tables {
+		x.opts.CompareTable(t)
 	}
 }
 
--- a/internal/exchanger/origin.go
+++ b/internal/exchanger/origin.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"snipedyke/internal/aggregator"
+	"snipedyke/internal/guarder"
 	"snipedyke/internal/logger"
 	"snipedyke/pkg/encoder"
 )
@@ -142,16 +143,7 @@
 			if len(origins) == 0 && len(queries) == 0 {
 				break
 			}
-			for i := range queries {
-				x.mu.Lock()
-				x.send(x.aggregator.AskOrigin(x.opts.Clock(), &queries[i]))
-				x.mu.Unlock()
-			}
-			if len(origins) > 0 {
-				x.mu.Lock()
-				x.send(x.aggregator.AnnounceOrigins(x.opts.Clock(), origins))
-				x.mu.Unlock()
-			}
+			guarder.Run(x.opts.Logger, "origins to other nodes", func() { x.sendBatch(origins, queries) })
 			if len(origins) < originBatch && len(queries) < queryBatch {
 				continue
 			}
@@ -164,6 +156,18 @@
 	}
 }
 
+// sendBatch sends announcements and queries at once.
+func (x *Exchanger) sendBatch(origins []encoder.Origin, queries []encoder.OriginQuery) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for i := range queries {
+		x.send(x.aggregator.AskOrigin(x.opts.Clock(), &queries[i]))
+	}
+	if len(origins) > 0 {
+		x.send(x.aggregator.AnnounceOrigins(x.opts.Clock(), origins))
+	}
+}
+
 // answer replies to a query if the node knows the origin.
 func (x *Exchanger) answer(to netip.Addr, query *encoder.OriginQuery) {
 	origin, known := x.opts.Origin(query.Key, query.Service)
--- a/internal/follower/confirm.go
+++ b/internal/follower/confirm.go
@@ -1,6 +1,10 @@
 package follower
 
-import "context"
+import (
+	"context"
+
+	"snipedyke/internal/guarder"
+)
 
 // Confirm reads the changes of the store soon, in addition to the watch in progress,
 // so that the view is known to be complete as of a time after the call. It does not
@@ -21,7 +25,7 @@
 			return
 		case <-f.confirmRequested:
 		}
-		f.confirmNow(ctx)
+		guarder.Run(f.opts.Logger, "shared view", func() { f.confirmNow(ctx) })
 		sleep(ctx, confirmInterval)
 	}
 }
@@ -37,7 +41,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, confirmCallTimeout)
 	defer cancel()
-	view, err := call(callCtx, func() (View, error) { return f.opts.Source.Watch(callCtx, revision, 0) })
+	view, err := f.call(callCtx, func() (View, error) { return f.opts.Source.Watch(callCtx, revision, 0) })
 	if err != nil {
 		return
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"snipedyke/internal/director"
+	"snipedyke/internal/guarder"
 	"snipedyke/internal/logger"
 	"snipedyke/internal/registrar"
 	"snipedyke/internal/router"
@@ -30,6 +31,9 @@
 // earlier answer, or of none after one with an era.
 var errOlderEra = errors.New("follower: answer is of an older era of the store")
 
+// errUnexpected is the failure of a call whose answer could not be handled.
+var errUnexpected = errors.New("unexpected error")
+
 // Source reads the shared view.
 type Source interface {
 	// List returns all items, each as of Revision or later. The deadline of ctx
@@ -230,7 +234,8 @@
 
 			continue
 		}
-		err := f.update(ctx)
+		err := errUnexpected
+		guarder.Run(f.opts.Logger, "shared view", func() { err = f.update(ctx) })
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -335,15 +340,16 @@
 
 // call makes a call of the source. When ctx ends, it returns without waiting for
 // the call, since a source may be unable to cancel it.
-func call(ctx context.Context, makeCall func() (View, error)) (View, error) {
+func (f *Follower) call(ctx context.Context, makeCall func() (View, error)) (View, error) {
 	type result struct {
 		view View
 		err  error
 	}
 	done := make(chan result, 1)
 	go func() {
-		view, err := makeCall()
-		done <- result{view, err}
+		r := result{err: errUnexpected}
+		guarder.Run(f.opts.Logger, "answer of the store", func() { r.view, r.err = makeCall() })
+		done <- r
 	}()
 	select {
 	case r := <-done:
@@ -362,7 +368,7 @@
 	}
 	watchCtx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
-	view, err := call(ctx, func() (View, error) { return f.opts.Source.Watch(watchCtx, revision, wait) })
+	view, err := f.call(ctx, func() (View, error) { return f.opts.Source.Watch(watchCtx, revision, wait) })
 	if err != nil {
 		return err
 	}
@@ -402,24 +408,34 @@
 func (f *Follower) updateByList(ctx context.Context, sent time.Time) error {
 	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	view, err := call(ctx, func() (View, error) { return f.opts.Source.List(listCtx) })
+	view, err := f.call(ctx, func() (View, error) { return f.opts.Source.List(listCtx) })
 	if err != nil {
 		return err
 	}
+	repeated, err := f.handleList(view, sent)
+	if repeated {
+		sleep(ctx, min(max(f.opts.Clock().Sub(sent), batchDelay), maxListDelay))
+	}
+
+	return err
+}
+
+// handleList applies the answer of a list that was sent at the given time. It reports
+// whether the view had been listed before.
+func (f *Follower) handleList(view View, sent time.Time) (repeated bool, err error) {
 	f.mu.Lock()
-	err = f.checkEra(view)
-	repeated := err == nil && f.listed
-	if err == nil && (!repeated || view.Era != f.era || view.Revision >= f.revision) {
+	defer f.mu.Unlock()
+	if err := f.checkEra(view); err != nil {
+		return false, err
+	}
+	repeated = f.listed
+	if !repeated || view.Era != f.era || view.Revision >= f.revision {
 		f.applyList(view)
 		f.relayed = false
 		f.confirm(sent)
 	}
-	f.mu.Unlock()
-	if repeated {
-		sleep(ctx, min(max(f.opts.Clock().Sub(sent), batchDelay), maxListDelay))
-	}
 
-	return err
+	return repeated, nil
 }
 
 // applyList replaces the view by a full list. A list of another era may lack what
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -35,9 +35,11 @@
 	// earlyReadTimeout is the time in which a response is read that has arrived
 	// before the request was written.
 	earlyReadTimeout = 100 * time.Millisecond
-	// streamIdleTimeout is the time without an event after which a resumable
-	// stream is resumed at another endpoint if one can take over.
+	// streamIdleTimeout is the least time without an event after which a resumable
+	// stream is resumed at another endpoint if one can take over. idlePauses is that
+	// time in pauses that the route still counts as on time.
 	streamIdleTimeout = 1200 * time.Millisecond
+	idlePauses        = 2
 )
 
 // identityLength is the ContentLength of a response whose body ends with its
@@ -434,6 +436,7 @@
 	a.holding.Release()
 	conn := a.conn
 	a.holding = a.call.f.budget.Hold(content, func() { _ = conn.Close() })
+	a.call.attemptHolding = a.holding
 }
 
 // releaseConn returns the connection to the pool after a complete response, or
@@ -472,7 +475,7 @@
 	}
 	a.patience = 0
 	if a.dispatch.Route.Resumable {
-		a.patience = a.call.f.streamIdleTimeout
+		a.patience = max(a.call.f.streamIdleTimeout, idlePauses*a.dispatch.Route.MaxPause)
 	}
 	if a.call.f.opts.Clock().After(a.dispatch.Deadline) || a.extendDeadline() != nil {
 		return director.TimedOut
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -14,6 +14,7 @@
 
 	"snipedyke/internal/budgeter"
 	"snipedyke/internal/director"
+	"snipedyke/internal/guarder"
 )
 
 // call is a request in progress.
@@ -39,8 +40,9 @@
 	// responseHolding accounts for its body.
 	response        *fasthttp.Response
 	responseHolding *budgeter.Holding
-	// requestHolding accounts for the body of the request.
-	requestHolding *budgeter.Holding
+	// requestHolding accounts for the body of the request, and attemptHolding for what
+	// the last attempt has read.
+	requestHolding, attemptHolding *budgeter.Holding
 
 	mu sync.Mutex
 	// endpointConn is the connection that cancel closes, or nil.
@@ -50,8 +52,30 @@
 	givenUp bool
 }
 
-// serve handles one request.
+// serve handles one request. If an unexpected error ends it, only this request fails.
 func (f *Forwarder) serve(ctx *fasthttp.RequestCtx) {
+	c := &call{f: f, id: f.lastID.Add(1), effects: make(chan director.Effect, 2), conn: ctx.Conn().(*callerConn)}
+	if guarder.Run(f.opts.Logger, "request", func() { f.serveCall(ctx, c) }) {
+		return
+	}
+	c.lose()
+	c.finish()
+	// The request may have run.
+	ctx.Response.Reset()
+	writeError(ctx, http.StatusBadGateway, director.ReasonInternal, 0)
+	ctx.Response.Header.SetConnectionClose()
+}
+
+// lose ends the attempt in progress and the director's request after an unexpected
+// error.
+func (c *call) lose() {
+	c.cancel()
+	c.attemptHolding.Release()
+	c.f.Post(director.RequestLost{ID: c.id})
+}
+
+// serveCall handles one request.
+func (f *Forwarder) serveCall(ctx *fasthttp.RequestCtx, c *call) {
 	// The shutdown may begin while the request is in progress.
 	defer func() {
 		if f.shuttingDown.Load() {
@@ -64,10 +88,7 @@
 
 		return
 	}
-	c := &call{
-		f: f, id: f.lastID.Add(1), attemptID: metadata.AttemptID, effects: make(chan director.Effect, 2),
-		conn: ctx.Conn().(*callerConn), req: fasthttp.AcquireRequest(),
-	}
+	c.attemptID, c.req = metadata.AttemptID, fasthttp.AcquireRequest()
 	body, err := c.readRequestBody(ctx)
 	if err != nil {
 		c.requestHolding.Release()
@@ -171,13 +192,18 @@
 // end releases the call. For a streamed response, it runs when the body is
 // closed.
 func (c *call) end() {
+	c.finish()
+	fasthttp.ReleaseRequest(c.req)
+}
+
+// finish releases what the call holds except for its request.
+func (c *call) finish() {
 	c.conn.unwatch()
 	c.f.mu.Lock()
 	delete(c.f.calls, c.id)
 	c.f.mu.Unlock()
 	c.requestHolding.Release()
 	c.setResponse(nil, nil)
-	fasthttp.ReleaseRequest(c.req)
 }
 
 // run carries out effects until the request is answered. It reports whether the
--- a/internal/forwarder/callerconn.go
+++ b/internal/forwarder/callerconn.go
@@ -23,14 +23,25 @@
 	conns map[*callerConn]struct{}
 }
 
-// stop closes the listener. Connections serve their present request, or their
-// first one, and no further one.
-func (l *listener) stop() error {
+// maxDrain bounds the time in which connections that callers have established are
+// still accepted. Accepting takes that long only on a busy host.
+const maxDrain = time.Second
+
+// stop closes the listener after the connections that callers have established are
+// accepted. Connections serve their present request, or their first one, and no further
+// one.
+func (l *listener) stop() {
 	l.stopped.Store(true)
-
-	return l.Close()
+	if d, ok := l.Listener.(drainer); ok {
+		d.Drain(maxDrain)
+	} else {
+		_ = l.Close()
+	}
 }
 
+// drainer is a listener that accepts the connections that are waiting before it closes.
+type drainer interface{ Drain(limit time.Duration) }
+
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"snipedyke/internal/acceptor"
 	"snipedyke/internal/budgeter"
 	"snipedyke/internal/director"
+	"snipedyke/internal/guarder"
 	"snipedyke/internal/logger"
 	"snipedyke/pkg/encoder"
 )
@@ -191,7 +192,7 @@
 	f.shuttingDown.Store(true)
 	f.Post(director.ShutdownRequested{AnswerBy: f.opts.Clock().Add(f.opts.GracePeriod - exitMargin - answerMargin)})
 	time.Sleep(drainDelay)
-	_ = f.listener.stop()
+	f.listener.stop()
 	// A connection that has just been accepted may not be known to the listener
 	// before.
 	select {
@@ -217,8 +218,8 @@
 func (f *Forwarder) Post(e director.Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, effect := range f.director.Reduce(f.opts.Clock(), e) {
-		f.execute(effect)
+	if !guarder.Run(f.opts.Logger, "decision", func() { f.reduce(e) }) {
+		f.loseRequest(e)
 	}
 	if f.director.NeedsTick() && !f.ticking {
 		f.ticking = true
@@ -226,6 +227,47 @@
 	}
 }
 
+func (f *Forwarder) reduce(e director.Event) {
+	for _, effect := range f.director.Reduce(f.opts.Clock(), e) {
+		f.execute(effect)
+	}
+}
+
+// loseRequest ends the request of an event that could not be handled.
+func (f *Forwarder) loseRequest(e director.Event) {
+	id, ok := requestID(e)
+	if !ok {
+		return
+	}
+	guarder.Run(f.opts.Logger, "decision", func() { f.reduce(director.RequestLost{ID: id}) })
+	if c := f.calls[id]; c != nil {
+		select {
+		case c.effects <- director.Abort{ID: id, Reason: director.ReasonInternal}:
+		default:
+		}
+	}
+}
+
+// requestID returns the request of an event, and reports whether it has one.
+func requestID(e director.Event) (uint64, bool) {
+	switch e := e.(type) {
+	case director.Arrived:
+		return e.Request.ID, true
+	case director.ResponseStarted:
+		return e.ID, true
+	case director.AttemptStalled:
+		return e.ID, true
+	case director.EndpointNoticed:
+		return e.ID, true
+	case director.AttemptFinished:
+		return e.ID, true
+	case director.CallerDisconnected:
+		return e.ID, true
+	default:
+		return 0, false
+	}
+}
+
 func (f *Forwarder) tick() {
 	f.mu.Lock()
 	f.ticking = false
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -216,6 +216,7 @@
 			route("/safe/", router.Safe, false), route("/unsafe/", router.Unsafe, false),
 			withShortTimeout(route("/brief/", router.Unsafe, false)), withShortTarget(route("/quick/", router.Safe, false)),
 			route("/stream/", router.Stream, false), route("/resume/", router.Stream, true),
+			withLongPauses(route("/calm/", router.Stream, true)),
 		},
 		Accounts: []router.Account{{Name: "club"}}, Keys: map[string]string{"k": "club"},
 	})
@@ -243,6 +244,13 @@
 	return r
 }
 
+// withLongPauses returns the route with a pause that is longer than any test.
+func withLongPauses(r router.Route) router.Route {
+	r.MaxPause = longWait
+
+	return r
+}
+
 // withShortTarget returns the route with a short latency target.
 func withShortTarget(r router.Route) router.Route {
 	r.LatencyTarget = 10 * time.Millisecond
--- a/internal/forwarder/order.go
+++ b/internal/forwarder/order.go
@@ -16,6 +16,8 @@
 // the response is resumed at another endpoint: their IDs are numbers that
 // increase.
 type eventOrder struct {
+	// count is the number of events; comments are not counted.
+	count int
 	// last is the ID of the last event that had one, if numbered is set.
 	last     uint64
 	numbered bool
@@ -69,6 +71,7 @@
 		return errNotEvent
 	case !e.hasID:
 		o.unnumbered = true
+		o.count++
 
 		return nil
 	case !o.numbered:
@@ -78,6 +81,7 @@
 		o.gaps = true
 	}
 	o.last, o.numbered, o.resuming = e.id, true, false
+	o.count++
 
 	return nil
 }
--- a/internal/forwarder/silence_test.go
+++ b/internal/forwarder/silence_test.go
@@ -48,6 +48,62 @@
 	}
 }
 
+// Guards against a stalled stream that goes on to its time limit because its endpoint
+// sends comments now and then, although another endpoint can take over.
+func TestStreamOfCommentsIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	first := make(chan bool, 1)
+	first <- true
+	handle := func(conn net.Conn, r *http.Request) bool {
+		select {
+		case <-first:
+			stream(conn, r, events(1, 1))
+			for err := error(nil); err == nil; <-time.After(5 * time.Millisecond) {
+				_, err = io.WriteString(conn, "8\r\n: ping\n\n\r\n")
+			}
+
+			return false
+		default:
+		}
+		c.Check(r.Header.Get("Event"), qt.Equals, "1")
+		stream(conn, r, events(2, 3))
+		_, err := io.WriteString(conn, "0\r\n\r\n")
+
+		return err == nil
+	}
+	call := startWith(t, func(f *Forwarder) { f.streamIdleTimeout = 100 * time.Millisecond }, newEndpoint(t, handle), newEndpoint(t, handle)).dial(c)
+	call.send("POST", "/resume/x", "r1", "")
+	_, body, err := call.receive()
+	c.Assert(err, qt.IsNil)
+	c.Check(strings.ReplaceAll(body, ": ping\n\n", ""), qt.Equals, events(1, 3))
+}
+
+// Guards against cutting sound streams whose route allows longer pauses than the usual
+// ones.
+func TestStreamWithLongPausesIsAwaited(t *testing.T) {
+	c := qt.New(t)
+	silent := make(silenceSink)
+	paused := make(chan struct{})
+	e := newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+		stream(conn, r, events(1, 1))
+		select {
+		case <-silent:
+			c.Error("the stream was taken for a stalled one")
+		case <-paused:
+		}
+		chunk(conn, events(2, 2))
+		_, err := io.WriteString(conn, "0\r\n\r\n")
+
+		return err == nil
+	})
+	call := startWith(t, func(f *Forwarder) { f.opts.Logger, f.streamIdleTimeout = silent, time.Millisecond }, e).dial(c)
+	time.AfterFunc(50*time.Millisecond, func() { close(paused) })
+	call.send("POST", "/calm/x", "r1", "")
+	_, body, err := call.receive()
+	c.Assert(err, qt.IsNil)
+	c.Check(body, qt.Equals, events(1, 2))
+}
+
 // Guards against a caller that waits for a silent endpoint although another one
 // can take over, and against lost or duplicated events of its stream.
 func TestSilentEndpointIsReplaced(t *testing.T) {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"snipedyke/internal/director"
+	"snipedyke/internal/guarder"
 )
 
 // streamBody is the body of a streamed response. If an attempt fails, it
@@ -20,6 +21,8 @@
 	pending []byte
 	// err is the error with which the body ends, or nil.
 	err error
+	// count is the number of events at the last extension of the deadline.
+	count int
 	// sent reports whether Read has returned any events.
 	sent bool
 }
@@ -49,7 +52,10 @@
 		if b.err != nil {
 			return 0, b.err
 		}
-		b.fill()
+		if !guarder.Run(b.call.f.opts.Logger, "stream", b.fill) {
+			b.call.lose()
+			b.err = errAborted
+		}
 	}
 	n := copy(p, b.pending)
 	b.pending = b.pending[n:]
@@ -65,14 +71,18 @@
 // attempt.
 func (b *streamBody) fill() {
 	a := b.attempt
-	if a.patience > 0 {
-		// The next read returns any error of the connection.
+	if count := a.stream.order.count; a.patience > 0 && count != b.count {
+		// Comments do not show that the stream goes on. The next read returns any
+		// error of the connection.
+		b.count = count
 		_ = a.extendDeadline()
 	}
 	events, err := a.stream.next()
 	if err == nil {
-		now := time.Now()
-		a.finished.LongestPause, a.lastRead = max(a.finished.LongestPause, now.Sub(a.lastRead)), now
+		if a.stream.order.count != b.count {
+			now := time.Now()
+			a.finished.LongestPause, a.lastRead = max(a.finished.LongestPause, now.Sub(a.lastRead)), now
+		}
 		b.buffer(events)
 
 		return
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -82,6 +82,7 @@
 	AttemptMisdirected = 740
 	EndpointDisplaced  = 741
 	MessageCut         = 742
+	UnexpectedError    = 743
 )
 
 // Definition describes a log event.
@@ -172,6 +173,7 @@
 	{AttemptMisdirected, hclog.Info, "attempt answered by another endpoint", []string{"request", "route", "endpoint", "address", "answered", "known", "leaving"}},
 	{EndpointDisplaced, hclog.Info, "endpoint displaced by another one at its address", []string{"endpoint", "service", "address", "holder"}},
 	{MessageCut, hclog.Warn, "message cut off because the memory budget is used up", []string{"content", "bytes", "limit"}},
+	{UnexpectedError, hclog.Error, "unexpected error; the process goes on", []string{"where", "error", "stack"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
