Let members of a data centre call a store that is down less often

Cause: while the store does not answer, each node called it 2.5 times a second, and refused calls have a cost, too.

Change: a node that hears another one relay the view doubles its delay up to 1.6 s; the relaying node finds out when the store is back. A view of another era ends the delay, and answers of an older era do not extend it.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -161,6 +161,11 @@
 	// minRetryDelay and maxRetryDelay bound the delay after a repeated failure.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
+	// maxMemberRetryDelay replaces maxRetryDelay at a node that hears another one which
+	// relays the view, within relayTimeout. That node finds out when the store is back.
+	// Calls that fail have a cost, too, and a large fleet makes many.
+	maxMemberRetryDelay = 1600 * time.Millisecond
+	relayTimeout        = time.Second
 )
 
 // Follower keeps the shared view up to date. Its methods are safe for
@@ -185,6 +190,8 @@
 	// others.
 	relayConfirmed    time.Time
 	relayed, relaying bool
+	// relayHeard is the last time at which another node has relayed any view.
+	relayHeard time.Time
 	// history holds the latest changes, oldest first. It is complete for the
 	// revisions of the present era after historyStart.
 	history      []encoder.Item
@@ -266,7 +273,31 @@
 		return
 	}
 	f.opts.Post(director.ViewLost{Cause: err.Error()})
-	sleep(ctx, min(minRetryDelay*time.Duration(f.failures-1), maxRetryDelay))
+	select {
+	case <-ctx.Done():
+	case <-f.wake:
+		// The node that relays the view has one of another era.
+	case <-time.After(f.retryDelay(err)):
+	}
+}
+
+// retryDelay returns the delay after repeated failures. It grows linearly up to
+// maxRetryDelay, and is then doubled at a node that need not find out itself when the
+// store is back. Whether a store of an older era is the new one, each node finds out
+// itself.
+func (f *Follower) retryDelay(err error) time.Duration {
+	delay := minRetryDelay * time.Duration(f.failures-1)
+	if delay <= maxRetryDelay {
+		return delay
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.relaying || errors.Is(err, errOlderEra) || f.opts.Clock().Sub(f.relayHeard) >= relayTimeout {
+		return maxRetryDelay
+	}
+	doublings := f.failures - 1 - int(maxRetryDelay/minRetryDelay)
+
+	return min(maxRetryDelay<<min(doublings, 8), maxMemberRetryDelay)
 }
 
 // sleep waits for d or until ctx ends.
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -46,14 +46,17 @@
 func (s *fakeSource) next(ctx context.Context, call string, wait time.Duration) (View, error) {
 	s.mu.Lock()
 	s.calls = append(s.calls, call)
+	none := len(s.responses) == 0
+	var r response
+	if !none {
+		r, s.responses = s.responses[0], s.responses[1:]
+	}
 	s.mu.Unlock()
-	if len(s.responses) == 0 {
+	if none {
 		<-ctx.Done()
 
 		return View{}, ctx.Err()
 	}
-	r := s.responses[0]
-	s.responses = s.responses[1:]
 	if r.delay < 0 {
 		r.delay = wait
 	}
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -65,6 +65,7 @@
 func (f *Follower) ApplyRelayed(r aggregator.RelayedView) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.relayHeard = f.opts.Clock()
 	switch {
 	case !f.listed, r.Era < f.storeEra, r.Era == f.era && r.Revision < f.revision:
 		return
