--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -1,8 +1,10 @@
 package soaker
 
 import (
+	"errors"
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"syscall"
 	"time"
@@ -211,7 +213,18 @@
 	s.markAllCuts(time.Second)
 	server.Crash()
 	time.AfterFunc(expiryTime, func() { s.store.DeleteServer(server.ID()) })
-	s.recordPublishError(s.addServer(server.Addr()))
+	s.recordPublishError(s.addServerAgain(server.Addr()))
+}
+
+// addServerAgain starts a server at the address of one that has crashed, or at another
+// one if a connection of a node has taken the port meanwhile.
+func (s *Soaker) addServerAgain(addr netip.AddrPort) error {
+	err := s.addServer(addr)
+	if errors.Is(err, syscall.EADDRINUSE) {
+		return s.addServer(loopbackAnyPort)
+	}
+
+	return err
 }
 
 const (
