--- a/internal/director/origin.go
+++ b/internal/director/origin.go
@@ -70,8 +70,8 @@
 
 // Origin returns the version at which a stream of a service has begun, and reports
 // whether it is known. Without a record it returns the only version that was in use
-// up to the time of the view; its age is then that of the view. It also returns if
-// there were several.
+// up to the time of the view; its age is then that of the view. If there were several,
+// it returns that.
 func (d *Director) Origin(now time.Time, key uint64, name string) (encoder.Origin, bool) {
 	if o, ok := d.origins.Lookup(now, key); ok {
 		return o, true
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -278,10 +278,6 @@
 }
 
 // admit returns the engine that admits a request, or nil. e is the preferred one.
-// If it cannot admit the request in time, another engine of its group does. If the
-// request belongs to the more urgent group and none of them can, it goes to an engine
-// of the other group or else to one of its own, where it lengthens the pauses. For a
-// short prompt, a free slot is enough, as engines prefill it before less urgent ones.
 func (d *Director) admit(now time.Time, req *request, e *endpoint) *endpoint {
 	if req.pinned && d.hasSlot(req, e) {
 		// Part of the stream has been generated already.
@@ -303,7 +299,9 @@
 }
 
 // admitElsewhere returns the engine that admits a request which its preferred engine e
-// does not admit, or nil.
+// does not admit in time, or nil. A request of the more urgent group goes to an engine
+// of the other group or else to e, where it lengthens the pauses. For a short prompt, a
+// free slot is enough, as engines prefill it before less urgent ones.
 func (d *Director) admitElsewhere(now time.Time, req *request, e *endpoint, gap time.Duration) *endpoint {
 	splitter, slots := &req.service.splitter, d.engineOf(req).Slots
 	if !splitter.Urgent(req.Need) {
