--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -119,6 +119,8 @@
 	cmd := exec.Command(filepath.Join(d.root, "target/snipedyke"), "serve")
 	cmd.Dir, cmd.Stdout, cmd.Stderr = d.root, log, log
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "SNIPEDYKE_BOOT=" + n.settings}
+	// The process does not outlast the stand-in.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	startedMu.Lock()
 	must(cmd.Start())
 	started = append(started, cmd.Process)
