--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
+# Exits with 1 if the rule was broken, 0 if it history and 2 if the case could not run.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 [ -x "$root/target/review-standin" ] || { echo "run review/build.sh first"; exit 2; }
-exec "$root/target/review-standin" held "$root" "$here/record.txt"
+exec "$root/target/review-standin" history "$root" "$here/record.txt"
