Bound the history of the relayed view by bytes

Callers saw connections end without an answer: after about 210 versions of a routing table of 0.54 MB, a node that reads the store for its data centre used more memory than its host has, and was ended with its requests.

Cause: the history that is kept to be relayed held up to 512 changes of any size.

A message carries at most 32 KB of changes, so no more than that can ever be sent. The history now holds at most twice as many bytes, and keeps what fits in a message when it drops the rest.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -139,10 +139,12 @@
 	// relayCheckInterval is the time between two checks of a relayed view's
 	// age.
 	relayCheckInterval = 200 * time.Millisecond
-	// maxHistory bounds the number of items that are kept to be relayed, and
-	// maxRelaySize their bytes in one message.
-	maxHistory   = 512
-	maxRelaySize = 32 << 10
+	// maxRelaySize bounds the bytes of the items in one message. maxHistory bounds the
+	// number of items that are kept to be relayed, and maxHistorySize their bytes:
+	// after older items were dropped, as much as fits in a message is left.
+	maxRelaySize   = 32 << 10
+	maxHistory     = 512
+	maxHistorySize = 2 * maxRelaySize
 	// batchDelay is the pause after a watch with changes, so that the next
 	// watch returns several changes at once.
 	batchDelay = 200 * time.Millisecond
@@ -192,9 +194,11 @@
 	relayed, relaying bool
 	// relayHeard is the last time at which another node has relayed any view.
 	relayHeard time.Time
-	// history holds the latest changes, oldest first. It is complete for the
-	// revisions of the present era after historyStart.
+	// history holds the latest changes, oldest first, and historySize is the sum of
+	// their sizes. It is complete for the revisions of the present era after
+	// historyStart.
 	history      []encoder.Item
+	historySize  int
 	historyStart uint64
 	// listed reports whether a full list has been read.
 	listed bool
@@ -443,7 +447,7 @@
 		f.endOutage()
 	}
 	f.era, f.revision, f.listed, f.behind = view.Era, view.Revision, true, false
-	f.history, f.historyStart, f.relayConfirmed = nil, view.Revision, time.Time{}
+	f.history, f.historySize, f.historyStart, f.relayConfirmed = nil, 0, view.Revision, time.Time{}
 	clear(f.itemRevisions)
 	clear(f.centresOut)
 	var entries []registrar.Entry
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -1,6 +1,8 @@
 package follower
 
 import (
+	"slices"
+
 	"snipedyke/internal/aggregator"
 	"snipedyke/internal/director"
 	"snipedyke/pkg/encoder"
@@ -48,7 +50,7 @@
 	size, at := 0, end
 	for at > 0 && f.history[at-1].Revision > after {
 		at--
-		size += len(f.history[at].Key) + len(f.history[at].Data)
+		size += relaySize(f.history[at])
 	}
 	if size > maxRelaySize {
 		return nil, false
@@ -113,14 +115,26 @@
 	}
 }
 
-// appendHistory adds an item to the history, and drops the older half of it
-// when it is full.
+// appendHistory adds an item to the history. When the history holds too many items,
+// or more bytes than can be sent, it drops the oldest items until half of what is
+// allowed is left, or nothing if the item alone exceeds it.
 func (f *Follower) appendHistory(item encoder.Item) {
-	if n := len(f.history); n >= maxHistory {
-		// The rest is copied, as slices that changesBetween has returned may
-		// still be in use.
-		f.historyStart = f.history[n/2-1].Revision
-		f.history = append([]encoder.Item(nil), f.history[n/2:]...)
-	}
 	f.history = append(f.history, item)
+	f.historySize += relaySize(item)
+	if len(f.history) <= maxHistory && f.historySize <= maxHistorySize {
+		return
+	}
+	drop := 0
+	for drop < len(f.history) && (len(f.history)-drop > maxHistory/2 || f.historySize > maxHistorySize/2) {
+		f.historySize -= relaySize(f.history[drop])
+		f.historyStart = f.history[drop].Revision
+		drop++
+	}
+	// The rest is copied, as slices that changesBetween has returned may still be in
+	// use, and so that the dropped items can be freed.
+	f.history = slices.Clone(f.history[drop:])
 }
+
+// relaySize returns the number of bytes that an item takes in a message, without the
+// encoding.
+func relaySize(item encoder.Item) int { return len(item.Key) + len(item.Data) }
