Do not keep former routing tables for requests in progress

A request kept a pointer into the array of all routes of its table, so each version of a large table stayed in memory as long as any of its requests.

Routes, accounts and services are now allocated one by one, so that a request keeps its own only. TestRequestsDoNotKeepFormerTables failed before the change.

--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -171,11 +171,13 @@
 		services: make(map[string]*Service, len(d.Services)),
 		keys:     make(map[string]*Account, len(d.Keys)),
 	}
-	for i := range d.Services {
-		t.services[d.Services[i].Name] = &d.Services[i]
+	for _, service := range d.Services {
+		t.services[service.Name] = &service
 	}
-	for i := range d.Routes {
-		r := &d.Routes[i]
+	for _, route := range d.Routes {
+		// Each route is allocated by itself, since requests in progress keep theirs: a
+		// pointer into d.Routes would keep all routes of a former version.
+		r := &route
 		if err := t.validateRoute(r); err != nil {
 			return nil, err
 		}
@@ -186,9 +188,9 @@
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	accounts := make(map[string]*Account, len(d.Accounts))
-	for i := range d.Accounts {
-		accounts[d.Accounts[i].Name] = &d.Accounts[i]
-		if p := d.Accounts[i].Priority; p != nil {
+	for _, account := range d.Accounts {
+		accounts[account.Name] = &account
+		if p := account.Priority; p != nil {
 			t.accountPriorities = append(t.accountPriorities, *p)
 		}
 	}
--- a/internal/router/table_test.go
+++ b/internal/router/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"runtime"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -111,3 +112,31 @@
 	c.Check(table.Urgency(table.Route("a.example", "/"), &d.Accounts[0]), qt.Equals, 2)
 	c.Check(table.Urgency(table.Route("a.example", "/"), nil), qt.Equals, 2)
 }
+
+// Guards against requests in progress that keep the whole table of a former version in
+// memory, so that a series of changes of a large table uses up the memory of the host.
+func TestRequestsDoNotKeepFormerTables(t *testing.T) {
+	c := qt.New(t)
+	const routes, versions, allowed = 5000, 40, 4 << 20
+	heap := func() int64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+
+		return int64(m.HeapAlloc)
+	}
+	before := heap()
+	var kept []any
+	for range versions {
+		d := definition()
+		for i := range routes {
+			d.Routes = append(d.Routes, Route{Name: "r", Host: "b.example", Prefix: fmt.Sprintf("/%d/", i), Attempts: 1, Shares: []Share{{"old", 1}}})
+			d.Accounts = append(d.Accounts, Account{Name: fmt.Sprintf("account %d", i)})
+		}
+		table, err := New(d)
+		c.Assert(err, qt.IsNil)
+		kept = append(kept, table.Route("b.example", "/7/"), table.Account("k1"), table.Service("old"))
+	}
+	c.Check(heap()-before < allowed, qt.IsTrue)
+	runtime.KeepAlive(kept)
+}
