Bound the log lines that wait to be written by bytes

Up to 1,024 lines of any size waited for a blocked output, and a line may quote what others have sent. The queue now holds at most 1 MiB; lines beyond that are dropped and counted, as before when it was full.

TestBlockedOutputDoesNotUseUpTheMemory failed before the change.

--- a/internal/logger/queue.go
+++ b/internal/logger/queue.go
@@ -7,14 +7,21 @@
 	"time"
 )
 
-// maxQueuedLines is the maximum number of lines that wait to be written.
-const maxQueuedLines = 1024
+const (
+	// maxQueuedLines is the maximum number of lines that wait to be written.
+	maxQueuedLines = 1024
+	// maxQueuedBytes is the maximum size of these lines. A line may quote what others
+	// have sent, so the number of lines does not bound their memory.
+	maxQueuedBytes = 1 << 20
+)
 
 // AsyncWriter writes log lines in a goroutine of its own, so that callers never
-// wait for a blocked output. Lines are dropped while its queue is full.
+// wait for a blocked output. Lines that do not fit into its queue are dropped.
 type AsyncWriter struct {
-	lines     chan []byte
-	dropped   atomic.Uint64
+	lines chan []byte
+	// queuedBytes is the size of the lines that are queued or being written.
+	queuedBytes atomic.Int64
+	dropped     atomic.Uint64
 	done      chan struct{}
 	closeOnce sync.Once
 }
@@ -28,6 +35,7 @@
 		for line := range a.lines {
 			// A failure to write the log cannot be logged.
 			_, _ = w.Write(line)
+			a.queuedBytes.Add(-int64(len(line)))
 		}
 	}()
 
@@ -36,9 +44,17 @@
 
 // Write implements io.Writer. It never blocks and never fails.
 func (a *AsyncWriter) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if a.queuedBytes.Add(size) > maxQueuedBytes {
+		a.queuedBytes.Add(-size)
+		a.dropped.Add(1)
+
+		return len(line), nil
+	}
 	select {
 	case a.lines <- append([]byte(nil), line...):
 	default:
+		a.queuedBytes.Add(-size)
 		a.dropped.Add(1)
 	}
 
--- a/internal/logger/queue_test.go
+++ b/internal/logger/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -67,3 +68,29 @@
 		c.Check(strings.Contains(buf.String(), "lines=4950"), qt.IsTrue)
 	})
 }
+
+// Guards against a process that exceeds the memory of its host because the output is
+// blocked while long lines are written, which quote what others have sent.
+func TestBlockedOutputDoesNotUseUpTheMemory(t *testing.T) {
+	c := qt.New(t)
+	const size, lines, allowed = 100 << 10, 500, 8 << 20
+	out := &blockedWriter{release: make(chan struct{})}
+	a := NewAsyncWriter(out)
+	heap := func() int64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+
+		return int64(m.HeapAlloc)
+	}
+	before := heap()
+	for range lines {
+		_, _ = a.Write(bytes.Repeat([]byte("x"), size))
+	}
+	c.Check(heap()-before < allowed, qt.IsTrue)
+	dropped := a.Dropped()
+	c.Check(dropped > 0, qt.IsTrue)
+	close(out.release)
+	a.Close(time.Minute)
+	c.Check(out.buf.Len(), qt.Equals, (lines-int(dropped))*size)
+}
