Hold removed entries only after an outage of the store

A node that could not read the store took this for an outage of the store, and kept entries that were removed meanwhile in use for 2.2 s.

Cause: two failed calls counted as an outage, whatever its length and whoever saw it. Entries expire after three missed publications, so the store must have been away for more than two intervals.

The hold now depends on how long the store is not known to have answered anybody. Nodes tell each other once a second since when they could read it without an outage of that length (message Contact). A relayed view from before the outage does not end it any more. Event 703 tells whether entries are held.

--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -141,7 +141,11 @@
 		SetChangedLoads: func(others encoder.LoadSum) { n.forwarder.Post(director.OthersLoadUpdated{Others: others}) },
 		Crashes:         n.forwarder.Crashes,
 		MergeCrashes:    func(list []encoder.Crash) { n.forwarder.Post(director.CrashesObserved{Crashes: list}) },
-		Origin:          n.forwarder.Origin,
+		StoreContact:    n.forwarder.StoreContact,
+		NoteContact: func(since, until time.Time) {
+			n.forwarder.Post(director.StoreReached{From: since, To: until})
+		},
+		Origin: n.forwarder.Origin,
 		LearnOrigins: func(list []encoder.Origin, from netip.Addr) {
 			n.forwarder.Post(director.OriginsLearned{List: list, From: from})
 		},
--- a/internal/director/address.go
+++ b/internal/director/address.go
@@ -107,11 +107,11 @@
 		return false
 	}
 	from := a.since
-	if d.viewRegainedAt.After(from) {
-		from = d.viewRegainedAt
+	if d.outage.endedAt.After(from) {
+		from = d.outage.endedAt
 	}
 
-	return a.confirmed || d.viewLost || now.Sub(from) < doubtedPublications*d.opts.PublicationInterval
+	return a.confirmed || d.outage.present || now.Sub(from) < doubtedPublications*d.opts.PublicationInterval
 }
 
 // confirmAddress records that an endpoint has answered at its address.
--- a/internal/director/address_model_test.go
+++ b/internal/director/address_model_test.go
@@ -131,7 +131,7 @@
 
 		return
 	}
-	w.post(ViewReachable{})
+	w.post(ViewReachable{w.now})
 	if w.IntN(2) == 0 {
 		// The history is gone, so the node reads a list.
 		list := make([]registrar.Entry, 0, len(w.entries))
--- a/internal/director/change_test.go
+++ b/internal/director/change_test.go
@@ -163,7 +163,7 @@
 	case 12:
 		n.check(n.post(pick[Event](n.Rand, Ticked{}, CentresOut{}, CentresOut{[]string{"delhi"}}, EntriesListed{[]registrar.Entry{e}})))
 	case 13:
-		n.check(n.post(pick[Event](n.Rand, ViewLost{"test"}, ViewReachable{}, ViewConfirmed{n.now}, ViewConfirmed{n.now})))
+		n.check(n.post(pick[Event](n.Rand, ViewLost{"test"}, ViewReachable{n.now}, ViewConfirmed{n.now}, ViewConfirmed{n.now})))
 	case 14:
 		changed := options()
 		changed.Regions = pick(n.Rand, options().Regions, map[string]string{"kochi": "north"}, nil)
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -69,16 +69,15 @@
 	// least once.
 	entriesListed bool
 
-	// confirmedAt is the latest time at which the view was known to be complete.
-	confirmedAt time.Time
+	// confirmedAt is the latest time at which the view was known to be complete, and
+	// steadySince the start of the period up to then without an outage in which entries
+	// can expire.
+	confirmedAt, steadySince time.Time
 	// missingTable is the newest version of the table that the store is known to
 	// have lost, and missingUntil the time until which the node waits for it.
 	missingTable uint64
 	missingUntil time.Time
-	// viewLost reports whether the last attempt to read the view failed.
-	viewLost bool
-	// viewRegainedAt is the last time at which it could be read again.
-	viewRegainedAt time.Time
+	outage       outage
 	// leaving reports whether a shutdown has begun, leavingSince when, and answerBy
 	// by when requests must be answered.
 	leaving                bool
@@ -181,7 +180,7 @@
 	case ViewConfirmed:
 		d.confirmView(now, e.At)
 	case ViewReachable:
-		d.endOutage(now)
+		d.endOutage(now, e.At)
 	case OthersLoadReplaced:
 		d.replaceOthersLoad(now, e.Others)
 	case OthersLoadUpdated:
@@ -196,6 +195,8 @@
 		d.missTable(now, e.Version)
 	case ViewLost:
 		d.markViewLost(now, e.Cause)
+	case StoreReached:
+		d.noteStoreReached(now, e)
 	case OptionsChanged:
 		d.opts = e.Options
 		d.registrar.SetPublicationInterval(d.opts.PublicationInterval)
@@ -295,30 +296,6 @@
 	d.log(logger.RouteTableInForce, "version", t.Version(), "former", former, "routes", t.NumRoutes())
 }
 
-func (d *Director) confirmView(now, at time.Time) {
-	if at.After(d.confirmedAt) {
-		d.confirmedAt = at
-		d.placeAsking(now)
-	}
-	d.endOutage(now)
-}
-
-func (d *Director) endOutage(now time.Time) {
-	if d.viewLost {
-		d.viewLost, d.viewRegainedAt = false, now
-		d.registrar.Reconnected(now)
-		d.log(logger.ViewRegained)
-	}
-}
-
-// restoreView holds what the restored store may lack, until it has been written
-// again.
-func (d *Director) restoreView(now time.Time) {
-	d.endOutage(now)
-	d.registrar.Restored(now)
-	d.missingTable, d.missingUntil = 0, time.Time{}
-}
-
 // missTable waits for a version of the table that the store has lost. There is one
 // wait for each copy of the store, so that a version which does not exist cannot
 // keep the node out.
@@ -338,13 +315,6 @@
 	return d.table != nil && d.table.Version() < d.missingTable && now.Before(d.missingUntil)
 }
 
-func (d *Director) markViewLost(now time.Time, cause string) {
-	if !d.viewLost {
-		d.viewLost = true
-		d.log(logger.ViewLost, "age", d.Age(now).String(), "cause", cause)
-	}
-}
-
 // keysValid reports whether the view is recent enough to accept keys.
 func (d *Director) keysValid(now time.Time) bool {
 	return !d.confirmedAt.IsZero() && now.Sub(d.confirmedAt) <= d.opts.KeyLease && !d.lacksTable(now)
@@ -454,7 +424,7 @@
 // that are no longer held back.
 func (d *Director) handleTick(now time.Time) {
 	d.applyEndpointEvents(now, d.registrar.Expire(now))
-	if !d.viewLost {
+	if !d.outage.present {
 		d.applyEndpointEvents(now, d.registrar.Reinstate(now))
 		d.returnCentres(now, d.registrar.ReleaseCentres(now))
 	}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -185,9 +185,9 @@
 // that crash endpoints.
 type CrashesObserved struct{ Crashes []encoder.Crash }
 
-// ViewReachable reports that the shared view can be read again. What has changed
-// meanwhile follows.
-type ViewReachable struct{}
+// ViewReachable reports that the store of the shared view has answered, this node or
+// another one, at the time At or later. What has changed meanwhile follows.
+type ViewReachable struct{ At time.Time }
 
 // ViewRestored reports that the store of the shared view has come back from an
 // older copy. The full list of the restored store follows; it may lack entries
@@ -203,6 +203,11 @@
 // the log.
 type ViewLost struct{ Cause string }
 
+// StoreReached reports that another node could read the store in the whole period
+// between two times on the clock of this node, without an outage in which entries can
+// expire.
+type StoreReached struct{ From, To time.Time }
+
 // OptionsChanged provides the new options.
 type OptionsChanged struct{ Options Options }
 
@@ -235,6 +240,7 @@
 func (ViewRestored) event()       {}
 func (TableMissing) event()       {}
 func (ViewLost) event()           {}
+func (StoreReached) event()       {}
 func (OthersLoadReplaced) event() {}
 func (OthersLoadUpdated) event()  {}
 func (OptionsChanged) event()     {}
--- a/internal/director/notice_test.go
+++ b/internal/director/notice_test.go
@@ -47,7 +47,7 @@
 	for step, change := range []func(){
 		func() {},
 		func() { n.post(EntryPut{leaving}) },
-		func() { n.post(ViewLost{"down"}); n.post(ViewReachable{}) },
+		func() { n.post(ViewLost{"down"}); n.post(ViewReachable{n.now}) },
 		func() { n.post(EntryRemoved{leaving.ID}); n.now = n.now.Add(registrar.HoldTime); n.post(Ticked{}) },
 		func() { n.post(EntryPut{leaving}) },
 	} {
--- a/internal/director/restore_test.go
+++ b/internal/director/restore_test.go
@@ -197,7 +197,7 @@
 	n.post(ViewLost{"down"})
 	n.now = n.now.Add(time.Minute)
 	n.post(Ticked{})
-	n.post(ViewReachable{})
+	n.post(ViewReachable{n.now})
 	c.Check(usable(n), qt.IsFalse)
 	n.now = n.now.Add(registrar.CentreHoldTime)
 	c.Check(usable(n), qt.IsTrue)
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -54,6 +54,11 @@
 	// and MergeCrashes is called with what other nodes know.
 	Crashes      func() []encoder.Crash
 	MergeCrashes func([]encoder.Crash)
+	// StoreContact returns the last period in which the node could read the store, or
+	// zero times, and NoteContact is called with that of another node. Both are on the
+	// clock of this node.
+	StoreContact func() (since, until time.Time)
+	NoteContact  func(since, until time.Time)
 	// Origin returns the version at which a stream of a service has begun, if the
 	// node knows it. LearnOrigins is called with what another node knows, and its
 	// address.
@@ -64,6 +69,14 @@
 	Clock func() time.Time
 }
 
+// contactInterval is the time between two messages that tell others of the contact with
+// the store. After a node's own outage it must know before its hold of removed entries
+// ends.
+const contactInterval = time.Second
+
+// maxContact bounds the periods in messages.
+const maxContact = 24 * time.Hour
+
 // maxMessageBytes bounds the size of a received message.
 const maxMessageBytes = 60 << 10
 
@@ -78,6 +91,9 @@
 	mu         sync.Mutex
 	aggregator *aggregator.Aggregator
 	buf        []byte
+	// contactSent is the last time at which others were told of the contact with the
+	// store.
+	contactSent time.Time
 	// nodes is the number of known nodes that was last logged.
 	nodes int
 	// sendFailed reports whether the last message could not be sent. Only the
@@ -140,7 +156,9 @@
 
 func (x *Exchanger) sendFullSums() {
 	load, view, crashes := x.opts.Load(), x.opts.View(), x.opts.Crashes()
+	since, until := x.opts.StoreContact()
 	isSpeaker, others := x.tick(load, view, crashes)
+	x.announceContact(since, until)
 	x.opts.SetSpeaker(isSpeaker)
 	x.opts.SetOthersLoad(others)
 }
@@ -165,6 +183,31 @@
 	return x.aggregator.IsSpeaker(now), others
 }
 
+// announceContact tells other nodes of the last period in which the node could read the
+// store, if that is due.
+func (x *Exchanger) announceContact(since, until time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.opts.Clock()
+	if until.IsZero() || now.Sub(x.contactSent) < contactInterval {
+		return
+	}
+	x.contactSent = now
+	x.send(x.aggregator.Announce(now, &encoder.Contact{
+		Age: uint64(max(now.Sub(until), 0).Milliseconds()), Steady: uint64(min(until.Sub(since), maxContact).Milliseconds()),
+	}))
+}
+
+// noteContact converts a message about the contact with the store to times. They are
+// later than the actual ones by the time that the message took.
+func (x *Exchanger) noteContact(m *encoder.Contact) {
+	if max(m.Age, m.Steady) > uint64(maxContact.Milliseconds()) {
+		return
+	}
+	until := x.opts.Clock().Add(-time.Duration(m.Age) * time.Millisecond)
+	x.opts.NoteContact(until.Add(-time.Duration(m.Steady)*time.Millisecond), until)
+}
+
 // receive handles messages until the socket is closed.
 func (x *Exchanger) receive() {
 	buf := make([]byte, maxMessageBytes)
@@ -192,6 +235,8 @@
 	switch m := m.(type) {
 	case *encoder.Crashes:
 		x.opts.MergeCrashes(m.List)
+	case *encoder.Contact:
+		x.noteContact(m)
 	case *encoder.Origins:
 		x.opts.LearnOrigins(m.List, from.Addr().Unmap())
 	case *encoder.OriginQuery:
--- a/internal/exchanger/origin_test.go
+++ b/internal/exchanger/origin_test.go
@@ -28,6 +28,10 @@
 	// each message that is refused.
 	learned chan encoder.Origin
 	refused chan struct{}
+	// contact is the period of the node's own contact with the store, and contacts gets
+	// those of other nodes.
+	contact  [2]time.Time
+	contacts chan [2]time.Time
 
 	// mu is held by the callbacks like the lock of a forwarder.
 	mu sync.Mutex
@@ -85,6 +89,10 @@
 	}
 }
 
+// firstContact is the contact with the store that the first node of a test has had. The
+// other nodes have had none.
+var firstContact = [2]time.Time{time.Now().Add(-time.Hour), time.Now().Add(-time.Minute)}
+
 // startNodes returns nodes that know each other, one in each of the data centres
 // named. They run until the end of the test.
 func startNodes(c *qt.C, centres ...string) []*node {
@@ -103,7 +111,10 @@
 	for i, centre := range centres {
 		n := &node{
 			ready: make(chan struct{}), learned: make(chan encoder.Origin, 1<<14), refused: make(chan struct{}, 1<<10),
-			known: map[uint64]encoder.Origin{},
+			known: map[uint64]encoder.Origin{}, contacts: make(chan [2]time.Time, 1<<10),
+		}
+		if i == 0 {
+			n.contact = firstContact
 		}
 		var once sync.Once
 		n.Exchanger, err = New(Options{
@@ -124,7 +135,9 @@
 			SetChangedLoads: func(encoder.LoadSum) {}, View: func() aggregator.View { return aggregator.View{} },
 			SetRelayedView: func(aggregator.RelayedView) {}, CompareTable: func(aggregator.TableState) {}, SetSpeaker: func(bool) {},
 			Crashes: func() []encoder.Crash { return nil }, MergeCrashes: func([]encoder.Crash) {},
-			Origin: n.origin, LearnOrigins: n.learn,
+			StoreContact: func() (since, until time.Time) { return n.contact[0], n.contact[1] },
+			NoteContact:  func(since, until time.Time) { n.contacts <- [2]time.Time{since, until} },
+			Origin:       n.origin, LearnOrigins: n.learn,
 		})
 		c.Assert(err, qt.IsNil)
 		nodes[i] = n
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -294,11 +294,11 @@
 	return !f.listed || f.behind, f.revision, wait
 }
 
-// endOutage reports that the view can be read again. The report comes before
-// the changes, so that the director holds removals for a time: the removed
-// endpoints may register again.
-func (f *Follower) endOutage() {
-	f.opts.Post(director.ViewReachable{})
+// endOutage reports that the store has answered at the given time or later. The report
+// comes before the changes, so that the director can hold removals for a time: the
+// removed endpoints may register again.
+func (f *Follower) endOutage(at time.Time) {
+	f.opts.Post(director.ViewReachable{At: at})
 }
 
 // checkEra compares the era of an answer of the store with those before it. It
@@ -395,7 +395,7 @@
 	err = f.checkEra(view)
 	current = err == nil && view.Era == f.era
 	if current {
-		f.endOutage()
+		f.endOutage(f.opts.Clock())
 		f.applyChanges(view)
 		f.confirm(sent)
 	}
@@ -444,7 +444,7 @@
 		f.opts.Post(director.ViewRestored{})
 		f.opts.Logger.Event(logger.ViewRestored, "era", view.Era, "former", f.era, "revision", view.Revision, "formerRevision", f.revision)
 	} else {
-		f.endOutage()
+		f.endOutage(f.opts.Clock())
 	}
 	f.era, f.revision, f.listed, f.behind = view.Era, view.Revision, true, false
 	f.history, f.historySize, f.historyStart, f.relayConfirmed = nil, 0, view.Revision, time.Time{}
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -90,7 +90,7 @@
 	if !later && r.Revision == f.revision {
 		return
 	}
-	f.endOutage()
+	f.endOutage(r.Confirmed)
 	view := View{Revision: r.Revision}
 	for _, item := range r.Items {
 		if c, ok := f.opts.Source.Decode(item); ok {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -359,6 +359,15 @@
 	return f.director.TakeLoadChanges()
 }
 
+// StoreContact returns the last period in which the node could read the store without an
+// outage in which entries can expire. Both times are zero if there is none.
+func (f *Forwarder) StoreContact() (since, until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.director.StoreContact()
+}
+
 // Crashes returns what the other nodes need to know about prompt parts that
 // crash endpoints.
 func (f *Forwarder) Crashes() []encoder.Crash {
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -140,7 +140,7 @@
 
 	{RouteTableInForce, hclog.Info, "route table in force", []string{"version", "former", "routes"}},
 	{ViewLost, hclog.Warn, "shared view cannot be read", []string{"age", "cause"}},
-	{ViewRegained, hclog.Info, "shared view can be read again", nil},
+	{ViewRegained, hclog.Info, "shared view can be read again", []string{"held"}},
 	{CentreTakenOut, hclog.Info, "data centre taken out of service", []string{"centre"}},
 	{CentreRestored, hclog.Info, "data centre back in service", []string{"centre"}},
 	{EndpointAdded, hclog.Info, "endpoint added", []string{"endpoint", "service", "centre", "version", "draining", "cold"}},
--- a/internal/logger/queue.go
+++ b/internal/logger/queue.go
@@ -22,8 +22,8 @@
 	// queuedBytes is the size of the lines that are queued or being written.
 	queuedBytes atomic.Int64
 	dropped     atomic.Uint64
-	done      chan struct{}
-	closeOnce sync.Once
+	done        chan struct{}
+	closeOnce   sync.Once
 }
 
 // NewAsyncWriter returns an AsyncWriter that writes to w. The user must call
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -132,6 +132,15 @@
 	r.doubtUntil = now.Add(doubtedPublications * r.publicationInterval)
 }
 
+// EndHold ends the hold period. Expire then removes the entries whose removal was
+// delayed.
+func (r *Registrar) EndHold() {
+	r.holdUntil = time.Time{}
+	for id := range r.held {
+		r.held[id] = time.Time{}
+	}
+}
+
 // Put adds or updates the entry of an endpoint.
 func (r *Registrar) Put(e Entry) []Event {
 	delete(r.held, e.ID)
--- a/pkg/encoder/load.go
+++ b/pkg/encoder/load.go
@@ -1,6 +1,6 @@
 package encoder
 
-//msgp:tuple Load LoadSum Item Report Speaker Digest Hello LoadChange Update Crash Crashes ViewReport ViewDigest Origin Origins OriginQuery
+//msgp:tuple Load LoadSum Item Report Speaker Digest Hello LoadChange Update Crash Crashes ViewReport ViewDigest Origin Origins OriginQuery Contact
 
 //go:generate go tool msgp -file load.go -o load_gen.go -tests=false
 
@@ -73,6 +73,15 @@
 	Gap      bool   `msg:"g"`
 }
 
+// Contact tells when the sender could read the store of the shared view.
+type Contact struct {
+	// Age is the time in milliseconds since the sender's view was last complete, and
+	// Steady the length in milliseconds of the period up to then without an outage of
+	// the store in which entries can expire.
+	Age    uint64 `msg:"a"`
+	Steady uint64 `msg:"s"`
+}
+
 // Item is a key of the shared view with its value as published.
 type Item struct {
 	Key      string `msg:"k"`
--- a/pkg/encoder/load_gen.go
+++ b/pkg/encoder/load_gen.go
@@ -6,6 +6,93 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// DecodeMsg implements msgp.Decodable
+func (z *Contact) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Age, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	z.Steady, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Steady")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Contact) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Age)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	err = en.WriteUint64(z.Steady)
+	if err != nil {
+		err = msgp.WrapError(err, "Steady")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Contact) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.Age)
+	o = msgp.AppendUint64(o, z.Steady)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Contact) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Age, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	z.Steady, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Steady")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Contact) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Crash) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
--- a/pkg/encoder/message.go
+++ b/pkg/encoder/message.go
@@ -47,6 +47,7 @@
 func (*ViewDigest) kind() byte   { return 31 }
 func (*Origins) kind() byte      { return 32 }
 func (*OriginQuery) kind() byte  { return 33 }
+func (*Contact) kind() byte      { return 34 }
 
 // newMessage returns a new zero message of the given kind, or nil if the kind is
 // unknown.
@@ -118,6 +119,8 @@
 		return new(Origins)
 	case 33:
 		return new(OriginQuery)
+	case 34:
+		return new(Contact)
 	default:
 		return nil
 	}
