Tie the echo in relayed views to the process that sent it

Requests ran with keys that had been revoked more than 5 s before, at nodes that had restarted after the clock of their host had stepped back.

Cause: a member dates the relayed view by the echo of its own last report. For up to 1.2 s after a restart the relaying node echoes the report of the former process, whose clock was 2.4 s ahead, so the view counted as complete in the future, and keys were accepted for as much longer.

A report now carries the time plus a random number of the process. An echo counts only if it is a time between the first report of this process and now.

TestRestartedNodeDatesViewsByItsOwnClock failed before the change ("2.4s too late").

--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -58,6 +58,9 @@
 	Centre string
 	// Seeds are nodes that may know others. Some of them may no longer exist.
 	Seeds []netip.Addr
+	// StampOffset is added to the times in view reports, so that a process tells its own
+	// from those of earlier processes with the same address. It should be random.
+	StampOffset uint64
 }
 
 // member is another node of the local data centre.
@@ -112,6 +115,8 @@
 	// relayed is the speaker's shared view that Relayed has not yet returned, or
 	// nil.
 	relayed *RelayedView
+	// firstReport is the time of the first view report, or zero.
+	firstReport time.Time
 	// tableStates holds what TableStates has not yet returned.
 	tableStates []TableState
 	// sinceDigest accumulates the updates received from the speaker. A digest
@@ -177,7 +182,7 @@
 		own.Centre, own.Nodes, own.Age = a.opts.Centre, 1, 0
 		a.discardAllUnsent()
 
-		return append(out, Output{speaker, &encoder.Report{Sum: own}}, Output{speaker, view.report(now)})
+		return append(out, Output{speaker, &encoder.Report{Sum: own}}, Output{speaker, a.viewReport(now, view)})
 	}
 
 	return append(out, a.digests(now, own, view)...)
@@ -430,7 +435,7 @@
 	case *encoder.ViewReport:
 		a.receiveViewReport(now, from, m)
 	case *encoder.ViewDigest:
-		a.receiveViewDigest(from, m)
+		a.receiveViewDigest(now, from, m)
 	}
 
 	return nil
--- a/internal/aggregator/view.go
+++ b/internal/aggregator/view.go
@@ -7,6 +7,9 @@
 	"snipedyke/pkg/encoder"
 )
 
+// maxViewAge is the age up to which a relayed view is of any use.
+const maxViewAge = 24 * time.Hour
+
 // View is a node's copy of the shared view.
 type View struct {
 	// Era and Revision identify the state of the store that the view holds.
@@ -39,9 +42,25 @@
 // the store that its view holds.
 type TableState struct{ Era, Revision, Table uint64 }
 
-// report returns the report of the view to the speaker.
-func (v View) report(now time.Time) *encoder.ViewReport {
-	return &encoder.ViewReport{Sent: uint64(now.UnixMicro()), Era: v.Era, Revision: v.Revision, Table: v.Table}
+// viewReport returns the report of the view to the speaker.
+func (a *Aggregator) viewReport(now time.Time, v View) *encoder.ViewReport {
+	if a.firstReport.IsZero() {
+		a.firstReport = now
+	}
+
+	return &encoder.ViewReport{Sent: uint64(now.UnixMicro()) + a.opts.StampOffset, Era: v.Era, Revision: v.Revision, Table: v.Table}
+}
+
+// echoedTime returns the time at which this process sent the view report that a digest
+// answers, and reports whether it did. After a restart the speaker may still answer a
+// report of the former process, whose clock was another one.
+func (a *Aggregator) echoedTime(now time.Time, d *encoder.ViewDigest) (time.Time, bool) {
+	sent := time.UnixMicro(int64(d.Echo - a.opts.StampOffset))
+	if a.firstReport.IsZero() || sent.Before(a.firstReport.Truncate(time.Microsecond)) || sent.After(now) {
+		return time.Time{}, false
+	}
+
+	return sent, d.EchoDelay <= uint64(now.Sub(sent).Microseconds())
 }
 
 // viewDigest returns the changes of the shared view that the member lacks, or nil
@@ -72,14 +91,18 @@
 }
 
 // receiveViewDigest keeps the speaker's shared view for Relayed.
-func (a *Aggregator) receiveViewDigest(from netip.Addr, d *encoder.ViewDigest) {
+func (a *Aggregator) receiveViewDigest(now time.Time, from netip.Addr, d *encoder.ViewDigest) {
 	if a.members[from] == nil {
 		return
 	}
-	// On the local clock, Echo plus EchoDelay is no later than the time at which
-	// the sender sent the digest, so the confirmed time is never too late.
-	confirmed := time.UnixMicro(int64(d.Echo + d.EchoDelay)).Add(-time.Duration(d.Age) * time.Microsecond)
 	a.tableStates = append(a.tableStates, TableState{d.Era, d.Revision, d.Table})
+	sent, ok := a.echoedTime(now, d)
+	if !ok || d.Age > uint64(maxViewAge.Microseconds()) {
+		return
+	}
+	// The time of the report plus EchoDelay is no later than the time at which the
+	// sender sent the digest, so the confirmed time is never too late.
+	confirmed := sent.Add(time.Duration(d.EchoDelay) * time.Microsecond).Add(-time.Duration(d.Age) * time.Microsecond)
 	a.relayed = &RelayedView{Era: d.Era, Revision: d.Revision, Confirmed: confirmed, Items: d.Items, Gap: d.Gap}
 }
 
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -110,7 +111,7 @@
 	}
 
 	return &Exchanger{opts: opts, conn: conn, origins: newOriginQueue(), aggregator: aggregator.New(aggregator.Options{
-		Self: opts.Address.Addr(), Centre: opts.Centre, Seeds: opts.Seeds,
+		Self: opts.Address.Addr(), Centre: opts.Centre, Seeds: opts.Seeds, StampOffset: rand.Uint64(),
 	})}, nil
 }
 
--- a/pkg/encoder/load.go
+++ b/pkg/encoder/load.go
@@ -44,7 +44,7 @@
 // ViewReport is the state of one node's shared view, sent to the speaker of its
 // data centre.
 type ViewReport struct {
-	// Sent is the sender's clock in microseconds. Era and Revision identify the
+	// Sent identifies the report, for its sender only. It is not zero. Era and Revision identify the
 	// state of the store that its view holds, and Table is the version of its
 	// routing table, which may be from a lost copy.
 	Sent     uint64 `msg:"t"`
