Silence open connections to the store in the soak

The soak cut connections to the store for a time; none of its faults left new connections working while the open ones were silent for good, which made nodes hold removed entries (docs/incidents/issue-37-drain.md).

--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -17,7 +17,7 @@
 func (s *Soaker) injectFault() {
 	n := s.nodes[s.rng.IntN(len(s.nodes))]
 	length := time.Duration(500+s.rng.IntN(4000)) * time.Millisecond
-	switch kind := s.rng.IntN(18); kind {
+	switch kind := s.rng.IntN(20); kind {
 	case 0:
 		s.killNode(n)
 	case 1:
@@ -77,6 +77,12 @@
 		s.announceLeaving(length)
 	case 16, 17:
 		s.askForTime()
+	case 18, 19:
+		s.logFault("connections to the store are silent", -1, 0)
+		s.markAllDisturbed(0)
+		for _, n := range s.nodes {
+			n.storeProxy.Silence()
+		}
 	}
 }
 
--- a/internal/soaker/proxy.go
+++ b/internal/soaker/proxy.go
@@ -38,6 +38,8 @@
 	// changed is closed and replaced when the mode changes.
 	changed chan struct{}
 	conns   map[net.Conn]bool
+	// silent holds the connections of clients that are silent for good.
+	silent map[net.Conn]bool
 }
 
 // NewProxy starts a proxy to target on a free port of the loopback address.
@@ -46,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{ln: ln, target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p := &Proxy{ln: ln, target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}, silent: map[net.Conn]bool{}}
 	go p.accept()
 
 	return p, nil
@@ -69,6 +71,24 @@
 	}
 }
 
+// Silence drops all further data on the open connections, without closing them. New ones
+// are not affected.
+func (p *Proxy) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.silent[c] = true
+	}
+}
+
+// isSilent reports whether data on a client's connection is dropped.
+func (p *Proxy) isSilent(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.silent[c]
+}
+
 // Close stops listening and closes all connections.
 func (p *Proxy) Close() {
 	_ = p.ln.Close()
@@ -106,8 +126,8 @@
 	p.track(conn, upstream, true)
 	defer p.track(conn, upstream, false)
 	done := make(chan struct{}, 2)
-	go p.relay(upstream, conn, true, done)
-	go p.relay(conn, upstream, false, done)
+	go p.relay(conn, upstream, conn, true, done)
+	go p.relay(conn, conn, upstream, false, done)
 	<-done
 }
 
@@ -120,12 +140,14 @@
 	} else {
 		delete(p.conns, a)
 		delete(p.conns, b)
+		delete(p.silent, a)
+		delete(p.silent, b)
 	}
 }
 
-// relay copies data in one direction as the mode permits, and sends to done when
-// it returns. fromClient reports whether the data comes from the client.
-func (p *Proxy) relay(to io.Writer, from io.Reader, fromClient bool, done chan<- struct{}) {
+// relay copies data of a client's connection in one direction as the mode permits, and
+// sends to done when it returns. fromClient reports whether the data comes from the client.
+func (p *Proxy) relay(client net.Conn, to io.Writer, from io.Reader, fromClient bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, 32<<10)
 	for {
@@ -143,7 +165,7 @@
 
 			break
 		}
-		if n > 0 {
+		if n > 0 && !p.isSilent(client) {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
 			}
