--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -185,8 +185,8 @@
 // that crash endpoints.
 type CrashesObserved struct{ Crashes []encoder.Crash }
 
-// ViewReachable reports that the store of the shared view has answered, this node or
-// another one, at the time At or later. What has changed meanwhile follows.
+// ViewReachable reports that the store has answered this node, or one that relays the
+// view to it, at the time At or later. What has changed meanwhile follows.
 type ViewReachable struct{ At time.Time }
 
 // ViewRestored reports that the store of the shared view has come back from an
--- a/internal/router/table_test.go
+++ b/internal/router/table_test.go
@@ -129,7 +129,7 @@
 		return int64(m.HeapAlloc)
 	}
 	before := heap()
-	var kept []any
+	kept := make([]any, 0, 3*versions)
 	for range versions {
 		d := definition()
 		for i := range routes {
