--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -318,6 +318,7 @@
 	write("endpoints_leaving", float64(s.Leaving))
 	write("endpoints_paused", float64(s.Paused))
 	write("endpoints_displaced", float64(s.Displaced))
+	write("endpoints_cold", float64(s.Cold))
 	memory := n.forwarder.Memory()
 	write("memory_budget_bytes", float64(memory.Limit))
 	write("memory_budget_used_bytes", float64(memory.Used))
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -234,9 +234,9 @@
 	// Leaving is the number of endpoints that have said that they shut down, and
 	// Paused that of those that get no requests because they asked for time.
 	// Displaced is the number of those that get none because another one has their
-	// address.
-	Leaving, Paused, Displaced int
-	Ready                      bool
+	// address. Cold is the number of those that are cold.
+	Leaving, Paused, Displaced, Cold int
+	Ready                            bool
 }
 
 // Status returns the current status.
@@ -255,6 +255,9 @@
 		if d.displaced(now, e) {
 			s.Displaced++
 		}
+		if now.Before(e.coldUntil) {
+			s.Cold++
+		}
 	}
 	if d.table != nil {
 		s.Version = d.table.Version()
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -145,9 +145,16 @@
 	if rate <= 0 || remaining <= 0 {
 		return
 	}
+	wasCold := now.Before(e.coldUntil)
 	if until := now.Add(remaining); until.After(e.coldUntil) {
 		e.coldUntil = until
 	}
+	defer func() {
+		if !wasCold {
+			d.log(logger.EndpointCold, "endpoint", e.entry.ID, "service", e.entry.Service, "length", remaining.String(),
+				"requests", e.coldPacer.Limit, "window", e.coldPacer.Window.String(), "nodes", d.fleet.size(now))
+		}
+	}()
 	share := (rate*d.opts.ColdFactor + d.opts.ColdSlack) / float64(d.fleet.size(now))
 	if share >= 1 {
 		e.coldPacer.Limit, e.coldPacer.Window = int(share), coldWindow
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"snipedyke/internal/chooser"
+	"snipedyke/internal/logger"
 	"snipedyke/pkg/encoder"
 )
 
@@ -29,6 +30,8 @@
 	// peakNodes is the highest number of nodes since peakAt.
 	peakNodes int
 	peakAt    time.Time
+	// logged is the size that was last logged.
+	logged int
 }
 
 func (f *fleet) recordNodes(now time.Time, nodes int) {
@@ -165,6 +168,10 @@
 // replaceOthersLoad sets the load of the other nodes at all endpoints.
 func (d *Director) replaceOthersLoad(now time.Time, others encoder.LoadSum) {
 	d.fleet.recordNodes(now, int(others.Nodes)+1)
+	if size := d.fleet.size(now); size != d.fleet.logged {
+		d.log(logger.FleetSizeChanged, "nodes", size, "former", d.fleet.logged)
+		d.fleet.logged = size
+	}
 	loads := make(map[uint32]encoder.Load, len(others.Loads))
 	for _, l := range others.Loads {
 		loads[l.Endpoint] = l
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -95,6 +95,7 @@
 		if !req.waitUntil.IsZero() {
 			req.waitUntil = now.Add(maxMoveWait)
 		}
+		d.emit(Count{Counter: CounterRetries, Label: f.Result.String()})
 		d.place(now, req)
 	case Broken, TimedOut:
 		req.mayHaveRun = true
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -83,6 +83,8 @@
 	EndpointDisplaced  = 741
 	MessageCut         = 742
 	UnexpectedError    = 743
+	EndpointCold       = 744
+	FleetSizeChanged   = 745
 )
 
 // Definition describes a log event.
@@ -174,6 +176,8 @@
 	{EndpointDisplaced, hclog.Info, "endpoint displaced by another one at its address", []string{"endpoint", "service", "address", "holder"}},
 	{MessageCut, hclog.Warn, "message cut off because the memory budget is used up", []string{"content", "bytes", "limit"}},
 	{UnexpectedError, hclog.Error, "unexpected error; the process goes on", []string{"where", "error", "stack"}},
+	{EndpointCold, hclog.Info, "endpoint is cold", []string{"endpoint", "service", "length", "requests", "window", "nodes"}},
+	{FleetSizeChanged, hclog.Info, "number of nodes that share the fleet's limits changed", []string{"nodes", "former"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
