--- /dev/null
+++ b/internal/director/share_test.go
@@ -0,0 +1,270 @@
+package director
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"snipedyke/internal/registrar"
+	"snipedyke/pkg/encoder"
+)
+
+// testFleet is a number of nodes that share an endpoint of the service desk.
+type testFleet struct {
+	nodes []*node
+	now   time.Time
+	// sent holds the times at which requests were sent to each endpoint.
+	sent   map[string][]time.Time
+	lastID uint64
+}
+
+// newFleet returns nodes that know each other. Each has the routes.
+func newFleet(count int) *testFleet {
+	f := &testFleet{now: start, sent: map[string][]time.Time{}}
+	for k := range count {
+		n := f.startNode(k)
+		n.post(TableLoaded{table(1)})
+		f.nodes = append(f.nodes, n)
+	}
+	f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: uint16(count - 1)}})
+	f.now = f.now.Add(discoveryPeriod)
+
+	return f
+}
+
+// startNode returns a node that has just started.
+func (f *testFleet) startNode(k int) *node {
+	o := options()
+	o.Name, o.AssumedNodes = fmt.Sprint("node-", k), 100
+
+	return &node{Director: New(o), now: f.now}
+}
+
+// post posts an event to all nodes.
+func (f *testFleet) post(e Event) {
+	for _, n := range f.nodes {
+		n.now = f.now
+		n.post(e)
+	}
+}
+
+// load lets each node send as many requests as it may for a time. Attempts have the
+// given result.
+func (f *testFleet) load(length time.Duration, result Result) {
+	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(20 * time.Millisecond) {
+		f.post(ViewConfirmed{f.now})
+		for _, n := range f.nodes {
+			f.lastID++
+			if d, ok := find[Dispatch](n.arrive(f.lastID, "/open/1")); ok {
+				f.sent[d.Endpoint] = append(f.sent[d.Endpoint], f.now)
+				n.post(AttemptFinished{ID: f.lastID, Result: result, Status: 200})
+			}
+		}
+	}
+}
+
+// most returns the greatest number of requests that were sent to an endpoint in any
+// period of the given length.
+func (f *testFleet) most(endpoint string, length time.Duration) int {
+	times, most := f.sent[endpoint], 0
+	for i, from := range times {
+		n, _ := slices.BinarySearchFunc(times[i:], from.Add(length), time.Time.Compare)
+		most = max(most, n)
+	}
+
+	return most
+}
+
+// coldLimit is the number of requests that a cold endpoint of the service desk may get
+// in a second: 10 times the factor 1.5, and 5.
+const coldLimit = 20
+
+// Guards against a whole fleet that sends requests to an endpoint that becomes cold a
+// second time, or while it cannot be used: each node may then have a permission that it
+// has not used.
+func TestUnusedSharesOfAColdEndpointDoNotAddUp(t *testing.T) {
+	cold, warm := entry("desk", 0), entry("desk", 0)
+	cold.Cold = 3 * time.Second
+	for name, happen := range map[string]func(f *testFleet){
+		"cold again": func(f *testFleet) {
+			f.post(EntryPut{cold})
+			f.now = f.now.Add(10 * time.Second)
+			f.post(EntryPut{warm})
+			f.now = f.now.Add(10 * time.Second)
+			f.post(EntryPut{cold})
+		},
+		"out of service": func(f *testFleet) {
+			f.post(CentresOut{[]string{"kochi"}})
+			f.post(EntryPut{cold})
+			f.now = f.now.Add(10 * time.Second)
+			f.post(CentresOut{nil})
+		},
+		"not reached": func(f *testFleet) {
+			f.load(300*time.Millisecond, Unreached)
+			f.now = f.now.Add(10 * time.Second)
+			f.sent = map[string][]time.Time{}
+			f.post(EntryPut{cold})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(73)
+			f.post(EntriesListed{[]registrar.Entry{warm}})
+			happen(f)
+			f.load(3*time.Second, Answered)
+			most := f.most("desk-0", time.Second)
+			qt.Check(t, most > 0 && most <= coldLimit, qt.IsTrue, qt.Commentf("%d requests in a second", most))
+		})
+	}
+}
+
+// Guards against an unlimited rate of requests to a cold endpoint whose entry was known
+// before the table that states the rate of its service.
+func TestColdEndpointKnownBeforeItsServiceIsPaced(t *testing.T) {
+	f := newFleet(6)
+	for k := range f.nodes {
+		f.nodes[k] = f.startNode(k)
+	}
+	f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: 5}})
+	f.now = f.now.Add(discoveryPeriod + 7*time.Second)
+	cold := entry("desk", 0)
+	cold.Cold = 3 * time.Second
+	f.post(EntriesListed{[]registrar.Entry{cold}})
+	f.post(TableLoaded{table(1)})
+	f.load(3*time.Second, Answered)
+	most := f.most("desk-0", time.Second)
+	qt.Check(t, most > 0 && most <= coldLimit, qt.IsTrue, qt.Commentf("%d requests in a second", most))
+}
+
+// Guards against nodes that exceed the fleet's limits because each knows few of the
+// others: they have just started, and discover each other one after the other.
+func TestLimitsHoldWhileNodesDiscoverEachOther(t *testing.T) {
+	for name, known := range map[string]func(node, second int) int{
+		"few known":      func(int, int) int { return 15 },
+		"slow discovery": func(_, second int) int { return min(10*second, 72) },
+		"one cut off": func(node, _ int) int {
+			if node == 0 {
+				return 0
+			}
+
+			return 72
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(73)
+			for k := range f.nodes {
+				f.nodes[k] = f.startNode(k)
+			}
+			f.post(TableLoaded{table(1)})
+			cold := entry("desk", 0)
+			cold.Cold = time.Minute
+			for second := range 10 {
+				cold.Cold -= time.Second
+				f.post(EntriesListed{[]registrar.Entry{cold}})
+				for k, n := range f.nodes {
+					n.now = f.now
+					n.post(OthersLoadReplaced{encoder.LoadSum{Nodes: uint16(known(k, second))}})
+				}
+				f.load(time.Second, Answered)
+			}
+			most := f.most("desk-0", time.Second)
+			qt.Check(t, most <= coldLimit, qt.IsTrue, qt.Commentf("%d requests in a second", most))
+		})
+	}
+}
+
+// retries counts the retries and requests of a fleet whose endpoints fail all requests,
+// in a time in which all nodes are started again the given number of times.
+func (f *testFleet) retries(length time.Duration, restarts int) (requests, retries int) {
+	steps := int(length / (20 * time.Millisecond))
+	for i := range steps {
+		f.now = f.now.Add(20 * time.Millisecond)
+		if i > 0 && i%(steps/(restarts+1)) == 0 {
+			for k := range f.nodes {
+				f.nodes[k] = f.startNode(k)
+			}
+			f.post(TableLoaded{table(1)})
+			f.post(EntriesListed{[]registrar.Entry{entry("desk", 0), entry("desk", 1)}})
+		}
+		f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: uint16(len(f.nodes) - 1)}})
+		f.post(ViewConfirmed{f.now})
+		for _, n := range f.nodes {
+			f.lastID++
+			requests++
+			if _, ok := find[Dispatch](n.arrive(f.lastID, "/look/1")); !ok {
+				continue
+			}
+			if _, ok := find[Dispatch](n.post(AttemptFinished{ID: f.lastID, Result: Answered, Status: 500})); ok {
+				retries++
+				n.post(AttemptFinished{ID: f.lastID, Result: Answered, Status: 200})
+			}
+		}
+	}
+
+	return requests, retries
+}
+
+// Guards against nodes that use up their shares of the retry budget again after each
+// start.
+func TestRestartedNodesDoNotExceedTheRetryBudget(t *testing.T) {
+	o := options()
+	f := newFleet(6)
+	f.post(EntriesListed{[]registrar.Entry{entry("desk", 0), entry("desk", 1)}})
+	f.now = f.now.Add(o.RetryWindow)
+	requests, retries := f.retries(o.RetryWindow, 2)
+	limit := o.RetryRatio*float64(requests) + o.RetrySlack
+	qt.Check(t, float64(retries) <= limit, qt.IsTrue, qt.Commentf("%d retries of %d requests, want at most %g", retries, requests, limit))
+}
+
+// Guards against repeats that the retry budget does not include: of requests that
+// another endpoint has received and turned away.
+func TestMisdirectedRequestsUseTheRetryBudget(t *testing.T) {
+	c := qt.New(t)
+	o := options()
+	n := newNode()
+	entries := make([]registrar.Entry, 0, 200)
+	for i := range 200 {
+		entries = append(entries, entry("desk", i))
+	}
+	n.post(EntriesListed{entries})
+	n.now = n.now.Add(o.RetryWindow)
+	n.post(ViewConfirmed{n.now})
+	const requests = 40
+	repeats := 0
+	for id := range uint64(requests) {
+		_, sent := find[Dispatch](n.arrive(id, "/pay/1"))
+		c.Assert(sent, qt.IsTrue)
+		for range maxUnreached {
+			if _, sent = find[Dispatch](n.post(AttemptFinished{ID: id, Result: Misdirected})); !sent {
+				break
+			}
+			repeats++
+		}
+	}
+	limit := o.RetryRatio*requests + o.RetrySlack/6
+	c.Check(float64(repeats) <= limit, qt.IsTrue, qt.Commentf("%d repeats of %d requests, want at most %g", repeats, requests, limit))
+}
+
+// Guards against a node that sends its share to an endpoint right after it becomes
+// cold, beside what it has just sent before.
+func TestRequestsJustBeforeAColdPeriodCount(t *testing.T) {
+	f := newFleet(6)
+	warm, cold := entry("desk", 0), entry("desk", 0)
+	cold.Cold = 3 * time.Second
+	f.post(EntriesListed{[]registrar.Entry{warm}})
+	for range 3 {
+		f.post(ViewConfirmed{f.now})
+		for _, n := range f.nodes {
+			f.lastID++
+			_, ok := find[Dispatch](n.arrive(f.lastID, "/open/1"))
+			qt.Assert(t, ok, qt.IsTrue)
+			f.sent["desk-0"] = append(f.sent["desk-0"], f.now)
+		}
+	}
+	f.post(EntryPut{cold})
+	f.load(3*time.Second, Answered)
+	most := f.most("desk-0", time.Second)
+	qt.Check(t, most <= coldLimit, qt.IsTrue, qt.Commentf("%d requests in a second", most))
+}
