--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -29,9 +29,11 @@
 	// and maxFailurePenalty is the penalty of an endpoint that fails all
 	// requests.
 	outcomeWeight = 0.1
-	// smallShareFactor is the part of its share that a node uses if its share of
-	// the requests to a cold endpoint is below one request.
-	smallShareFactor  = 0.5
+	// selectedPart is the number of nodes that send requests to a cold endpoint, as a
+	// part of the requests that it may get in a window, if there are more nodes than
+	// such requests. The selection is random, so their number varies, and nodes that do
+	// not know each other select too many.
+	selectedPart      = 1.0 / 3
 	maxFailurePenalty = 8.0
 )
 
@@ -161,17 +163,23 @@
 
 		return
 	}
-	// A node whose share is below one request sends single requests at longer
-	// intervals. The nodes start at different times and use only part of their
-	// share, because their requests may still coincide.
-	window := time.Duration(float64(coldWindow) / (share * smallShareFactor))
-	if e.coldPacer.Window != window {
-		e.coldPacer.Limit, e.coldPacer.Window = 1, window
-		phase := xxhash.Sum64String(d.opts.Name+e.entry.ID) % uint64(window)
-		e.coldPacer.Record(now.Add(time.Duration(phase) - window))
+	// If a node's share is below one request, few of the nodes send one in each
+	// window. A share of longer windows does not hold the limit: those who have not
+	// used theirs for a while may send at the same time.
+	e.coldPacer.Limit, e.coldPacer.Window = 0, coldWindow
+	if d.selected(e.entry.ID, share*selectedPart) {
+		e.coldPacer.Limit = 1
 	}
 }
 
+// selected reports whether the node is one of a part of all nodes, which is a
+// different one for each endpoint.
+func (d *Director) selected(endpoint string, part float64) bool {
+	const steps = 1 << 20
+
+	return float64(xxhash.Sum64String(d.opts.Name+" "+endpoint)%steps) < part*steps
+}
+
 // current reports whether an endpoint has not been removed.
 func (d *Director) current(e *endpoint) bool { return d.endpoints[e.entry.ID] == e }
 
