--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -255,7 +255,7 @@
 		if d.displaced(now, e) {
 			s.Displaced++
 		}
-		if now.Before(e.coldUntil) {
+		if d.paced(now, e) {
 			s.Cold++
 		}
 	}
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -10,6 +11,7 @@
 	"snipedyke/internal/logger"
 	"snipedyke/internal/pacer"
 	"snipedyke/internal/registrar"
+	"snipedyke/internal/router"
 )
 
 const (
@@ -84,6 +86,8 @@
 		entry:  entry,
 		number: endpointNumber(entry.ID),
 		load:   chooser.NewEngine(entry.ID, entry.DataCentre == d.opts.DataCentre),
+
+		coldPacer: pacer.Pacer{Window: coldWindow},
 	}
 	d.recallNotice(e)
 	d.endpoints[entry.ID], d.endpointsByNumber[e.number] = e, e
@@ -135,41 +139,58 @@
 // markCold treats an endpoint as cold for the remaining time or, if that is
 // zero, for the cold period of its service.
 func (d *Director) markCold(now time.Time, e *endpoint, remaining time.Duration) {
-	rate, period := 0.0, defaultCold
-	if d.table != nil {
-		if s := d.table.Service(e.entry.Service); s != nil {
-			rate, period = s.ColdRate, s.ColdPeriod
-		}
-	}
 	if remaining == 0 {
-		remaining = period
-	}
-	if rate <= 0 || remaining <= 0 {
-		return
+		remaining = defaultCold
+		if s := d.serviceOf(e); s != nil {
+			remaining = s.ColdPeriod
+		}
 	}
 	wasCold := now.Before(e.coldUntil)
 	if until := now.Add(remaining); until.After(e.coldUntil) {
 		e.coldUntil = until
 	}
-	defer func() {
-		if !wasCold {
-			d.log(logger.EndpointCold, "endpoint", e.entry.ID, "service", e.entry.Service, "length", remaining.String(),
-				"requests", e.coldPacer.Limit, "window", e.coldPacer.Window.String(), "nodes", d.fleet.size(now))
-		}
-	}()
-	share := (rate*d.opts.ColdFactor + d.opts.ColdSlack) / float64(d.fleet.size(now))
-	if share >= 1 {
-		e.coldPacer.Limit, e.coldPacer.Window = int(share), coldWindow
+	if !wasCold && d.paced(now, e) {
+		d.log(logger.EndpointCold, "endpoint", e.entry.ID, "service", e.entry.Service, "length", remaining.String(),
+			"requests", d.coldLimit(now, e), "window", coldWindow.String(), "nodes", d.fleet.size(now))
+	}
+}
 
-		return
+// paced reports whether requests to an endpoint are limited because it is cold.
+func (d *Director) paced(now time.Time, e *endpoint) bool {
+	s := d.serviceOf(e)
+
+	return now.Before(e.coldUntil) && (s == nil || s.ColdRate > 0)
+}
+
+// serviceOf returns the service of an endpoint, or nil if the table does not have it.
+func (d *Director) serviceOf(e *endpoint) *router.Service {
+	if d.table == nil {
+		return nil
+	}
+
+	return d.table.Service(e.entry.Service)
+}
+
+// coldLimit returns the number of requests that the node may send to a cold endpoint
+// in each coldWindow. It depends on the table and the fleet as they are now, not when
+// the endpoint became cold.
+func (d *Director) coldLimit(now time.Time, e *endpoint) int {
+	s := d.serviceOf(e)
+	if s == nil || s.ColdRate <= 0 {
+		return math.MaxInt
+	}
+	share := (s.ColdRate*d.opts.ColdFactor + d.opts.ColdSlack) / float64(d.fleet.size(now))
+	if share >= 1 {
+		return int(share)
 	}
 	// If a node's share is below one request, few of the nodes send one in each
 	// window. A share of longer windows does not hold the limit: those who have not
 	// used theirs for a while may send at the same time.
-	e.coldPacer.Limit, e.coldPacer.Window = 0, coldWindow
 	if d.selected(e.entry.ID, share*selectedPart) {
-		e.coldPacer.Limit = 1
+		return 1
 	}
+
+	return 0
 }
 
 // selected reports whether the node is one of a part of all nodes, which is a
@@ -195,7 +216,7 @@
 		return false
 	}
 
-	return !now.Before(e.coldUntil) || e.coldPacer.Allowed(now)
+	return !now.Before(e.coldUntil) || e.coldPacer.Allowed(now, d.coldLimit(now, e))
 }
 
 // suspend stops new requests to an endpoint that could not be reached. It may
--- a/internal/director/silence_test.go
+++ b/internal/director/silence_test.go
@@ -214,7 +214,8 @@
 	entry := other.entry
 	entry.Cold = 3 * time.Second
 	n.post(EntryPut{Entry: entry})
-	other.coldPacer.Limit, other.coldPacer.Window = 1, 2*coldWindow
+	// One request in each window is this node's share.
+	n.opts.ColdFactor, n.opts.ColdSlack = 0, 6
 	n.replaceSilent(qt.New(t), true)
 }
 
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -11,32 +11,23 @@
 	"time"
 )
 
-// Pacer allows at most Limit requests in any sliding window of length Window.
-// The zero value allows none.
+// Pacer limits the number of requests in a sliding window.
 type Pacer struct {
-	// Limit is the maximum number of requests in a window.
-	Limit int
 	// Window is the length of the sliding window.
 	Window time.Duration
-	// sent holds the times of up to Limit most recent requests, oldest first.
+	// sent holds the times of the requests in the window, oldest first.
 	sent []time.Time
 }
 
-// Allowed reports whether a request may be sent at the given time.
-func (p *Pacer) Allowed(now time.Time) bool {
-	if p.Limit <= 0 {
-		return false
-	}
-
-	return len(p.sent) < p.Limit || now.Sub(p.sent[len(p.sent)-p.Limit]) >= p.Window
+// Allowed reports whether a request may be sent at the given time, if at most limit
+// requests may be sent in any window.
+func (p *Pacer) Allowed(now time.Time, limit int) bool {
+	return len(p.sent) < limit || limit > 0 && now.Sub(p.sent[len(p.sent)-limit]) >= p.Window
 }
 
 // Record records that a request is sent.
 func (p *Pacer) Record(now time.Time) {
-	p.sent = append(p.sent, now)
-	if excess := len(p.sent) - p.Limit; excess > 0 {
-		p.sent = append(p.sent[:0], p.sent[excess:]...)
-	}
+	p.sent = append(trim(p.sent, now.Add(-p.Window)), now)
 }
 
 // Withdraw removes a request that was recorded for the given time but not sent.
--- a/internal/pacer/pacer_test.go
+++ b/internal/pacer/pacer_test.go
@@ -14,12 +14,13 @@
 // the attempts.
 func TestLimitHoldsInEveryWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := Pacer{Limit: rapid.IntRange(1, 5).Draw(t, "limit"), Window: time.Second}
+		limit := rapid.IntRange(1, 5).Draw(t, "limit")
+		p := Pacer{Window: time.Second}
 		now := start
 		var sent []time.Time
 		for range rapid.IntRange(1, 60).Draw(t, "attempts") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
-			if p.Allowed(now) {
+			if p.Allowed(now, limit) {
 				p.Record(now)
 				sent = append(sent, now)
 			}
@@ -31,16 +32,16 @@
 					n++
 				}
 			}
-			if n > p.Limit {
-				t.Fatalf("%d requests within %s, want at most %d", n, p.Window, p.Limit)
+			if n > limit {
+				t.Fatalf("%d requests within %s, want at most %d", n, p.Window, limit)
 			}
 		}
 	})
 }
 
-// Guards against a pacer without a limit that allows every request.
-func TestZeroPacerAllowsNothing(t *testing.T) {
-	qt.New(t).Check(new(Pacer).Allowed(start), qt.IsFalse)
+// Guards against a limit of zero that allows every request.
+func TestZeroLimitAllowsNothing(t *testing.T) {
+	qt.New(t).Check(new(Pacer).Allowed(start, 0), qt.IsFalse)
 }
 
 // Guards against retries that double the load when a service fails all requests.
