--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -55,7 +55,8 @@
 	// suspendedUntil is the time until which it receives no new requests.
 	suspendedUntil time.Time
 	// coldUntil is the time until which it counts as cold. Until then, coldPacer
-	// limits its requests.
+	// limits its requests. It records them at any time, as an endpoint may become cold
+	// just after it has got some.
 	coldUntil time.Time
 	coldPacer pacer.Pacer
 	// notice holds what the endpoint has said about itself, or is nil.
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -344,9 +344,7 @@
 }
 
 func (d *Director) dispatch(now time.Time, req *request, e, holder *endpoint) {
-	if now.Before(e.coldUntil) {
-		e.coldPacer.Record(now)
-	}
+	e.coldPacer.Record(now)
 	req.endpoint, req.replaced = e, false
 	if req.usesEngine && !req.relayed {
 		req.awaitingFirstByte, req.prefillTokensAhead = true, e.load.PrefillTokens()
--- a/internal/director/reservation.go
+++ b/internal/director/reservation.go
@@ -13,9 +13,9 @@
 	// prefillTokens is the number of prompt tokens that the reservation adds to the
 	// load.
 	prefillTokens float64
-	// pacedAt is the time for which the pacer of a cold endpoint has recorded the
-	// attempt, or zero.
-	pacedAt time.Time
+	// at is the time of the reservation, for which the pacer of the endpoint has
+	// recorded the attempt.
+	at time.Time
 }
 
 // reserveReplacement reports whether another endpoint can take over a request
@@ -30,7 +30,7 @@
 	}
 	cached := req.prefixCached
 	e, holder := d.choose(now, req)
-	r := &reservation{endpoint: e, holder: holder, prefixCached: req.prefixCached}
+	r := &reservation{endpoint: e, holder: holder, prefixCached: req.prefixCached, at: now}
 	req.prefixCached = cached
 	if e != nil && d.engineOf(req) != nil && !req.relayed {
 		r.endpoint = d.admit(now, req, e)
@@ -38,10 +38,7 @@
 	if r.endpoint == nil || !d.mayRetry(now, req.service) {
 		return false
 	}
-	if now.Before(r.endpoint.coldUntil) {
-		r.endpoint.coldPacer.Record(now)
-		r.pacedAt = now
-	}
+	r.endpoint.coldPacer.Record(now)
 	if req.usesEngine && !req.relayed {
 		r.prefillTokens = req.Need.PrefillTokens()
 	}
@@ -62,9 +59,7 @@
 		return nil
 	}
 	req.reserved = nil
-	if !r.pacedAt.IsZero() {
-		r.endpoint.coldPacer.Withdraw(r.pacedAt)
-	}
+	r.endpoint.coldPacer.Withdraw(r.at)
 	r.endpoint.load.Own.PrefillTokens -= r.prefillTokens
 	r.endpoint.load.Own.Running--
 	d.markChanged(r.endpoint)
