--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -87,7 +87,10 @@
 		d.retry(now, req, e, f, ReasonDeclined, reserved)
 	case Misdirected, Unreached, Unsent:
 		req.unreachedCount++
-		if req.unreachedCount >= maxUnreached {
+		// A misdirected request has reached an endpoint, so that sending it again is a
+		// retry.
+		inBudget := f.Result != Misdirected || req.replaced || d.mayRetry(now, req.service)
+		if req.unreachedCount >= maxUnreached || !inBudget {
 			d.fail(now, req, ReasonNoEndpoint)
 
 			return
