--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -198,6 +198,7 @@
 		FreshView: freshViewAge, AssumedNodes: assumedNodes, PublicationInterval: s.PublicationInterval,
 		ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack,
 		RetryWindow: s.RetryWindow, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
+		Restarted: true,
 	}
 }
 
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -43,6 +43,9 @@
 	RetryWindow time.Duration
 	RetryRatio  float64
 	RetrySlack  float64
+	// Restarted reports whether another process may have run at this node just before.
+	// It may have used up the node's shares of the fleet's limits.
+	Restarted bool
 }
 
 // missingTableTime bounds the wait for a version of the table that the store has
@@ -55,6 +58,8 @@
 type Director struct {
 	opts  Options
 	table *router.Table
+	// startedAt is the time of the first event.
+	startedAt time.Time
 
 	registrar *registrar.Registrar
 	endpoints map[string]*endpoint
@@ -148,6 +153,9 @@
 func (d *Director) Reduce(now time.Time, e Event) []Effect {
 	clear(d.effects)
 	d.effects = d.effects[:0]
+	if d.startedAt.IsZero() {
+		d.startedAt = now
+	}
 	switch e := e.(type) {
 	case Arrived:
 		d.handleArrival(now, e.Request)
@@ -217,6 +225,12 @@
 
 func (d *Director) log(event int, args ...any) { d.emit(Log{Event: event, Args: args}) }
 
+// sharesSpent reports whether a process before this one may have used up the node's
+// shares of limits in windows of the given length.
+func (d *Director) sharesSpent(now time.Time, window time.Duration) bool {
+	return d.opts.Restarted && now.Sub(d.startedAt) < window
+}
+
 // Ready reports whether the node can serve new requests.
 func (d *Director) Ready() bool { return d.ready }
 
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -180,6 +180,9 @@
 	if s == nil || s.ColdRate <= 0 {
 		return math.MaxInt
 	}
+	if d.sharesSpent(now, coldWindow) {
+		return 0
+	}
 	share := (s.ColdRate*d.opts.ColdFactor + d.opts.ColdSlack) / float64(d.fleet.size(now))
 	if share >= 1 {
 		return int(share)
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -200,6 +200,9 @@
 // attempt, and uses up the budget if it does.
 func (d *Director) mayRetry(now time.Time, s *service) bool {
 	s.retryBudget.Slack = d.opts.RetrySlack / float64(d.fleet.size(now))
+	if d.sharesSpent(now, d.opts.RetryWindow) {
+		s.retryBudget.Slack = 0
+	}
 
 	return s.retryBudget.AllowRetry(now)
 }
--- a/internal/director/share_test.go
+++ b/internal/director/share_test.go
@@ -38,7 +38,7 @@
 // startNode returns a node that has just started.
 func (f *testFleet) startNode(k int) *node {
 	o := options()
-	o.Name, o.AssumedNodes = fmt.Sprint("node-", k), 100
+	o.Name, o.AssumedNodes, o.Restarted = fmt.Sprint("node-", k), 100, true
 
 	return &node{Director: New(o), now: f.now}
 }
