--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -581,6 +581,12 @@
 	return out
 }
 
+// Centres returns the sorted names of the other data centres whose nodes Others
+// includes.
+func (a *Aggregator) Centres(now time.Time) []string {
+	return slices.DeleteFunc(a.centreNames(), func(name string) bool { return now.Sub(a.centres[name].sumTime) >= nodeTimeout })
+}
+
 // Others returns the load of all other nodes, without sums that are too old.
 func (a *Aggregator) Others(now time.Time) encoder.LoadSum {
 	var total encoder.LoadSum
--- a/internal/aggregator/aggregator_test.go
+++ b/internal/aggregator/aggregator_test.go
@@ -176,9 +176,12 @@
 	f.run(10 * time.Second)
 	c.Check(int(f.nodes[f.order[0]].Others(f.now).Nodes), qt.Equals, 2)
 	c.Check(int(f.nodes[f.order[1]].Others(f.now).Nodes), qt.Equals, 5)
+	c.Check(f.nodes[f.order[0]].Centres(f.now), qt.HasLen, 0)
+	c.Check(f.nodes[f.order[1]].Centres(f.now), qt.DeepEquals, []string{"centre-2"})
 	f.blocked = func(netip.Addr, netip.Addr) bool { return false }
 	f.run(6 * time.Second)
 	f.check(c, "healed")
+	c.Check(f.nodes[f.order[0]].Centres(f.now), qt.DeepEquals, []string{"centre-1", "centre-2"})
 }
 
 // Guards against sums that stay wrong after 5% of the messages were lost.
--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -56,7 +56,7 @@
 	freshViewAge = 3500 * time.Millisecond
 	// assumedNodes is the number of nodes assumed to share the limits of the
 	// fleet until a node knows other nodes.
-	assumedNodes = 100
+	assumedNodes = 512
 	// reservedDescriptors is the number of file descriptors that are not
 	// available to callers' connections, but reserved for files, endpoints and
 	// the shared view. Idle connections to endpoints take up at most
@@ -136,7 +136,9 @@
 	n.exchanger, err = exchanger.New(exchanger.Options{
 		Address: s.Peers, Centre: s.DataCentre, Seeds: s.Seeds, Logger: n.logger, Clock: opts.Clock,
 		Load: n.forwarder.Load, View: n.follower.View, SetRelayedView: n.follower.ApplyRelayed, CompareTable: n.follower.CompareTable, SetSpeaker: n.follower.SetRelaying,
-		SetOthersLoad:   func(others encoder.LoadSum) { n.forwarder.Post(director.OthersLoadReplaced{Others: others}) },
+		SetOthersLoad: func(others encoder.LoadSum, centres []string) {
+			n.forwarder.Post(director.OthersLoadReplaced{Others: others, Centres: centres})
+		},
 		LoadChange:      func() encoder.LoadChange { return n.forwarder.LoadChange() },
 		SetChangedLoads: func(others encoder.LoadSum) { n.forwarder.Post(director.OthersLoadUpdated{Others: others}) },
 		Crashes:         n.forwarder.Crashes,
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -144,7 +144,7 @@
 	return &Director{
 		opts: opts, registrar: registrar.New(opts.PublicationInterval),
 		endpoints: map[string]*endpoint{}, notices: map[incarnation]*notice{}, addresses: map[netip.AddrPort]*address{}, services: map[string]*service{},
-		requests: map[uint64]*request{}, endpointsByNumber: map[uint32]*endpoint{}, fleet: fleet{assumedNodes: opts.AssumedNodes},
+		requests: map[uint64]*request{}, endpointsByNumber: map[uint32]*endpoint{}, fleet: newFleet(opts),
 	}
 }
 
@@ -190,7 +190,7 @@
 	case ViewReachable:
 		d.endOutage(now, e.At)
 	case OthersLoadReplaced:
-		d.replaceOthersLoad(now, e.Others)
+		d.replaceOthersLoad(now, e.Others, e.Centres)
 	case OthersLoadUpdated:
 		d.updateOthersLoad(now, e.Others)
 	case CrashesObserved:
@@ -256,7 +256,7 @@
 // Status returns the current status.
 func (d *Director) Status(now time.Time) Status {
 	s := Status{
-		Age: d.Age(now), Nodes: d.fleet.size(now), Endpoints: d.registrar.Len(),
+		Age: d.Age(now), Nodes: d.fleet.size(), Endpoints: d.registrar.Len(),
 		Requests: len(d.requests), Waiting: len(d.waiting), Ready: d.ready,
 	}
 	for _, e := range d.endpoints {
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -75,7 +75,7 @@
 	}
 	n.post(EntriesListed{entries})
 	n.post(ViewConfirmed{n.now})
-	n.post(OthersLoadReplaced{encoder.LoadSum{Nodes: 5}})
+	n.post(OthersLoadReplaced{Others: encoder.LoadSum{Nodes: 5}})
 	n.now = n.now.Add(discoveryPeriod)
 	n.post(ViewConfirmed{n.now})
 
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -152,7 +152,7 @@
 	}
 	if !wasCold && d.paced(now, e) {
 		d.log(logger.EndpointCold, "endpoint", e.entry.ID, "service", e.entry.Service, "length", remaining.String(),
-			"requests", d.coldLimit(now, e), "window", coldWindow.String(), "nodes", d.fleet.size(now))
+			"requests", d.coldLimit(now, e), "window", coldWindow.String(), "nodes", d.fleet.size())
 	}
 }
 
@@ -183,7 +183,7 @@
 	if d.sharesSpent(now, coldWindow) {
 		return 0
 	}
-	share := (s.ColdRate*d.opts.ColdFactor + d.opts.ColdSlack) / float64(d.fleet.size(now))
+	share := (s.ColdRate*d.opts.ColdFactor + d.opts.ColdSlack) / float64(d.fleet.size())
 	if share >= 1 {
 		return int(share)
 	}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -174,8 +174,12 @@
 // ViewConfirmed reports that the view was complete at the given time.
 type ViewConfirmed struct{ At time.Time }
 
-// OthersLoadReplaced provides the load of the other nodes at all endpoints.
-type OthersLoadReplaced struct{ Others encoder.LoadSum }
+// OthersLoadReplaced provides the load of the other nodes at all endpoints, and the
+// other data centres that have nodes among them.
+type OthersLoadReplaced struct {
+	Others  encoder.LoadSum
+	Centres []string
+}
 
 // OthersLoadUpdated provides the load of the other nodes at the listed
 // endpoints only.
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -12,40 +13,69 @@
 )
 
 const (
-	// discoveryPeriod is how long after its start a node uses at least the assumed
-	// number of nodes. The nodes discover each other within this time.
+	// discoveryPeriod is how long the number of nodes must not have grown until a node
+	// that has started takes it for complete.
 	discoveryPeriod = 3 * time.Second
 	// fleetRetention is how long a node that is no longer heard from still
-	// counts. It may be partitioned from the others and still send requests.
+	// counts. It may be partitioned from the others and still send requests. For as
+	// long, a node that has started assumes that it may be partitioned itself if it
+	// has not heard of all data centres.
 	fleetRetention = time.Minute
 )
 
 // fleet estimates the number of nodes that share the limits of the fleet.
 type fleet struct {
-	// assumedNodes is the number that is used until the nodes have discovered
+	// assumedNodes is the number that is used at least until the nodes have discovered
 	// each other.
 	assumedNodes int
 	// startedAt is when the node first received the load of the others.
 	startedAt time.Time
-	// peakNodes is the highest number of nodes since peakAt.
-	peakNodes int
-	peakAt    time.Time
+	// peakNodes is the highest number of nodes since peakAt, and grownAt is when it was
+	// last exceeded.
+	peakNodes       int
+	peakAt, grownAt time.Time
+	// unheard holds the data centres of which no node has been heard yet.
+	unheard map[string]bool
+	// discovered reports whether the nodes have discovered each other. It never
+	// becomes false.
+	discovered bool
 	// logged is the size that was last logged.
 	logged int
 }
 
-func (f *fleet) recordNodes(now time.Time, nodes int) {
+// newFleet returns the estimate of a node that knows no other node yet.
+func newFleet(opts Options) fleet {
+	f := fleet{assumedNodes: opts.AssumedNodes, unheard: map[string]bool{}}
+	for centre := range opts.Regions {
+		f.unheard[centre] = centre != opts.DataCentre
+	}
+	maps.DeleteFunc(f.unheard, func(_ string, unheard bool) bool { return !unheard })
+
+	return f
+}
+
+// recordNodes records the number of nodes that are heard from, and the data centres of
+// the others.
+func (f *fleet) recordNodes(now time.Time, nodes int, centres []string) {
 	if f.startedAt.IsZero() {
-		f.startedAt = now
+		f.startedAt, f.grownAt = now, now
+	}
+	for _, centre := range centres {
+		delete(f.unheard, centre)
+	}
+	if nodes > f.peakNodes {
+		f.grownAt = now
 	}
 	if nodes >= f.peakNodes || now.Sub(f.peakAt) >= fleetRetention {
 		f.peakNodes, f.peakAt = nodes, now
 	}
+	allHeard := len(f.unheard) == 0 || now.Sub(f.startedAt) >= fleetRetention
+	f.discovered = f.discovered || allHeard && now.Sub(f.grownAt) >= discoveryPeriod
 }
 
 // size returns the number of nodes by which the limits are divided.
-func (f *fleet) size(now time.Time) int {
-	if f.startedAt.IsZero() || now.Sub(f.startedAt) < discoveryPeriod {
+func (f *fleet) size() int {
+	if !f.discovered {
 		return max(f.assumedNodes, f.peakNodes)
 	}
 
@@ -165,10 +195,11 @@
 	return sum
 }
 
-// replaceOthersLoad sets the load of the other nodes at all endpoints.
-func (d *Director) replaceOthersLoad(now time.Time, others encoder.LoadSum) {
-	d.fleet.recordNodes(now, int(others.Nodes)+1)
-	if size := d.fleet.size(now); size != d.fleet.logged {
+// replaceOthersLoad sets the load of the other nodes at all endpoints. centres are the
+// data centres of these nodes.
+func (d *Director) replaceOthersLoad(now time.Time, others encoder.LoadSum, centres []string) {
+	d.fleet.recordNodes(now, int(others.Nodes)+1, centres)
+	if size := d.fleet.size(); size != d.fleet.logged {
 		d.log(logger.FleetSizeChanged, "nodes", size, "former", d.fleet.logged)
 		d.fleet.logged = size
 	}
--- a/internal/director/origin.go
+++ b/internal/director/origin.go
@@ -155,7 +155,7 @@
 		}
 	}
 
-	return version, sole && 2*agreed > d.fleet.size(now)
+	return version, sole && 2*agreed > d.fleet.size()
 }
 
 // recordOrigin binds the request to the version of the endpoint that has brought
--- a/internal/director/origin_test.go
+++ b/internal/director/origin_test.go
@@ -63,7 +63,7 @@
 		n.post(CallerDisconnected{ID: id})
 		n.post(AttemptFinished{ID: id, Result: Cancelled, Relayed: true})
 		// A new request would go to an endpoint with less load.
-		n.post(OthersLoadReplaced{encoder.LoadSum{Nodes: 5, Loads: []encoder.Load{{Endpoint: first.number, Running: 3}}}})
+		n.post(OthersLoadReplaced{Others: encoder.LoadSum{Nodes: 5, Loads: []encoder.Load{{Endpoint: first.number, Running: 3}}}})
 		c.Check(n.takeUp(100+id, fmt.Sprint("r", id)), qt.Equals, version)
 		// It is taken up a second time, after which the first attempt is still named.
 		n.post(ResponseStarted{ID: 100 + id, Wait: time.Millisecond})
--- a/internal/director/origin_view_test.go
+++ b/internal/director/origin_view_test.go
@@ -126,7 +126,7 @@
 		{name: "no answer"},
 	} {
 		n := newNodeWithVersions("1", "1", "1")
-		n.post(OthersLoadReplaced{encoder.LoadSum{Nodes: 6}})
+		n.post(OthersLoadReplaced{Others: encoder.LoadSum{Nodes: 6}})
 		n.now = n.now.Add(2 * time.Second)
 		sent := n.takeUp(1, "x")
 		for range 100 {
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -393,7 +393,7 @@
 		return maxIdle
 	}
 
-	return min(max(int(idleShare*float64(s.MaxConnections))/d.fleet.size(now), 1), maxIdle)
+	return min(max(int(idleShare*float64(s.MaxConnections))/d.fleet.size(), 1), maxIdle)
 }
 
 // release removes the current attempt from the load of its endpoint, and
--- a/internal/director/share_test.go
+++ b/internal/director/share_test.go
@@ -21,16 +21,17 @@
 	lastID uint64
 }
 
-// newFleet returns nodes that know each other. Each has the routes.
-func newFleet(count int) *testFleet {
+// newTestFleet returns nodes that know each other. Each has the routes.
+func newTestFleet(count int) *testFleet {
 	f := &testFleet{now: start, sent: map[string][]time.Time{}}
 	for k := range count {
 		n := f.startNode(k)
 		n.post(TableLoaded{table(1)})
 		f.nodes = append(f.nodes, n)
 	}
-	f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: uint16(count - 1)}})
+	f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: uint16(count - 1)}, []string{"kollam"}})
 	f.now = f.now.Add(discoveryPeriod)
+	f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: uint16(count - 1)}, []string{"kollam"}})
 
 	return f
 }
@@ -110,7 +111,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(73)
+			f := newTestFleet(73)
 			f.post(EntriesListed{[]registrar.Entry{warm}})
 			happen(f)
 			f.load(3*time.Second, Answered)
@@ -123,11 +124,11 @@
 // Guards against an unlimited rate of requests to a cold endpoint whose entry was known
 // before the table that states the rate of its service.
 func TestColdEndpointKnownBeforeItsServiceIsPaced(t *testing.T) {
-	f := newFleet(6)
+	f := newTestFleet(6)
 	for k := range f.nodes {
 		f.nodes[k] = f.startNode(k)
 	}
-	f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: 5}})
+	f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: 5}, []string{"kollam"}})
 	f.now = f.now.Add(discoveryPeriod + 7*time.Second)
 	cold := entry("desk", 0)
 	cold.Cold = 3 * time.Second
@@ -153,7 +154,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(73)
+			f := newTestFleet(73)
 			for k := range f.nodes {
 				f.nodes[k] = f.startNode(k)
 			}
@@ -165,7 +166,12 @@
 				f.post(EntriesListed{[]registrar.Entry{cold}})
 				for k, n := range f.nodes {
 					n.now = f.now
-					n.post(OthersLoadReplaced{encoder.LoadSum{Nodes: uint16(known(k, second))}})
+					// Who knows fewer nodes than its data centre has knows no others.
+					var others []string
+					if known(k, second) > 18 {
+						others = []string{"kollam"}
+					}
+					n.post(OthersLoadReplaced{encoder.LoadSum{Nodes: uint16(known(k, second))}, others})
 				}
 				f.load(time.Second, Answered)
 			}
@@ -188,7 +194,7 @@
 			f.post(TableLoaded{table(1)})
 			f.post(EntriesListed{[]registrar.Entry{entry("desk", 0), entry("desk", 1)}})
 		}
-		f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: uint16(len(f.nodes) - 1)}})
+		f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: uint16(len(f.nodes) - 1)}, []string{"kollam"}})
 		f.post(ViewConfirmed{f.now})
 		for _, n := range f.nodes {
 			f.lastID++
@@ -210,7 +216,7 @@
 // start.
 func TestRestartedNodesDoNotExceedTheRetryBudget(t *testing.T) {
 	o := options()
-	f := newFleet(6)
+	f := newTestFleet(6)
 	f.post(EntriesListed{[]registrar.Entry{entry("desk", 0), entry("desk", 1)}})
 	f.now = f.now.Add(o.RetryWindow)
 	requests, retries := f.retries(o.RetryWindow, 2)
@@ -250,7 +256,7 @@
 // Guards against a node that sends its share to an endpoint right after it becomes
 // cold, beside what it has just sent before.
 func TestRequestsJustBeforeAColdPeriodCount(t *testing.T) {
-	f := newFleet(6)
+	f := newTestFleet(6)
 	warm, cold := entry("desk", 0), entry("desk", 0)
 	cold.Cold = 3 * time.Second
 	f.post(EntriesListed{[]registrar.Entry{warm}})
--- a/internal/director/silence_test.go
+++ b/internal/director/silence_test.go
@@ -250,7 +250,7 @@
 			others.Loads = append(others.Loads, encoder.Load{Endpoint: e.number, Running: 40})
 		}
 	}
-	n.post(OthersLoadReplaced{others})
+	n.post(OthersLoadReplaced{Others: others})
 	second := send(2)
 	c.Assert(second.Address, qt.Not(qt.Equals), first.CacheHolder)
 	c.Check(second.CacheHolder, qt.Equals, first.Address)
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -35,9 +35,9 @@
 	Centre  string
 	Seeds   []netip.Addr
 	// Load returns the node's load. SetOthersLoad is called with the load of all
-	// other nodes.
+	// other nodes, and the other data centres that have nodes among them.
 	Load          func() encoder.LoadSum
-	SetOthersLoad func(encoder.LoadSum)
+	SetOthersLoad func(others encoder.LoadSum, centres []string)
 	// LoadChange returns the change of the node's load since the last call of
 	// LoadChange or Load. SetChangedLoads is called with the load of the other
 	// nodes at the endpoints where it has changed.
@@ -158,15 +158,15 @@
 func (x *Exchanger) sendFullSums() {
 	load, view, crashes := x.opts.Load(), x.opts.View(), x.opts.Crashes()
 	since, until := x.opts.StoreContact()
-	isSpeaker, others := x.tick(load, view, crashes)
+	isSpeaker, others, centres := x.tick(load, view, crashes)
 	x.announceContact(since, until)
 	x.opts.SetSpeaker(isSpeaker)
-	x.opts.SetOthersLoad(others)
+	x.opts.SetOthersLoad(others, centres)
 }
 
 // tick sends full sums. It reports whether the node is the speaker of others, and
-// returns the load of all other nodes.
-func (x *Exchanger) tick(load encoder.LoadSum, view aggregator.View, crashes []encoder.Crash) (isSpeaker bool, others encoder.LoadSum) {
+// returns the load of all other nodes and their data centres.
+func (x *Exchanger) tick(load encoder.LoadSum, view aggregator.View, crashes []encoder.Crash) (isSpeaker bool, others encoder.LoadSum, centres []string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.opts.Clock()
@@ -181,7 +181,7 @@
 		x.nodes = nodes
 	}
 
-	return x.aggregator.IsSpeaker(now), others
+	return x.aggregator.IsSpeaker(now), others, x.aggregator.Centres(now)
 }
 
 // announceContact tells other nodes of the last period in which the node could read the
@@ -253,6 +253,8 @@
 	// at the endpoints where it has changed if hasChanges is.
 	others, changedLoads  encoder.LoadSum
 	hasOthers, hasChanges bool
+	// centres holds the data centres of the other nodes if hasOthers is true.
+	centres []string
 	// relayed is the view that the speaker has sent, if hasView is true.
 	relayed aggregator.RelayedView
 	hasView bool
@@ -270,7 +272,7 @@
 	n.hasOthers = x.aggregator.DigestReceived()
 	n.changedLoads, n.hasChanges = x.aggregator.ChangedLoads(x.opts.Clock())
 	if n.hasOthers {
-		n.others = x.aggregator.Others(x.opts.Clock())
+		n.others, n.centres = x.aggregator.Others(x.opts.Clock()), x.aggregator.Centres(x.opts.Clock())
 	}
 
 	return n
@@ -279,7 +281,7 @@
 func (x *Exchanger) applyNews(n news) {
 	switch {
 	case n.hasOthers:
-		x.opts.SetOthersLoad(n.others)
+		x.opts.SetOthersLoad(n.others, n.centres)
 	case n.hasChanges:
 		x.opts.SetChangedLoads(n.changedLoads)
 	}
--- a/internal/exchanger/origin_test.go
+++ b/internal/exchanger/origin_test.go
@@ -126,7 +126,7 @@
 
 				return encoder.LoadSum{}
 			},
-			SetOthersLoad: func(others encoder.LoadSum) {
+			SetOthersLoad: func(others encoder.LoadSum, _ []string) {
 				if int(others.Nodes) == len(centres)-1 {
 					once.Do(func() { close(n.ready) })
 				}
