--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -27,6 +27,9 @@
 	// counted. It is slightly longer than the second in which the limit is
 	// defined, because requests take different times to arrive.
 	coldWindow = 1100 * time.Millisecond
+	// coldSendTime is the time in which a request to a cold endpoint must be sent. It
+	// and the differences of the network delay are what coldWindow allows for.
+	coldSendTime = 50 * time.Millisecond
 	// outcomeWeight is the weight of a new outcome in the moving failure share,
 	// and maxFailurePenalty is the penalty of an endpoint that fails all
 	// requests.
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -269,6 +269,9 @@
 	Route *router.Route
 	// Deadline is the time by which the answer must be complete.
 	Deadline time.Time
+	// SendBy is the time by which the request must be sent, or zero. Later it must not
+	// be sent at all, and the attempt is Unsent.
+	SendBy time.Time
 	// FirstByteDeadline is the time at which AttemptStalled is due if no byte of
 	// the answer has arrived, or zero.
 	FirstByteDeadline time.Time
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -366,6 +366,9 @@
 		Urgency: min(d.table.Urgency(req.route, req.account), maxUrgencyRank), Route: req.route, Deadline: d.deadlineOfAttempt(req),
 		Resume: req.relayed, MaxIdle: d.idleLimit(now, req.service.name),
 	}
+	if d.paced(now, e) {
+		dispatch.SendBy = now.Add(coldSendTime)
+	}
 	if holder != nil && !d.displaced(now, holder) {
 		dispatch.CacheHolder = holder.entry.Address
 	}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -158,8 +158,10 @@
 		return director.Unreached
 	}
 	a.conn = conn
-	left := a.dispatch.Deadline.Sub(a.call.f.opts.Clock())
-	if !a.call.setEndpointConn(conn) || left <= 0 {
+	now := a.call.f.opts.Clock()
+	left := a.dispatch.Deadline.Sub(now)
+	tooLate := left <= 0 || !a.dispatch.SendBy.IsZero() && now.After(a.dispatch.SendBy)
+	if !a.call.setEndpointConn(conn) || tooLate {
 		return director.Unsent
 	}
 	a.end = time.Now().Add(left + responseMargin)
