--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -322,6 +322,7 @@
 	write("endpoints_paused", float64(s.Paused))
 	write("endpoints_displaced", float64(s.Displaced))
 	write("endpoints_cold", float64(s.Cold))
+	write("endpoints_limited", float64(s.Limited))
 	memory := n.forwarder.Memory()
 	write("memory_budget_bytes", float64(memory.Limit))
 	write("memory_budget_used_bytes", float64(memory.Used))
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -248,9 +248,10 @@
 	// Leaving is the number of endpoints that have said that they shut down, and
 	// Paused that of those that get no requests because they asked for time.
 	// Displaced is the number of those that get none because another one has their
-	// address. Cold is the number of those that are cold.
-	Leaving, Paused, Displaced, Cold int
-	Ready                            bool
+	// address. Cold is the number of those that are cold, and
+	// Limited that of those that have named a limit of requests.
+	Leaving, Paused, Displaced, Cold, Limited int
+	Ready                                     bool
 }
 
 // Status returns the current status.
@@ -272,6 +273,9 @@
 		if d.paced(now, e) {
 			s.Cold++
 		}
+		if e.limited() {
+			s.Limited++
+		}
 	}
 	if d.table != nil {
 		s.Version = d.table.Version()
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -80,6 +80,12 @@
 	// InvalidPause is the value that the endpoint states in place of a pause if it
 	// is malformed, or empty.
 	InvalidPause string
+	// Limit is the number of requests a second that the endpoint takes from all nodes
+	// together, if Limited is true. InvalidLimit is the value that it states in place
+	// of a limit if it is malformed, or empty.
+	Limit        float64
+	Limited      bool
+	InvalidLimit string
 }
 
 // RequestLost reports that a request has ended because of an unexpected error.
@@ -281,6 +287,9 @@
 	// CacheHolder, if valid, is the address of an endpoint from which the shared
 	// parts of the prompt can be fetched.
 	CacheHolder netip.AddrPort
+	// Limited reports whether the endpoint has named a limit of requests. Then
+	// EndpointNoticed must follow its response, also if that names none.
+	Limited bool
 	// MaxIdle is the maximum number of idle connections to keep to the endpoint.
 	MaxIdle int
 }
--- a/internal/director/notice.go
+++ b/internal/director/notice.go
@@ -36,6 +36,11 @@
 	leaving bool
 	// pausedUntil is the time until which the endpoint gets no requests.
 	pausedUntil time.Time
+	// limit is the number of requests a second that the endpoint takes from all nodes
+	// together since limitedSince, if limited is true.
+	limit        float64
+	limited      bool
+	limitedSince time.Time
 	// removedAt is when the endpoint's entry was removed, or zero while there is
 	// one.
 	removedAt time.Time
@@ -95,8 +100,36 @@
 	case e.Pause > 0:
 		d.pause(now, req, req.endpoint, e.Pause)
 	}
+	d.noteLimit(now, req, e)
 }
 
+// noteLimit applies the limit of requests that the endpoint of an attempt has named, or
+// its end. A response to a request from before the limit does not end it.
+func (d *Director) noteLimit(now time.Time, req *request, e EndpointNoticed) {
+	id, service := req.endpoint.entry.ID, req.endpoint.entry.Service
+	n := req.endpoint.notice
+	switch {
+	case e.InvalidLimit != "":
+		d.log(logger.LimitIgnored, "request", req.Name, "endpoint", id, "value", e.InvalidLimit)
+	case e.Limited:
+		n = d.noticeOf(now, req.endpoint)
+		n.limit = e.Limit
+		if !n.limited {
+			n.limited, n.limitedSince = true, now
+			d.emit(Count{Counter: CounterNotices, Label: noticeLimit})
+			d.log(logger.EndpointLimited, "request", req.Name, "endpoint", id, "service", service,
+				"limit", e.Limit, "nodes", d.fleet.size())
+		}
+	case n != nil && n.limited && req.sentLimited:
+		n.limited = false
+		d.log(logger.EndpointLimitEnded, "request", req.Name, "endpoint", id, "service", service,
+			"length", now.Sub(n.limitedSince).String())
+	}
+}
+
+// limited reports whether the endpoint has named a limit of requests.
+func (e *endpoint) limited() bool { return e.notice != nil && e.notice.limited }
+
 // pause stops requests to an endpoint that has asked for time. The nodes return at
 // different times, so that they do not overload it again.
 func (d *Director) pause(now time.Time, req *request, e *endpoint, length time.Duration) {
@@ -155,7 +188,8 @@
 const (
 	noticeLeaving = "leaving"
 	noticePause   = "pause"
+	noticeLimit   = "limit"
 )
 
 // NoticeLabels lists the labels of CounterNotices.
-var NoticeLabels = []string{noticeLeaving, noticePause}
+var NoticeLabels = []string{noticeLeaving, noticePause, noticeLimit}
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -65,8 +65,10 @@
 	declined int
 	// unreachedCount is the number of attempts that did not reach an endpoint.
 	unreachedCount int
-	// endpoint is the endpoint of the attempt in progress, or nil.
-	endpoint *endpoint
+	// endpoint is the endpoint of the attempt in progress, or nil, and sentLimited
+	// reports whether it had named a limit when the attempt began.
+	endpoint    *endpoint
+	sentLimited bool
 	// replaced reports whether the attempt in progress has been given up for
 	// another one, which the retry budget already includes. reserved is then the
 	// place of that attempt; otherwise it is nil.
@@ -345,7 +347,7 @@
 
 func (d *Director) dispatch(now time.Time, req *request, e, holder *endpoint) {
 	e.coldPacer.Record(now)
-	req.endpoint, req.replaced = e, false
+	req.endpoint, req.sentLimited, req.replaced = e, e.limited(), false
 	if req.usesEngine && !req.relayed {
 		req.awaitingFirstByte, req.prefillTokensAhead = true, e.load.PrefillTokens()
 		e.load.Own.PrefillTokens += req.Need.PrefillTokens()
@@ -364,7 +366,7 @@
 	dispatch := Dispatch{
 		ID: req.ID, Endpoint: e.entry.ID, Address: e.entry.Address, Account: account,
 		Urgency: min(d.table.Urgency(req.route, req.account), maxUrgencyRank), Route: req.route, Deadline: d.deadlineOfAttempt(req),
-		Resume: req.relayed, MaxIdle: d.idleLimit(now, req.service.name),
+		Resume: req.relayed, Limited: req.sentLimited, MaxIdle: d.idleLimit(now, req.service.name),
 	}
 	if d.paced(now, e) {
 		dispatch.SendBy = now.Add(coldSendTime)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -404,11 +404,13 @@
 	if m.AttemptID == "" || m.AttemptID != a.call.attemptID || a.resp.StatusCode() == http.StatusMisdirectedRequest {
 		return
 	}
-	notice := director.EndpointNoticed{ID: a.call.id, Leaving: m.Leaving}
+	notice := director.EndpointNoticed{
+		ID: a.call.id, Leaving: m.Leaving, Limit: m.Limit, Limited: m.HasLimit, InvalidLimit: m.InvalidLimit,
+	}
 	if a.resp.StatusCode() == http.StatusServiceUnavailable {
 		notice.Pause, notice.InvalidPause = m.RetryAfter, m.InvalidRetryAfter
 	}
-	if notice != (director.EndpointNoticed{ID: a.call.id}) {
+	if a.dispatch.Limited || notice != (director.EndpointNoticed{ID: a.call.id}) {
 		a.leaving = m.Leaving
 		a.call.f.Post(notice)
 	}
--- a/internal/forwarder/protocol.go
+++ b/internal/forwarder/protocol.go
@@ -78,6 +78,12 @@
 	// or empty. They count in a response with status 503 only.
 	RetryAfter        time.Duration
 	InvalidRetryAfter string
+	// Limit is the number of requests a second that the endpoint takes from all nodes
+	// together, if HasLimit is true. InvalidLimit is the value of the field if it is
+	// malformed, or empty.
+	Limit        float64
+	HasLimit     bool
+	InvalidLimit string
 	// ColdRemaining is the remaining time for which the endpoint is cold, or zero.
 	ColdRemaining time.Duration
 }
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -85,6 +85,9 @@
 	UnexpectedError    = 743
 	EndpointCold       = 744
 	FleetSizeChanged   = 745
+	EndpointLimited    = 746
+	EndpointLimitEnded = 747
+	LimitIgnored       = 748
 )
 
 // Definition describes a log event.
@@ -178,6 +181,9 @@
 	{UnexpectedError, hclog.Error, "unexpected error; the process goes on", []string{"where", "error", "stack"}},
 	{EndpointCold, hclog.Info, "endpoint is cold", []string{"endpoint", "service", "length", "requests", "window", "nodes"}},
 	{FleetSizeChanged, hclog.Info, "number of nodes that share the fleet's limits changed", []string{"nodes", "former"}},
+	{EndpointLimited, hclog.Info, "endpoint names a limit of requests", []string{"request", "endpoint", "service", "limit", "nodes"}},
+	{EndpointLimitEnded, hclog.Info, "endpoint names no limit any more", []string{"request", "endpoint", "service", "length"}},
+	{LimitIgnored, hclog.Warn, "malformed limit of requests ignored", []string{"request", "endpoint", "value"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
