--- a/internal/director/share_test.go
+++ b/internal/director/share_test.go
@@ -19,6 +19,9 @@
 	// sent holds the times at which requests were sent to each endpoint.
 	sent   map[string][]time.Time
 	lastID uint64
+	// limit is the number of requests a second that endpoints name as their limit, or
+	// zero if they name none.
+	limit float64
 }
 
 // newTestFleet returns nodes that know each other. Each has the routes.
@@ -61,6 +64,9 @@
 			f.lastID++
 			if d, ok := find[Dispatch](n.arrive(f.lastID, "/open/1")); ok {
 				f.sent[d.Endpoint] = append(f.sent[d.Endpoint], f.now)
+				if f.limit > 0 || d.Limited {
+					n.post(EndpointNoticed{ID: f.lastID, Limit: f.limit, Limited: f.limit > 0})
+				}
 				n.post(AttemptFinished{ID: f.lastID, Result: result, Status: 200})
 			}
 		}
@@ -274,3 +280,40 @@
 	most := f.most("desk-0", time.Second)
 	qt.Check(t, most <= coldLimit, qt.IsTrue, qt.Commentf("%d requests in a second", most))
 }
+
+// Guards against more requests than an endpoint says that it takes from all nodes
+// together, and against none at all.
+func TestEndpointsGetNoMoreRequestsThanTheirLimit(t *testing.T) {
+	const period = 4 * time.Second
+	for _, test := range []struct {
+		nodes int
+		limit float64
+	}{{6, 0.2}, {6, 1.6}, {6, 20}, {73, 0.2}, {73, 1.6}, {73, 20}, {295, 1.6}} {
+		t.Run(fmt.Sprint(test.nodes, " nodes, limit ", test.limit), func(t *testing.T) {
+			c := qt.New(t)
+			f := newTestFleet(test.nodes)
+			f.post(EntriesListed{[]registrar.Entry{entry("desk", 0)}})
+			f.limit = test.limit
+			f.load(500*time.Millisecond, Answered)
+			f.sent = map[string][]time.Time{}
+			f.load(20*time.Second, Answered)
+			most := float64(f.most("desk-0", period))
+			c.Check(most <= 1.5*test.limit*period.Seconds()+5, qt.IsTrue, qt.Commentf("%g requests in %s", most, period))
+			c.Check(len(f.sent["desk-0"]) > 0, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against a limit that stays in force after the endpoint has ceased to name it.
+func TestLimitEndsWithTheFirstResponseWithoutOne(t *testing.T) {
+	c := qt.New(t)
+	f := newTestFleet(6)
+	f.post(EntriesListed{[]registrar.Entry{entry("desk", 0)}})
+	f.limit = 1.6
+	f.load(10*time.Second, Answered)
+	f.limit = 0
+	f.load(10*time.Second, Answered)
+	f.sent = map[string][]time.Time{}
+	f.load(time.Second, Answered)
+	c.Check(len(f.sent["desk-0"]), qt.Equals, 6*50)
+}
