--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -27,9 +27,10 @@
 	// counted. It is slightly longer than the second in which the limit is
 	// defined, because requests take different times to arrive.
 	coldWindow = 1100 * time.Millisecond
-	// coldSendTime is the time in which a request to a cold endpoint must be sent. It
-	// and the differences of the network delay are what coldWindow allows for.
-	coldSendTime = 50 * time.Millisecond
+	// maxSendTime is the time in which a request to an endpoint that is cold or names a
+	// limit must be sent. It and the differences of the network delay are what
+	// coldWindow and limitWindow allow for.
+	maxSendTime = 50 * time.Millisecond
 	// outcomeWeight is the weight of a new outcome in the moving failure share,
 	// and maxFailurePenalty is the penalty of an endpoint that fails all
 	// requests.
@@ -57,11 +58,11 @@
 	consecutiveFailures int
 	// suspendedUntil is the time until which it receives no new requests.
 	suspendedUntil time.Time
-	// coldUntil is the time until which it counts as cold. Until then, coldPacer
-	// limits its requests. It records them at any time, as an endpoint may become cold
-	// just after it has got some.
+	// coldUntil is the time until which it counts as cold.
 	coldUntil time.Time
-	coldPacer pacer.Pacer
+	// pacer limits the requests while the endpoint is cold or names a limit. It records
+	// them at any time, as this may begin just after the endpoint has got some.
+	pacer pacer.Pacer
 	// notice holds what the endpoint has said about itself, or is nil.
 	notice *notice
 	// address is shared by all endpoints whose entries have the same address, and
@@ -90,8 +91,7 @@
 		entry:  entry,
 		number: endpointNumber(entry.ID),
 		load:   chooser.NewEngine(entry.ID, entry.DataCentre == d.opts.DataCentre),
-
-		coldPacer: pacer.Pacer{Window: coldWindow},
+		pacer:  pacer.Pacer{Longest: limitWindow},
 	}
 	d.recallNotice(e)
 	d.endpoints[entry.ID], d.endpointsByNumber[e.number] = e, e
@@ -223,7 +223,11 @@
 		return false
 	}
 
-	return !now.Before(e.coldUntil) || e.coldPacer.Allowed(now, d.coldLimit(now, e))
+	if now.Before(e.coldUntil) && !e.pacer.Allowed(now, d.coldLimit(now, e), coldWindow) {
+		return false
+	}
+
+	return d.withinLimit(now, e)
 }
 
 // suspend stops new requests to an endpoint that could not be reached. It may
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -401,6 +401,7 @@
 	ReasonGone       Reason = "caller_gone"
 	ReasonHarmful    Reason = "harmful_prompt"
 	ReasonPaused     Reason = "endpoints_paused"
+	ReasonLimited    Reason = "endpoints_limited"
 	ReasonLeaving    Reason = "leaving"
 	// ReasonVersionGone is that no endpoint of the version at which a stream began
 	// can go on with it.
@@ -418,7 +419,7 @@
 var Reasons = []Reason{
 	ReasonNotReady, ReasonNoRoute, ReasonNoKey, ReasonStaleView, ReasonTooLarge, ReasonMalformed,
 	ReasonNoEndpoint, ReasonOverload, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmful,
-	ReasonPaused, ReasonLeaving, ReasonVersionGone, ReasonVersionUnknown, ReasonMemory, ReasonInternal,
+	ReasonPaused, ReasonLimited, ReasonLeaving, ReasonVersionGone, ReasonVersionUnknown, ReasonMemory, ReasonInternal,
 }
 
 // Results lists all results.
--- /dev/null
+++ b/internal/director/limit_test.go
@@ -0,0 +1,69 @@
+package director
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"snipedyke/internal/registrar"
+)
+
+// Guards against more requests than an endpoint says that it takes from all nodes
+// together, and against none at all.
+func TestEndpointsGetNoMoreRequestsThanTheirLimit(t *testing.T) {
+	const period = 4 * time.Second
+	for _, test := range []struct {
+		nodes int
+		limit float64
+	}{{6, 0.2}, {6, 1.6}, {6, 20}, {73, 0.2}, {73, 1.6}, {73, 20}, {295, 1.6}} {
+		t.Run(fmt.Sprint(test.nodes, " nodes, limit ", test.limit), func(t *testing.T) {
+			c := qt.New(t)
+			f := newTestFleet(test.nodes)
+			f.post(EntriesListed{[]registrar.Entry{entry("desk", 0)}})
+			f.limit = test.limit
+			f.load(500*time.Millisecond, Answered)
+			f.sent = map[string][]time.Time{}
+			f.load(20*time.Second, Answered)
+			most := float64(f.most("desk-0", period))
+			c.Check(most <= 1.5*test.limit*period.Seconds()+5, qt.IsTrue, qt.Commentf("%g requests in %s", most, period))
+			c.Check(len(f.sent["desk-0"]) > 0, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against a limit that stays in force after the endpoint has ceased to name it.
+func TestLimitEndsWithTheFirstResponseWithoutOne(t *testing.T) {
+	c := qt.New(t)
+	f := newTestFleet(6)
+	f.post(EntriesListed{[]registrar.Entry{entry("desk", 0)}})
+	f.limit = 1.6
+	f.load(10*time.Second, Answered)
+	f.limit = 0
+	f.load(10*time.Second, Answered)
+	f.sent = map[string][]time.Time{}
+	f.load(time.Second, Answered)
+	c.Check(len(f.sent["desk-0"]), qt.Equals, 6*50)
+}
+
+// Guards against an answer other than a truthful refusal where only the limits of the
+// endpoints hold a request back.
+func TestRequestsThatNoLimitAdmitsAreRefused(t *testing.T) {
+	c := qt.New(t)
+	f := newTestFleet(1)
+	n := f.nodes[0]
+	f.post(EntriesListed{[]registrar.Entry{entry("desk", 0)}})
+	f.limit = 0.5
+	f.load(20*time.Millisecond, Answered)
+	n.arrive(500, "/pay/1")
+	n.post(EndpointNoticed{ID: 500, Limit: f.limit, Limited: true})
+	n.post(AttemptFinished{ID: 500, Result: Answered, Status: 200})
+	_, sent := find[Dispatch](n.arrive(501, "/pay/1"))
+	c.Check(sent, qt.IsFalse)
+	n.now = n.now.Add(100 * time.Millisecond)
+	refuse, _ := find[Refuse](n.post(Ticked{}))
+	c.Check(refuse.Status, qt.Equals, 503)
+	c.Check(refuse.Reason, qt.Equals, ReasonLimited)
+	c.Check(refuse.RetryAfter > 0, qt.IsTrue)
+}
--- a/internal/director/notice.go
+++ b/internal/director/notice.go
@@ -103,33 +103,6 @@
 	d.noteLimit(now, req, e)
 }
 
-// noteLimit applies the limit of requests that the endpoint of an attempt has named, or
-// its end. A response to a request from before the limit does not end it.
-func (d *Director) noteLimit(now time.Time, req *request, e EndpointNoticed) {
-	id, service := req.endpoint.entry.ID, req.endpoint.entry.Service
-	n := req.endpoint.notice
-	switch {
-	case e.InvalidLimit != "":
-		d.log(logger.LimitIgnored, "request", req.Name, "endpoint", id, "value", e.InvalidLimit)
-	case e.Limited:
-		n = d.noticeOf(now, req.endpoint)
-		n.limit = e.Limit
-		if !n.limited {
-			n.limited, n.limitedSince = true, now
-			d.emit(Count{Counter: CounterNotices, Label: noticeLimit})
-			d.log(logger.EndpointLimited, "request", req.Name, "endpoint", id, "service", service,
-				"limit", e.Limit, "nodes", d.fleet.size())
-		}
-	case n != nil && n.limited && req.sentLimited:
-		n.limited = false
-		d.log(logger.EndpointLimitEnded, "request", req.Name, "endpoint", id, "service", service,
-			"length", now.Sub(n.limitedSince).String())
-	}
-}
-
-// limited reports whether the endpoint has named a limit of requests.
-func (e *endpoint) limited() bool { return e.notice != nil && e.notice.limited }
-
 // pause stops requests to an endpoint that has asked for time. The nodes return at
 // different times, so that they do not overload it again.
 func (d *Director) pause(now time.Time, req *request, e *endpoint, length time.Duration) {
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -249,7 +249,7 @@
 
 			return
 		}
-		d.enqueue(now, req, ReasonNoEndpoint)
+		d.enqueue(now, req, d.unavailableReason(now, req))
 
 		return
 	}
@@ -346,7 +346,7 @@
 }
 
 func (d *Director) dispatch(now time.Time, req *request, e, holder *endpoint) {
-	e.coldPacer.Record(now)
+	e.pacer.Record(now)
 	req.endpoint, req.sentLimited, req.replaced = e, e.limited(), false
 	if req.usesEngine && !req.relayed {
 		req.awaitingFirstByte, req.prefillTokensAhead = true, e.load.PrefillTokens()
@@ -368,8 +368,8 @@
 		Urgency: min(d.table.Urgency(req.route, req.account), maxUrgencyRank), Route: req.route, Deadline: d.deadlineOfAttempt(req),
 		Resume: req.relayed, Limited: req.sentLimited, MaxIdle: d.idleLimit(now, req.service.name),
 	}
-	if d.paced(now, e) {
-		dispatch.SendBy = now.Add(coldSendTime)
+	if req.sentLimited || d.paced(now, e) {
+		dispatch.SendBy = now.Add(maxSendTime)
 	}
 	if holder != nil && !d.displaced(now, holder) {
 		dispatch.CacheHolder = holder.entry.Address
--- a/internal/director/reservation.go
+++ b/internal/director/reservation.go
@@ -38,7 +38,7 @@
 	if r.endpoint == nil || !d.mayRetry(now, req.service) {
 		return false
 	}
-	r.endpoint.coldPacer.Record(now)
+	r.endpoint.pacer.Record(now)
 	if req.usesEngine && !req.relayed {
 		r.prefillTokens = req.Need.PrefillTokens()
 	}
@@ -59,7 +59,7 @@
 		return nil
 	}
 	req.reserved = nil
-	r.endpoint.coldPacer.Withdraw(r.at)
+	r.endpoint.pacer.Withdraw(r.at)
 	r.endpoint.load.Own.PrefillTokens -= r.prefillTokens
 	r.endpoint.load.Own.Running--
 	d.markChanged(r.endpoint)
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -1,8 +1,9 @@
 // Package pacer limits the rate of requests to an endpoint with little capacity,
 // and the retries of a node to its share of the fleet's budget.
 //
-// Pacer is for a data centre that returns cold while callers wait: without it
-// every node would send its share of the backlog at once. Budget is for a service
+// Pacer is for a data centre that returns cold while callers wait, and for an endpoint
+// that names a limit: without it every node would send its share of the backlog at
+// once. Budget is for a service
 // that fails many of its requests: without it retries could double the load.
 package pacer
 
@@ -11,23 +12,23 @@
 	"time"
 )
 
-// Pacer limits the number of requests in a sliding window.
+// Pacer limits the number of requests in sliding windows.
 type Pacer struct {
-	// Window is the length of the sliding window.
-	Window time.Duration
-	// sent holds the times of the requests in the window, oldest first.
+	// Longest is the length of the longest window.
+	Longest time.Duration
+	// sent holds the times of the requests in the longest window, oldest first.
 	sent []time.Time
 }
 
 // Allowed reports whether a request may be sent at the given time, if at most limit
-// requests may be sent in any window.
-func (p *Pacer) Allowed(now time.Time, limit int) bool {
-	return len(p.sent) < limit || limit > 0 && now.Sub(p.sent[len(p.sent)-limit]) >= p.Window
+// requests may be sent in any window of the given length.
+func (p *Pacer) Allowed(now time.Time, limit int, window time.Duration) bool {
+	return len(p.sent) < limit || limit > 0 && now.Sub(p.sent[len(p.sent)-limit]) >= window
 }
 
 // Record records that a request is sent.
 func (p *Pacer) Record(now time.Time) {
-	p.sent = append(trim(p.sent, now.Add(-p.Window)), now)
+	p.sent = append(trim(p.sent, now.Add(-p.Longest)), now)
 }
 
 // Withdraw removes a request that was recorded for the given time but not sent.
--- a/internal/pacer/pacer_test.go
+++ b/internal/pacer/pacer_test.go
@@ -15,12 +15,13 @@
 func TestLimitHoldsInEveryWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.IntRange(1, 5).Draw(t, "limit")
-		p := Pacer{Window: time.Second}
+		window := time.Duration(rapid.IntRange(200, 1000).Draw(t, "window")) * time.Millisecond
+		p := Pacer{Longest: time.Second}
 		now := start
 		var sent []time.Time
 		for range rapid.IntRange(1, 60).Draw(t, "attempts") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
-			if p.Allowed(now, limit) {
+			if p.Allowed(now, limit, window) {
 				p.Record(now)
 				sent = append(sent, now)
 			}
@@ -28,12 +29,12 @@
 		for i := range sent {
 			n := 0
 			for _, s := range sent[i:] {
-				if s.Sub(sent[i]) < p.Window {
+				if s.Sub(sent[i]) < window {
 					n++
 				}
 			}
 			if n > limit {
-				t.Fatalf("%d requests within %s, want at most %d", n, p.Window, limit)
+				t.Fatalf("%d requests within %s, want at most %d", n, window, limit)
 			}
 		}
 	})
@@ -41,7 +42,7 @@
 
 // Guards against a limit of zero that allows every request.
 func TestZeroLimitAllowsNothing(t *testing.T) {
-	qt.New(t).Check(new(Pacer).Allowed(start, 0), qt.IsFalse)
+	qt.New(t).Check(new(Pacer).Allowed(start, 0, time.Second), qt.IsFalse)
 }
 
 // Guards against retries that double the load when a service fails all requests.
