--- a/internal/director/share_test.go
+++ b/internal/director/share_test.go
@@ -62,14 +62,24 @@
 		f.post(ViewConfirmed{f.now})
 		for _, n := range f.nodes {
 			f.lastID++
-			if d, ok := find[Dispatch](n.arrive(f.lastID, "/open/1")); ok {
-				f.sent[d.Endpoint] = append(f.sent[d.Endpoint], f.now)
-				if f.limit > 0 || d.Limited {
-					n.post(EndpointNoticed{ID: f.lastID, Limit: f.limit, Limited: f.limit > 0})
-				}
-				n.post(AttemptFinished{ID: f.lastID, Result: result, Status: 200})
-			}
+			f.finish(n, n.arrive(f.lastID, "/open/1"), result)
+			f.finish(n, n.post(Ticked{}), result)
+		}
+	}
+}
+
+// finish counts the requests that the effects send, and ends them with the given result.
+func (f *testFleet) finish(n *node, effects []Effect, result Result) {
+	for _, e := range effects {
+		d, ok := e.(Dispatch)
+		if !ok {
+			continue
+		}
+		f.sent[d.Endpoint] = append(f.sent[d.Endpoint], f.now)
+		if f.limit > 0 || d.Limited {
+			n.post(EndpointNoticed{ID: d.ID, Limit: f.limit, Limited: f.limit > 0})
 		}
+		f.finish(n, n.post(AttemptFinished{ID: d.ID, Result: result, Status: 200}), result)
 	}
 }
 
@@ -127,6 +137,62 @@
 	}
 }
 
+// Guards against an endpoint that is cold but does not count as such: the mark has ended
+// before it is back, was lost with its entry, or was not renewed.
+func TestEndpointsThatComeBackArePaced(t *testing.T) {
+	e := entry("desk", 0)
+	e.Born, e.Sequence = 7, 1
+	cold := e
+	cold.Cold = 3 * time.Second
+	for name, comeBack := range map[string]func(f *testFleet){
+		"not reached for its cold period": func(f *testFleet) {
+			f.post(EntriesListed{[]registrar.Entry{e}})
+			f.load(3100*time.Millisecond, Unreached)
+			f.sent = map[string][]time.Time{}
+		},
+		"entry removed": func(f *testFleet) {
+			f.post(EntriesListed{[]registrar.Entry{cold}})
+			f.load(400*time.Millisecond, Answered)
+			f.post(EntryRemoved{e.ID})
+			f.post(EntryPut{cold})
+		},
+		"entry removed after the return of its centre": func(f *testFleet) {
+			f.post(EntriesListed{[]registrar.Entry{e}})
+			f.post(CentresOut{[]string{"kochi"}})
+			f.post(CentresOut{nil})
+			f.load(200*time.Millisecond, Answered)
+			f.post(EntryRemoved{e.ID})
+			f.post(EntryPut{e})
+		},
+		"entry added after the return of its centre": func(f *testFleet) {
+			f.post(EntriesListed{[]registrar.Entry{e}})
+			f.post(CentresOut{[]string{"kochi"}})
+			f.post(EntryRemoved{e.ID})
+			f.now = f.now.Add(5 * time.Second)
+			f.post(CentresOut{nil})
+			f.now = f.now.Add(100 * time.Millisecond)
+			f.post(EntryPut{e})
+		},
+		"cold again for the same time": func(f *testFleet) {
+			f.post(EntriesListed{[]registrar.Entry{cold}})
+			f.now = f.now.Add(10 * time.Second)
+			again := cold
+			again.Sequence = 9
+			f.post(EntriesListed{[]registrar.Entry{again}})
+		},
+	} {
+		for _, nodes := range []int{6, 73} {
+			t.Run(fmt.Sprint(name, ", ", nodes, " nodes"), func(t *testing.T) {
+				f := newTestFleet(nodes)
+				comeBack(f)
+				f.load(1500*time.Millisecond, Answered)
+				most := f.most("desk-0", time.Second)
+				qt.Check(t, most <= coldLimit, qt.IsTrue, qt.Commentf("%d requests in a second", most))
+			})
+		}
+	}
+}
+
 // Guards against an unlimited rate of requests to a cold endpoint whose entry was known
 // before the table that states the rate of its service.
 func TestColdEndpointKnownBeforeItsServiceIsPaced(t *testing.T) {
