--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -238,7 +238,9 @@
 	if until := now.Add(length); until.After(e.suspendedUntil) {
 		e.suspendedUntil = until
 	}
-	d.markCold(e.suspendedUntil, e, 0)
+	// Its cold period begins when it is back. By then it has published its entry again,
+	// or that has expired.
+	d.markCold(e.suspendedUntil.Add((missedPublications+1)*d.opts.PublicationInterval), e, 0)
 	d.log(logger.EndpointSuspended, "endpoint", e.entry.ID, "service", e.entry.Service,
 		"result", result.String(), "failures", e.consecutiveFailures, "length", length.String())
 }
