--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -66,6 +66,8 @@
 	services  map[string]*service
 	// notices holds what endpoints have said about themselves.
 	notices map[incarnation]*notice
+	// pacings holds what limits the requests to endpoints.
+	pacings map[incarnation]*pacing
 	// addresses holds who has which address. addressesSweptAt is when those that no
 	// endpoint has any more were last removed.
 	addresses        map[netip.AddrPort]*address
@@ -143,7 +145,7 @@
 func New(opts Options) *Director {
 	return &Director{
 		opts: opts, registrar: registrar.New(opts.PublicationInterval),
-		endpoints: map[string]*endpoint{}, notices: map[incarnation]*notice{}, addresses: map[netip.AddrPort]*address{}, services: map[string]*service{},
+		endpoints: map[string]*endpoint{}, notices: map[incarnation]*notice{}, pacings: map[incarnation]*pacing{}, addresses: map[netip.AddrPort]*address{}, services: map[string]*service{},
 		requests: map[uint64]*request{}, endpointsByNumber: map[uint32]*endpoint{}, fleet: newFleet(opts),
 	}
 }
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -43,6 +44,17 @@
 	maxFailurePenalty = 8.0
 )
 
+// pacing holds what limits the requests to one incarnation of an endpoint.
+type pacing struct {
+	// coldUntil is the time until which the endpoint counts as cold.
+	coldUntil time.Time
+	// pacer limits the requests while the endpoint is cold or names a limit. It records
+	// them at any time, as this may begin just after the endpoint has got some.
+	pacer pacer.Pacer
+	// removedAt is when the endpoint's entry was removed, or zero while there is one.
+	removedAt time.Time
+}
+
 // endpoint is the state of one incarnation of an endpoint.
 type endpoint struct {
 	entry registrar.Entry
@@ -58,11 +70,8 @@
 	consecutiveFailures int
 	// suspendedUntil is the time until which it receives no new requests.
 	suspendedUntil time.Time
-	// coldUntil is the time until which it counts as cold.
-	coldUntil time.Time
-	// pacer limits the requests while the endpoint is cold or names a limit. It records
-	// them at any time, as this may begin just after the endpoint has got some.
-	pacer pacer.Pacer
+	// pacing is shared by all entries of the incarnation.
+	*pacing
 	// notice holds what the endpoint has said about itself, or is nil.
 	notice *notice
 	// address is shared by all endpoints whose entries have the same address, and
@@ -83,6 +92,28 @@
 	return i
 }
 
+// pacingOf returns the pacing of an entry's incarnation, whose entry may have been
+// removed and come back.
+func (d *Director) pacingOf(entry registrar.Entry) *pacing {
+	i := (&endpoint{entry: entry}).incarnation()
+	p := d.pacings[i]
+	if p == nil {
+		p = &pacing{pacer: pacer.Pacer{Longest: limitWindow}}
+		d.pacings[i] = p
+	}
+	p.removedAt = time.Time{}
+
+	return p
+}
+
+// retainPacing keeps the pacing of a removed endpoint for noticeRetention.
+func (d *Director) retainPacing(now time.Time, e *endpoint) {
+	e.removedAt = now
+	maps.DeleteFunc(d.pacings, func(_ incarnation, p *pacing) bool {
+		return !p.removedAt.IsZero() && now.Sub(p.removedAt) >= noticeRetention
+	})
+}
+
 // leaving reports whether the endpoint has said that it shuts down.
 func (e *endpoint) leaving() bool { return e.notice != nil && e.notice.leaving }
 
@@ -91,7 +122,7 @@
 		entry:  entry,
 		number: endpointNumber(entry.ID),
 		load:   chooser.NewEngine(entry.ID, entry.DataCentre == d.opts.DataCentre),
-		pacer:  pacer.Pacer{Longest: limitWindow},
+		pacing: d.pacingOf(entry),
 	}
 	d.recallNotice(e)
 	d.endpoints[entry.ID], d.endpointsByNumber[e.number] = e, e
@@ -130,6 +161,7 @@
 	delete(d.endpointsByNumber, e.number)
 	d.markChanged(e)
 	d.retainNotice(now, e)
+	d.retainPacing(now, e)
 	d.isolator.RecordEnded(now, e.number)
 	s := d.ensureService(entry.Service)
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(other *endpoint) bool { return other == e })
