--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -72,6 +72,8 @@
 	// endpoint has any more were last removed.
 	addresses        map[netip.AddrPort]*address
 	addressesSweptAt time.Time
+	// centreReturns holds when data centres were last back in service.
+	centreReturns map[string]time.Time
 	// entriesListed reports whether the full list of endpoints has been read at
 	// least once.
 	entriesListed bool
@@ -145,7 +147,7 @@
 func New(opts Options) *Director {
 	return &Director{
 		opts: opts, registrar: registrar.New(opts.PublicationInterval),
-		endpoints: map[string]*endpoint{}, notices: map[incarnation]*notice{}, pacings: map[incarnation]*pacing{}, addresses: map[netip.AddrPort]*address{}, services: map[string]*service{},
+		endpoints: map[string]*endpoint{}, notices: map[incarnation]*notice{}, pacings: map[incarnation]*pacing{}, centreReturns: map[string]time.Time{}, addresses: map[netip.AddrPort]*address{}, services: map[string]*service{},
 		requests: map[uint64]*request{}, endpointsByNumber: map[uint32]*endpoint{}, fleet: newFleet(opts),
 	}
 }
@@ -386,6 +388,7 @@
 func (d *Director) returnCentres(now time.Time, centres []string) {
 	for _, centre := range centres {
 		d.log(logger.CentreRestored, "centre", centre)
+		d.centreReturns[centre] = now
 		// Its endpoints have had no requests for a while, and may be cold.
 		for _, id := range d.endpointIDs() {
 			if e := d.endpoints[id]; e.entry.DataCentre == centre {
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -133,6 +133,9 @@
 	if entry.Cold > 0 {
 		d.markCold(now, e, entry.Cold)
 	}
+	if returned, ok := d.centreReturns[entry.DataCentre]; ok && now.Sub(returned) < d.coldPeriod(e) {
+		d.markCold(returned, e, 0)
+	}
 	d.log(logger.EndpointAdded, "endpoint", entry.ID, "service", entry.Service, "centre", entry.DataCentre,
 		"version", entry.Version, "draining", entry.Draining, "cold", entry.Cold.String())
 	d.claimAddress(now, e)
@@ -176,10 +179,7 @@
 // zero, for the cold period of its service.
 func (d *Director) markCold(now time.Time, e *endpoint, remaining time.Duration) {
 	if remaining == 0 {
-		remaining = defaultCold
-		if s := d.serviceOf(e); s != nil {
-			remaining = s.ColdPeriod
-		}
+		remaining = d.coldPeriod(e)
 	}
 	wasCold := now.Before(e.coldUntil)
 	if until := now.Add(remaining); until.After(e.coldUntil) {
@@ -191,6 +191,15 @@
 	}
 }
 
+// coldPeriod returns how long an endpoint is cold after its start.
+func (d *Director) coldPeriod(e *endpoint) time.Duration {
+	if s := d.serviceOf(e); s != nil {
+		return s.ColdPeriod
+	}
+
+	return defaultCold
+}
+
 // paced reports whether requests to an endpoint are limited because it is cold.
 func (d *Director) paced(now time.Time, e *endpoint) bool {
 	s := d.serviceOf(e)
