--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -153,7 +153,8 @@
 		return []Event{{Change: Added, Entry: e}}
 	case old.Born != e.Born || old.Address != e.Address || old.Service != e.Service || old.Version != e.Version:
 		return []Event{{Change: Removed, Entry: old}, {Change: Added, Entry: e}}
-	case old.differs(e):
+	case old.differs(e), e.Cold > 0 && e.Sequence != old.Sequence:
+		// The cold time counts from each publication.
 		return []Event{{Change: Updated, Entry: e}}
 	default:
 		return nil
