--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -199,10 +199,10 @@
 // mayRetry reports whether the node's share of the retry budget allows another
 // attempt, and uses up the budget if it does.
 func (d *Director) mayRetry(now time.Time, s *service) bool {
-	s.retryBudget.Slack = d.opts.RetrySlack / float64(d.fleet.size())
 	if d.sharesSpent(now, d.opts.RetryWindow) {
-		s.retryBudget.Slack = 0
+		return false
 	}
+	s.retryBudget.Slack = d.opts.RetrySlack / float64(d.fleet.size())
 
 	return s.retryBudget.AllowRetry(now)
 }
