--- a/internal/director/budget_test.go
+++ b/internal/director/budget_test.go
@@ -99,3 +99,52 @@
 	limit := o.RetryRatio*requests + o.RetrySlack/6
 	c.Check(float64(repeats) <= limit, qt.IsTrue, qt.Commentf("%d repeats of %d requests, want at most %g", repeats, requests, limit))
 }
+
+// Guards against retries that are in the budget when they are allowed, but reach the
+// endpoint later, together with the first ones of the next window.
+func TestRetriesThatWaitStayWithinTheBudget(t *testing.T) {
+	c := qt.New(t)
+	o := options()
+	f := newTestFleet(1)
+	n := f.nodes[0]
+	f.post(EntriesListed{[]registrar.Entry{entry("model", 0), entry("model", 1)}})
+	f.now = f.now.Add(time.Minute)
+	requests := 0
+	breakStreams := func() {
+		f.post(ViewConfirmed{f.now})
+		for id := range uint64(60) {
+			id += f.lastID
+			if _, ok := find[Dispatch](n.arrive(id, "/draft/1")); ok {
+				requests++
+				n.post(ResponseStarted{ID: id, Wait: time.Millisecond})
+			}
+		}
+		f.post(CentresOut{[]string{"kochi"}})
+		for id := range uint64(60) {
+			n.post(AttemptFinished{ID: id + f.lastID, Result: Broken, Relayed: true})
+		}
+		f.lastID += 60
+	}
+	// centreReturns ends the wait of the broken streams. Their endpoints are warm.
+	centreReturns := func() {
+		n.now = f.now
+		n.post(CentresOut{nil})
+		for _, e := range n.endpoints {
+			e.coldUntil = time.Time{}
+		}
+		for _, e := range n.post(Ticked{}) {
+			if _, ok := e.(Dispatch); ok {
+				f.sent["retries"] = append(f.sent["retries"], f.now)
+			}
+		}
+	}
+	breakStreams()
+	f.now = f.now.Add(maxMoveWait - 100*time.Millisecond)
+	centreReturns()
+	f.now = f.now.Add(o.RetryWindow - maxMoveWait + 150*time.Millisecond)
+	breakStreams()
+	centreReturns()
+	limit := o.RetryRatio*float64(requests) + o.RetrySlack
+	most := f.most("retries", o.RetryWindow)
+	c.Check(most > 0 && float64(most) <= limit, qt.IsTrue, qt.Commentf("%d retries of %d requests, want at most %g", most, requests, limit))
+}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -437,7 +437,7 @@
 	if s == nil {
 		s = &service{
 			name: name, durations: map[requestKind]*admitter.Duration{},
-			retryBudget: pacer.Budget{Window: d.opts.RetryWindow, Ratio: d.opts.RetryRatio},
+			retryBudget: pacer.Budget{Window: d.opts.RetryWindow, Margin: retryMargin, Ratio: d.opts.RetryRatio},
 		}
 		d.services[name] = s
 	}
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -196,6 +196,10 @@
 		"late", late, "engines", req.service.splitter.LongEngines())
 }
 
+// retryMargin is how much later than it is allowed a retry may be sent: it may wait for
+// an endpoint, and then for a connection.
+const retryMargin = maxMoveWait + 500*time.Millisecond
+
 // mayRetry reports whether the node's share of the retry budget allows another
 // attempt, and uses up the budget if it does.
 func (d *Director) mayRetry(now time.Time, s *service) bool {
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -42,6 +42,9 @@
 type Budget struct {
 	// Window is the length of the sliding window of requests and retries.
 	Window time.Duration
+	// Margin is how much later than it is allowed a retry may be sent. Retries count for
+	// that much longer than Window.
+	Margin time.Duration
 	// Ratio is the number of retries allowed for each request.
 	Ratio float64
 	// Slack is the number of retries allowed in addition, independent of the
@@ -59,7 +62,7 @@
 // AllowRetry reports whether a retry is allowed, and records it if it is.
 func (b *Budget) AllowRetry(now time.Time) bool {
 	b.requests = trim(b.requests, now.Add(-b.Window))
-	b.retries = trim(b.retries, now.Add(-b.Window))
+	b.retries = trim(b.retries, now.Add(-b.Window-b.Margin))
 	if float64(len(b.retries)+1) > b.Ratio*float64(len(b.requests))+b.Slack {
 		return false
 	}
