--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -139,8 +139,8 @@
 	TimedOut
 	// Cancelled is an attempt that the director cancelled.
 	Cancelled
-	// Unsent is an attempt whose deadline passed before any byte was sent, through
-	// no fault of the endpoint.
+	// Unsent is an attempt whose deadline or SendBy passed before any byte was sent,
+	// through no fault of the endpoint.
 	Unsent
 )
 
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -86,7 +86,11 @@
 		}
 		d.retry(now, req, e, f, ReasonDeclined, reserved)
 	case Misdirected, Unreached, Unsent:
-		req.unreachedCount++
+		if heldUp := f.Result == Unsent && !req.sendBy.IsZero(); heldUp {
+			e.pacer.Withdraw(req.sendBy.Add(-maxSendTime))
+		} else {
+			req.unreachedCount++
+		}
 		// A misdirected request has reached an endpoint, so that sending it again is a
 		// retry.
 		inBudget := f.Result != Misdirected || req.replaced || d.mayRetry(now, req.service)
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -69,6 +69,8 @@
 	// reports whether it had named a limit when the attempt began.
 	endpoint    *endpoint
 	sentLimited bool
+	// sendBy is the SendBy of the last attempt, or zero.
+	sendBy time.Time
 	// replaced reports whether the attempt in progress has been given up for
 	// another one, which the retry budget already includes. reserved is then the
 	// place of that attempt; otherwise it is nil.
@@ -368,9 +370,11 @@
 		Urgency: min(d.table.Urgency(req.route, req.account), maxUrgencyRank), Route: req.route, Deadline: d.deadlineOfAttempt(req),
 		Resume: req.relayed, Limited: req.sentLimited, MaxIdle: d.idleLimit(now, req.service.name),
 	}
+	req.sendBy = time.Time{}
 	if req.sentLimited || d.paced(now, e) {
-		dispatch.SendBy = now.Add(maxSendTime)
+		req.sendBy = now.Add(maxSendTime)
 	}
+	dispatch.SendBy = req.sendBy
 	if holder != nil && !d.displaced(now, holder) {
 		dispatch.CacheHolder = holder.entry.Address
 	}
--- a/internal/director/share_test.go
+++ b/internal/director/share_test.go
@@ -274,3 +274,26 @@
 	most := f.most("desk-0", time.Second)
 	qt.Check(t, most <= coldLimit, qt.IsTrue, qt.Commentf("%d requests in a second", most))
 }
+
+// Guards against cutting off a stream because attempts to resume it at cold endpoints
+// were held up in the node.
+func TestHeldUpAttemptsDoNotCutOffAStream(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	entries := make([]registrar.Entry, 0, 8)
+	for i := range cap(entries) {
+		e := entry("model", i)
+		e.Cold = time.Minute
+		entries = append(entries, e)
+	}
+	n.post(EntriesListed{entries})
+	_, sent := find[Dispatch](n.arrive(1, "/draft/1"))
+	c.Assert(sent, qt.IsTrue)
+	n.post(ResponseStarted{ID: 1, Wait: time.Millisecond})
+	n.post(AttemptFinished{ID: 1, Result: Broken, Relayed: true})
+	for range 2 * maxUnreached {
+		n.now = n.now.Add(90 * time.Millisecond)
+		_, sent = find[Dispatch](n.post(AttemptFinished{ID: 1, Result: Unsent}))
+		c.Check(sent, qt.IsTrue)
+	}
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -160,8 +160,15 @@
 	a.conn = conn
 	now := a.call.f.opts.Clock()
 	left := a.dispatch.Deadline.Sub(now)
-	tooLate := left <= 0 || !a.dispatch.SendBy.IsZero() && now.After(a.dispatch.SendBy)
-	if !a.call.setEndpointConn(conn) || tooLate {
+	if !a.call.setEndpointConn(conn) || left <= 0 {
+		return director.Unsent
+	}
+	if !a.dispatch.SendBy.IsZero() && now.After(a.dispatch.SendBy) {
+		// The connection is ready for the next attempt, which need not wait for one.
+		a.call.setEndpointConn(nil)
+		a.call.f.pool.put(a.dispatch.Address, conn, time.Now(), &fasthttp.ResponseHeader{}, a.dispatch.MaxIdle)
+		a.conn = nil
+
 		return director.Unsent
 	}
 	a.end = time.Now().Add(left + responseMargin)
