--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -16,7 +16,7 @@
 	// discoveryPeriod is how long the number of nodes must not have grown until a node
 	// that has started takes it for complete.
 	discoveryPeriod = 3 * time.Second
-	// fleetRetention is how long a node that is no longer heard from still
+	// fleetRetention is how long, at least, a node that is no longer heard from still
 	// counts. It may be partitioned from the others and still send requests. For as
 	// long, a node that has started assumes that it may be partitioned itself if it
 	// has not heard of all data centres.
@@ -30,10 +30,12 @@
 	assumedNodes int
 	// startedAt is when the node first received the load of the others.
 	startedAt time.Time
-	// peakNodes is the highest number of nodes since peakAt, and grownAt is when it was
-	// last exceeded.
-	peakNodes       int
-	peakAt, grownAt time.Time
+	// peakNodes is the highest number of nodes since peakSince, and formerPeak that in
+	// the period before, which is as long as fleetRetention.
+	peakNodes, formerPeak int
+	peakSince             time.Time
+	// grownAt is when the number of nodes last exceeded all former ones.
+	grownAt time.Time
 	// unheard holds the data centres of which no node has been heard yet.
 	unheard map[string]bool
 	// discovered reports whether the nodes have discovered each other. It never
@@ -58,28 +60,30 @@
 // the others.
 func (f *fleet) recordNodes(now time.Time, nodes int, centres []string) {
 	if f.startedAt.IsZero() {
-		f.startedAt, f.grownAt = now, now
+		f.startedAt, f.grownAt, f.peakSince = now, now, now
 	}
 	for _, centre := range centres {
 		delete(f.unheard, centre)
 	}
-	if nodes > f.peakNodes {
+	if nodes > max(f.peakNodes, f.formerPeak) {
 		f.grownAt = now
 	}
-	if nodes >= f.peakNodes || now.Sub(f.peakAt) >= fleetRetention {
-		f.peakNodes, f.peakAt = nodes, now
+	if now.Sub(f.peakSince) >= fleetRetention {
+		f.formerPeak, f.peakNodes, f.peakSince = f.peakNodes, 0, now
 	}
+	f.peakNodes = max(f.peakNodes, nodes)
 	allHeard := len(f.unheard) == 0 || now.Sub(f.startedAt) >= fleetRetention
 	f.discovered = f.discovered || allHeard && now.Sub(f.grownAt) >= discoveryPeriod
 }
 
 // size returns the number of nodes by which the limits are divided.
 func (f *fleet) size() int {
+	nodes := max(f.peakNodes, f.formerPeak)
 	if !f.discovered {
-		return max(f.assumedNodes, f.peakNodes)
+		return max(f.assumedNodes, nodes)
 	}
 
-	return f.peakNodes
+	return nodes
 }
 
 // minReportedPrefillTokens is the least change in the number of prompt tokens to
--- a/internal/director/share_test.go
+++ b/internal/director/share_test.go
@@ -297,3 +297,17 @@
 		c.Check(sent, qt.IsTrue)
 	}
 }
+
+// Guards against a node that takes the whole of the fleet's limits because one message
+// about the others is late when the highest number of nodes is forgotten.
+func TestLateMessageDoesNotShrinkTheFleet(t *testing.T) {
+	f := newTestFleet(73)
+	n := f.nodes[0]
+	for range 400 {
+		n.now = n.now.Add(200 * time.Millisecond)
+		n.post(OthersLoadReplaced{encoder.LoadSum{Nodes: 71}, []string{"kollam"}})
+		n.now = n.now.Add(200 * time.Millisecond)
+		n.post(OthersLoadReplaced{})
+		qt.Assert(t, n.fleet.size() >= 72, qt.IsTrue, qt.Commentf("%d nodes", n.fleet.size()))
+	}
+}
