--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"errors"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -496,10 +495,3 @@
 
 	return director.Answered
 }
-
-// mediaType returns the content type in lower case without parameters.
-func mediaType(h *fasthttp.ResponseHeader) string {
-	t, _, _ := strings.Cut(string(h.ContentType()), ";")
-
-	return strings.ToLower(strings.TrimSpace(t))
-}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -143,3 +144,10 @@
 
 	return nil
 }
+
+// mediaType returns the content type in lower case without parameters.
+func mediaType(h *fasthttp.ResponseHeader) string {
+	t, _, _ := strings.Cut(string(h.ContentType()), ";")
+
+	return strings.ToLower(strings.TrimSpace(t))
+}
