--- a/internal/forwarder/cold_test.go
+++ b/internal/forwarder/cold_test.go
@@ -77,3 +77,32 @@
 	ahead.Add(int64(2 * time.Second))
 	c.Check(s.status(c, "r1"), qt.Equals, 200)
 }
+
+// Guards against a limit that an endpoint names without effect, and against one that stays
+// in force after it has ceased to name it.
+func TestLimitOfAnEndpointIsKept(t *testing.T) {
+	c := qt.New(t)
+	var named atomic.Bool
+	named.Store(true)
+	limited := newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+		field := ""
+		if named.Load() {
+			field = "Limit: 0.5\r\n"
+		}
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nName: %s\r\nSeal: s\r\n%sContent-Length: 0\r\n\r\n", r.Header.Get("Name"), field)
+
+		return err == nil
+	})
+	var ahead atomic.Int64
+	s := startWith(t, func(f *Forwarder) {
+		f.opts.Clock = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+	}, limited)
+	defer s.stop()
+	// It takes two requests in 4 s.
+	c.Check([]int{s.status(c, "a1"), s.status(c, "a2"), s.status(c, "a3")}, qt.DeepEquals, []int{200, 200, 503})
+	named.Store(false)
+	ahead.Add(int64(5 * time.Second))
+	for i := range 5 {
+		c.Check(s.status(c, fmt.Sprint("b", i)), qt.Equals, 200)
+	}
+}
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -44,8 +45,10 @@
 
 func (protocol) ParseResponse(h *fasthttp.ResponseHeader) ResponseMetadata {
 	cold, _ := time.ParseDuration(string(h.Peek("Cold")))
+	limit, err := strconv.ParseFloat(string(h.Peek("Limit")), 64)
 
 	return ResponseMetadata{
+		Limit: limit, HasLimit: err == nil,
 		AttemptID: string(h.Peek("Name")), Sealed: len(h.Peek("Seal")) > 0, Declined: len(h.Peek("Declined")) > 0, ColdRemaining: cold,
 		Leaving: len(h.Peek("Leaving")) > 0, Instance: string(h.Peek("Is")), RetryAfter: time.Duration(len(h.Peek("Busy"))) * time.Minute,
 	}
