--- a/internal/soaker/history.go
+++ b/internal/soaker/history.go
@@ -55,6 +55,15 @@
 	// order, and services when each endpoint serves.
 	streams  map[string][]attempt
 	services map[string]*serviceTime
+	// cold holds the periods in which the limit of each cold endpoint applies.
+	cold map[string][]period
+	// coldRate is the number of requests per second that a cold endpoint tolerates.
+	coldRate float64
+	// storeFaults holds, for each node, the periods in which it may not know what the
+	// store says, with the recoveryTime after each.
+	storeFaults map[int][]period
+	// peaks is set by Check.
+	peaks Peaks
 }
 
 // NewHistory returns an empty history.
@@ -64,6 +73,7 @@
 		disturbedUntil: map[int]time.Time{}, leftAt: map[string]time.Time{}, cuts: map[int][]period{},
 		answers: map[string][]standin.Answer{}, interruptions: map[int][]period{},
 		streams: map[string][]attempt{}, services: map[string]*serviceTime{},
+		cold: map[string][]period{}, storeFaults: map[int][]period{},
 	}
 }
 
@@ -179,6 +189,8 @@
 
 	violations = append(violations, h.checkStreams()...)
 	violations = append(violations, h.checkTakeUps()...)
+	violations = append(violations, h.checkCold()...)
+	violations = append(violations, h.checkRetries()...)
 
 	return append(violations, h.checkNotices()...)
 }
