--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -22,6 +22,7 @@
 	Nodes   int           `arg:"--nodes" default:"4" help:"number of node processes"`
 	Servers int           `arg:"--servers" default:"5" help:"number of stand-in servers"`
 	Callers int           `arg:"--callers" default:"12" help:"number of callers"`
+	Limits  bool          `arg:"--limits" help:"press the limits that all nodes share, with more callers and further faults"`
 	Length  time.Duration `arg:"--length" default:"20s" help:"time during which faults are injected"`
 	Logs    string        `arg:"--logs" help:"directory for the logs of failed seeds, created if missing [default: that for temporary files]"`
 }
@@ -56,13 +57,16 @@
 func run(a arguments, seed uint64) (ok bool, err error) {
 	path, err := withLog(a.Logs, seed, func(log io.Writer) (bool, error) {
 		r, err := soaker.Run(soaker.Options{
-			Binary: a.Binary, Nodes: a.Nodes, Servers: a.Servers, Seed: seed, Length: a.Length, Callers: a.Callers, Output: log,
+			Binary: a.Binary, Nodes: a.Nodes, Servers: a.Servers, Seed: seed, Length: a.Length, Callers: a.Callers, Limits: a.Limits, Output: log,
 		})
 		if err != nil {
 			return false, err
 		}
 		fmt.Printf("seed %d: %d faults, %d attempts, %d ran, %.3f succeeded after the faults, %d of %d streams went on, %d violations\n",
 			seed, r.Faults, r.Attempts, r.Runs, r.FinalSuccessRate, r.TakeUps.WentOn, r.TakeUps.Taken, len(r.Violations))
+		if a.Limits {
+			fmt.Printf("   at most %d requests in a second to a cold server, %d of %.1f repeats\n", r.Peaks.Cold, r.Peaks.Repeats, r.Peaks.AllowedRepeats)
+		}
 		for _, v := range r.Violations {
 			fmt.Println("  ", v)
 		}
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -37,7 +37,13 @@
 	// breaks is the probability that the caller loses its connection while it
 	// receives a stream that can be taken up.
 	breaks float64
-	sent   int
+	// The caller pauses for minPause to maxPause milliseconds between requests, and for
+	// backOff longer if it got no response: nodes that are not there would otherwise
+	// add many requests to those that the retry budget is a part of. penalty is backOff
+	// after such a request, or zero.
+	minPause, maxPause int
+	backOff, penalty   time.Duration
+	sent               int
 }
 
 // newCaller returns a caller that sends requests of all kinds.
@@ -48,6 +54,7 @@
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 		fresh:  &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		paths:  []string{"/safe/", "/unsafe/", "/stream/", resumablePrefix}, keys: []string{keptKey, revokedKey},
+		minPause: 10, maxPause: 50,
 	}
 }
 
@@ -67,7 +74,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Duration(10+c.rng.IntN(40)) * time.Millisecond):
+		case <-time.After(time.Duration(c.minPause+c.rng.IntN(c.maxPause-c.minPause))*time.Millisecond + c.penalty):
 			c.send()
 		}
 	}
@@ -185,6 +192,10 @@
 	o.ended = time.Now()
 	a.ended = o.ended
 	c.soaker.history.setOutcome(q.id, o)
+	c.penalty = 0
+	if o.status == 0 {
+		c.penalty = c.backOff
+	}
 
 	return a, wait
 }
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -26,19 +26,14 @@
 		s.history.MarkInterrupted(n.index, 0)
 		n.signal(syscall.SIGTERM, true)
 	case 2:
-		s.logFault("pause", n.index, length)
-		s.history.MarkDisturbed(n.index, time.Now().Add(length))
-		s.history.MarkCuts(n.index, length+time.Second)
-		s.history.MarkInterrupted(n.index, length)
-		n.signal(syscall.SIGSTOP, false)
-		time.AfterFunc(length, func() { n.signal(syscall.SIGCONT, false) })
+		s.freezeNode(n, length)
 	case 3:
 		s.logFault("hup", n.index, 0)
 		n.signal(syscall.SIGHUP, false)
 	case 4, 5:
 		mode := Mode(1 + s.rng.IntN(4))
 		s.logFault(fmt.Sprint("cut ", mode), n.index, length)
-		s.history.MarkDisturbed(n.index, time.Now().Add(length))
+		s.history.MarkStoreFault(n.index, time.Now().Add(length))
 		n.storeProxy.SetMode(mode)
 		time.AfterFunc(length, func() { n.storeProxy.SetMode(Pass) })
 	case 6:
@@ -123,9 +118,10 @@
 	}
 }
 
+// markAllDisturbed records that no node may learn what the store says for a time.
 func (s *Soaker) markAllDisturbed(length time.Duration) {
 	for _, n := range s.nodes {
-		s.history.MarkDisturbed(n.index, time.Now().Add(length))
+		s.history.MarkStoreFault(n.index, time.Now().Add(length))
 	}
 }
 
@@ -201,7 +197,7 @@
 	if s.rng.IntN(2) == 0 {
 		s.logFault("server leaves "+server.ID(), -1, 0)
 		if s.rng.IntN(2) == 0 {
-			s.recordPublishError(s.store.Register(server, service, "c0", true))
+			s.recordPublishError(s.register(server, true))
 		} else {
 			s.store.DeleteServer(server.ID())
 		}
@@ -273,14 +269,14 @@
 	case 1:
 		s.logFault("server says that it leaves and is registered again "+server.ID(), -1, absence)
 		s.store.DeleteServer(server.ID())
-		time.AfterFunc(absence, func() { s.recordPublishError(s.store.Register(server, service, "c0", false)) })
+		time.AfterFunc(absence, func() { s.recordPublishError(s.register(server, false)) })
 	case 2:
 		s.logFault("server says that it leaves, and the store is down "+server.ID(), -1, length)
 		s.markAllDisturbed(length)
 		s.store.Down(length)
 	case 3:
 		s.logFault("server says that it leaves and is draining "+server.ID(), -1, 0)
-		s.recordPublishError(s.store.Register(server, service, "c0", true))
+		s.recordPublishError(s.register(server, true))
 		s.history.MarkEndpointLeft(server.ID())
 	}
 	time.AfterFunc(noticeTime, func() {
@@ -313,6 +309,11 @@
 	}
 	s.store.Delay(0)
 	s.store.Down(0)
+	if s.opts.Limits {
+		for _, zone := range zones {
+			s.store.EndEvacuation(zone)
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, server := range s.servers {
--- a/internal/soaker/limits.go
+++ b/internal/soaker/limits.go
@@ -27,13 +27,12 @@
 	retrySlack  = 52
 )
 
-// MarkCold records that the store has acknowledged just now that an endpoint is cold for
-// a time.
-func (h *History) MarkCold(id string, length time.Duration) {
+// MarkCold records that the store has acknowledged just now that an endpoint is cold
+// until the given time.
+func (h *History) MarkCold(id string, until time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
-	h.cold[id] = append(h.cold[id], period{now.Add(noticeBound), now.Add(length)})
+	h.cold[id] = append(h.cold[id], period{time.Now().Add(noticeBound), until})
 }
 
 // MarkStoreFault records that a node may not learn what the store says from now on
--- a/internal/soaker/limits_test.go
+++ b/internal/soaker/limits_test.go
@@ -105,7 +105,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				h := newLimitHistory()
-				h.MarkCold("i-1", 4*time.Second)
+				h.MarkCold("i-1", h.now.Add(4*time.Second))
 				c.build(h)
 				h.check(t, c.want)
 			})
--- a/internal/soaker/release.go
+++ b/internal/soaker/release.go
@@ -99,7 +99,7 @@
 		if how == 1 {
 			server.Leave()
 		}
-		r.recordPublishError(r.store.Register(server, service, "c0", true))
+		r.recordPublishError(r.register(server, true))
 		r.history.MarkEndpointLeft(server.ID())
 	case 3:
 		r.store.DeleteServer(server.ID())
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -35,6 +35,10 @@
 	Length time.Duration
 	// Callers is the number of callers, which send one request at a time.
 	Callers int
+	// Limits adds faults that press the limits that all nodes share: the rate of
+	// requests to cold servers and the retry budget. There are then at least
+	// limitCallers callers for each node.
+	Limits bool
 	// Output receives the logs of the nodes and the fault schedule; nil discards
 	// them.
 	Output io.Writer
@@ -49,6 +53,7 @@
 	// had ended and settleTime had passed.
 	FinalSuccessRate float64
 	TakeUps          TakeUps
+	Peaks            Peaks
 	Violations       []string
 }
 
@@ -124,6 +129,7 @@
 		opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 99)), history: NewHistory(),
 		servers: map[string]*standin.Server{},
 	}
+	s.history.coldRate = s.coldRate()
 	if s.opts.Output == nil {
 		s.opts.Output = io.Discard
 	}
@@ -210,9 +216,9 @@
 
 	return fmt.Sprintf(`{"name": "node-%d", "centre": "c%d", "regions": [{"centre": "c0", "region": "r"}, {"centre": "c1", "region": "r"}],
  "callers": "%s", "readiness": "%s:%d", "peers": "%s:%d", "seeds": ["%s:1"], "store": "%s",
- "withdrawal": "5s", "grace": "%s", "cold": {"factor": 1.5, "slack": 5},
- "retries": {"window": "10s", "ratio": 0.2, "slack": 52}, "memory": %d, "descriptors": 4096}`,
-		n.index, n.index%2, n.callerAddr, n.addr, peerPort+2, n.addr, peerPort, first, n.storeProxy.Addr(), shutdownGrace, nodeMemory)
+ "withdrawal": "5s", "grace": "%s", %s,
+ "memory": %d, "descriptors": 4096}`,
+		n.index, n.index%2, n.callerAddr, n.addr, peerPort+2, n.addr, peerPort, first, n.storeProxy.Addr(), shutdownGrace, limitSettings(), nodeMemory)
 }
 
 // publishManifest writes a new version of the manifest to the store. The
@@ -220,10 +226,18 @@
 func (s *Soaker) publishManifest(withKey bool) error {
 	s.manifestVersion += 1 + s.rng.IntN(3)
 	route := func(name, prefix, kind string, resumable bool) standin.Route {
-		return standin.Route{
+		r := standin.Route{
 			Name: name, Host: host, Prefix: prefix, Kind: kind, Service: service,
 			Timeout: 4 * time.Second, Target: 500 * time.Millisecond, Attempts: 2, Resumable: resumable,
 		}
+		if s.opts.Limits {
+			r.Attempts = 3
+		}
+		if s.coldRate() > 0 {
+			r.ColdPeriod, r.ColdRate = coldPeriod, s.coldRate()
+		}
+
+		return r
 	}
 	keys := map[string]string{keptKey: "stayer"}
 	if withKey {
@@ -252,8 +266,13 @@
 	s.servers[id] = server
 	s.mu.Unlock()
 	s.history.MarkServing(id, version)
+	if s.coldRate() > 0 && count > s.opts.Servers {
+		s.cool(server, coldPeriod, false)
+
+		return nil
+	}
 
-	return s.store.Register(server, service, "c0", false)
+	return s.register(server, false)
 }
 
 // startNode starts the process of a node and restarts it whenever it ends.
@@ -317,10 +336,14 @@
 	time.Sleep(startupTime)
 	stop := make(chan struct{})
 	var wg conc.WaitGroup
-	for i := range s.opts.Callers {
-		wg.Go(func() { newCaller(s, i).run(stop) })
-	}
 	ended := make(chan struct{})
+	callers, create, inject := s.opts.Callers, newCaller, s.injectFault
+	if s.opts.Limits {
+		callers, create, inject = max(callers, limitCallers*s.opts.Nodes), newLimitCaller, newLimitFaults(s, ended).inject
+	}
+	for i := range callers {
+		wg.Go(func() { create(s, i).run(stop) })
+	}
 	var releases conc.WaitGroup
 	if s.releases() {
 		for i := range streamCallers {
@@ -330,7 +353,7 @@
 	}
 	end := time.Now().Add(s.opts.Length)
 	for time.Now().Before(end) {
-		s.injectFault()
+		inject()
 		time.Sleep(time.Duration(100+s.rng.IntN(900)) * time.Millisecond)
 	}
 	close(ended)
@@ -344,6 +367,7 @@
 	s.checkMemory()
 	r := Result{Faults: s.faultCount, TakeUps: s.history.TakeUps(), Violations: s.history.Check()}
 	s.history.mu.Lock()
+	r.Peaks = s.history.peaks
 	r.Attempts, r.Runs = len(s.history.outcomes), len(s.history.runs)
 	s.history.mu.Unlock()
 	sent := 0
--- a/test.sh
+++ b/test.sh
@@ -38,6 +38,8 @@
       "$dir/soak" --binary "$dir/snipedyke" --seed $seed --length 8s || verdict=1
     fi
   done
+  # A fleet in which a node's share of a cold server is below one request a second.
+  "$dir/soak" --binary "$dir/snipedyke" --seed 11 --length 8s --nodes 24 --limits || verdict=1
   rm -rf "$dir"
   return $verdict
 }
@@ -45,7 +47,7 @@
 # The names of the platform's protocol must not appear outside platform/.
 words() {
   local found
-  found=$(git grep -lE 'Snipedyke-(Attempt-Id|Server-Seal|Prefix-Hash|Expect-Instance|Not-Executed|Token-Count)|op/config|kv-watch|Kv-Fetch' \
+  found=$(git grep -lE 'Snipedyke-(Cold-Ms|Attempt-Id|Server-Seal|Prefix-Hash|Expect-Instance|Not-Executed|Token-Count)|op/(config|evacuate)|kv-watch|Kv-Fetch' \
     -- '*.go' ':!platform')
   [ -z "$found" ] || { echo "names of the platform outside platform/: $found"; return 1; }
 }
