--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -314,9 +314,11 @@
 			s.store.EndEvacuation(zone)
 		}
 	}
+	s.history.EndLimits()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, server := range s.servers {
+		server.SetLimit(0)
 		server.SetFaults(standin.Faults{})
 	}
 }
--- a/internal/soaker/history.go
+++ b/internal/soaker/history.go
@@ -57,6 +57,8 @@
 	services map[string]*serviceTime
 	// cold holds the periods in which the limit of each cold endpoint applies.
 	cold map[string][]period
+	// limited holds the periods in which endpoints name limits.
+	limited map[string][]limit
 	// coldRate is the number of requests per second that a cold endpoint tolerates.
 	coldRate float64
 	// storeFaults holds, for each node, the periods in which it may not know what the
@@ -73,7 +75,7 @@
 		disturbedUntil: map[int]time.Time{}, leftAt: map[string]time.Time{}, cuts: map[int][]period{},
 		answers: map[string][]standin.Answer{}, interruptions: map[int][]period{},
 		streams: map[string][]attempt{}, services: map[string]*serviceTime{},
-		cold: map[string][]period{}, storeFaults: map[int][]period{},
+		cold: map[string][]period{}, storeFaults: map[int][]period{}, limited: map[string][]limit{},
 	}
 }
 
@@ -191,6 +193,7 @@
 	violations = append(violations, h.checkTakeUps()...)
 	violations = append(violations, h.checkCold()...)
 	violations = append(violations, h.checkRetries()...)
+	violations = append(violations, h.checkLimits()...)
 
 	return append(violations, h.checkNotices()...)
 }
--- a/internal/soaker/limitfault.go
+++ b/internal/soaker/limitfault.go
@@ -155,7 +155,7 @@
 	length := f.between(500, 3000)
 	// A fault is the more probable the more letters it has; a dot stands for none.
 	faults := map[pressed]string{
-		pressBoth:    "kkffxccccceeezo......",
+		pressBoth:    "kkffxccccceeezol.....",
 		pressRetries: "kkkffffffffxxxxzo.....",
 		pressCold:    "kkfccccccceeeeezo......",
 	}[f.pressed()]
@@ -172,6 +172,8 @@
 		f.evacuate(length)
 	case 'z':
 		f.freezeNodes(length)
+	case 'l':
+		f.nameLimits()
 	case 'o':
 		f.injectFault()
 	}
--- a/internal/soaker/limits_test.go
+++ b/internal/soaker/limits_test.go
@@ -166,3 +166,46 @@
 		})
 	}
 }
+
+// Guards against a check that misses nodes that together send more requests than the
+// limit that an endpoint names, or finds requests of nodes that cannot know of it. With a
+// limit of one request a second, an endpoint may get 11 in 4 s.
+func TestLimitCheckFindsViolations(t *testing.T) {
+	const s = time.Second
+	tell := func(h *limitHistory, node int, at time.Duration) {
+		request := fmt.Sprint("told-", node)
+		h.setOutcome(request, outcome{status: 200, sent: h.now.Add(at), ended: h.now.Add(at), node: node, servers: []string{"i-1"}})
+		h.AddAnswer(standin.Answer{Server: "i-1", Request: request, Limit: 1, At: h.now.Add(at)})
+	}
+	for name, c := range map[string]struct {
+		build func(h *limitHistory)
+		want  string
+	}{
+		"as many as allowed": {func(h *limitHistory) { tell(h, 0, s); h.arrive(0, 11, 5*s, 0, 0) }, ""},
+		"one too many":       {func(h *limitHistory) { tell(h, 0, s); h.arrive(0, 12, 5*s, 0, 0) }, "LIMIT: i-1 got 12 requests"},
+		"two nodes": {func(h *limitHistory) {
+			tell(h, 0, s)
+			tell(h, 1, s)
+			h.arrive(0, 6, 5*s, 0, 0)
+			h.arrive(1, 6, 8*s, 0, 0)
+		}, "12 requests"},
+		"in two windows": {func(h *limitHistory) { tell(h, 0, s); h.arrive(0, 6, 5*s, 0, 0); h.arrive(0, 6, 9*s, 0, 0) }, ""},
+		"just named":     {func(h *limitHistory) { tell(h, 0, s); h.arrive(0, 30, 2900*time.Millisecond, 0, 0) }, ""},
+		"named no more":  {func(h *limitHistory) { tell(h, 0, s); h.arrive(0, 30, 10*s, 0, 0) }, ""},
+		"not told":       {func(h *limitHistory) { tell(h, 1, s); h.arrive(0, 30, 5*s, 0, 0) }, ""},
+		"just told":      {func(h *limitHistory) { tell(h, 0, 4600*time.Millisecond); h.arrive(0, 30, 5*s, 0, 0) }, ""},
+		"restarted": {func(h *limitHistory) {
+			tell(h, 0, s)
+			h.interruptions[0] = []period{{h.now.Add(2 * s), h.now.Add(2 * s)}}
+			h.arrive(0, 30, 5*s, 0, 0)
+		}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newLimitHistory()
+			h.coldRate = 1000
+			h.limited["i-1"] = []limit{{period{h.now, h.now.Add(10 * s)}, 1}}
+			c.build(h)
+			h.check(t, c.want)
+		})
+	}
+}
