--- a/internal/director/cold.go
+++ b/internal/director/cold.go
@@ -94,7 +94,7 @@
 func (d *Director) paced(now time.Time, e *endpoint) bool {
 	s := d.serviceOf(e)
 
-	return now.Before(e.coldUntil) && (s == nil || s.ColdRate > 0)
+	return s != nil && s.ColdRate > 0 && now.Before(e.coldUntil)
 }
 
 // serviceOf returns the service of an endpoint, or nil if the table does not have it.
@@ -107,8 +107,8 @@
 }
 
 // coldLimit returns the number of requests that the node may send to a cold endpoint
-// in each coldWindow. It depends on the table and the fleet as they are now, not when
-// the endpoint became cold.
+// in each coldWindow. It follows the table and the fleet, which may change while the
+// endpoint is cold.
 func (d *Director) coldLimit(now time.Time, e *endpoint) int {
 	s := d.serviceOf(e)
 	if s == nil || s.ColdRate <= 0 {
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -4,8 +4,8 @@
 // clock, goroutines or I/O.
 //
 // Each node decides on its own, from what it has read of the shared view and
-// the requests it has sent itself. For limits that apply to the whole fleet,
-// such as the request rate of a cold endpoint, each node uses an equal share.
+// the requests it has sent itself. Limits that apply to the whole fleet, such as
+// the request rate of a cold endpoint, are divided among the nodes.
 package director
 
 import (
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -1,7 +1,6 @@
 package director
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -49,9 +48,10 @@
 func newFleet(opts Options) fleet {
 	f := fleet{assumedNodes: opts.AssumedNodes, unheard: map[string]bool{}}
 	for centre := range opts.Regions {
-		f.unheard[centre] = centre != opts.DataCentre
+		if centre != opts.DataCentre {
+			f.unheard[centre] = true
+		}
 	}
-	maps.DeleteFunc(f.unheard, func(_ string, unheard bool) bool { return !unheard })
 
 	return f
 }
