--- a/internal/director/limit_test.go
+++ b/internal/director/limit_test.go
@@ -67,3 +67,15 @@
 	c.Check(refuse.Reason, qt.Equals, ReasonLimited)
 	c.Check(refuse.RetryAfter > 0, qt.IsTrue)
 }
+
+// Guards against a limit that is ended by the response to a request from before it.
+func TestEarlierResponseDoesNotEndALimit(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	n.post(EntriesListed{[]registrar.Entry{entry("desk", 0)}})
+	n.arrive(1, "/pay/1")
+	n.arrive(2, "/pay/2")
+	n.post(EndpointNoticed{ID: 1, Limit: 0.5, Limited: true})
+	n.post(EndpointNoticed{ID: 2})
+	c.Check(n.Status(n.now).Limited, qt.Equals, 1)
+}
--- a/internal/director/share_test.go
+++ b/internal/director/share_test.go
@@ -311,3 +311,30 @@
 		qt.Assert(t, n.fleet.size() >= 72, qt.IsTrue, qt.Commentf("%d nodes", n.fleet.size()))
 	}
 }
+
+// Guards against a node that sends its share to a cold endpoint again after a restart.
+func TestRestartedNodesSpareColdEndpoints(t *testing.T) {
+	f := newTestFleet(6)
+	cold := entry("desk", 0)
+	cold.Cold = time.Minute
+	f.post(EntriesListed{[]registrar.Entry{cold}})
+	f.load(300*time.Millisecond, Answered)
+	f.restart([]registrar.Entry{cold})
+	for _, n := range f.nodes {
+		n.fleet.assumedNodes = len(f.nodes)
+	}
+	f.load(3*time.Second, Answered)
+	most := f.most("desk-0", time.Second)
+	qt.Check(t, most > 0 && most <= coldLimit, qt.IsTrue, qt.Commentf("%d requests in a second", most))
+}
+
+// Guards against a node that takes the nodes it knows for all while their number grows.
+func TestGrowingNumberOfNodesIsNotComplete(t *testing.T) {
+	f := newTestFleet(1)
+	n := f.startNode(0)
+	for second := range 8 {
+		n.now = f.now.Add(time.Duration(second) * time.Second)
+		n.post(OthersLoadReplaced{encoder.LoadSum{Nodes: uint16(second + 1)}, []string{"kollam"}})
+		qt.Check(t, n.Status(n.now).Nodes, qt.Equals, 100, qt.Commentf("second %d", second))
+	}
+}
