--- a/internal/assembler/caller_test.go
+++ b/internal/assembler/caller_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"snipedyke/internal/standin"
 )
@@ -63,6 +64,14 @@
 	return !s.done && s.errorText != "" && strings.HasPrefix(expectedText(s.prompt), s.text)
 }
 
+// isRefused reports whether the request was refused and has not run.
+func (s *streamResult) isRefused() bool {
+	return !s.done && s.text == "" && strings.Contains(s.errorText, `"run":"not-run"`)
+}
+
+// refusalPause is the time after which a caller sends a refused request again.
+const refusalPause = 50 * time.Millisecond
+
 // expectedText returns the whole answer of the stand-ins to a prompt.
 func expectedText(prompt string) string { return standin.Text("draftsmith-7b", prompt+"\n", 0, 0) }
 
--- a/internal/assembler/faults_test.go
+++ b/internal/assembler/faults_test.go
@@ -98,32 +98,57 @@
 			for name := range f.Engines {
 				f.Control(name, standin.Control{Slow: 3})
 			}
-			var started atomic.Int32
+			// Nodes that have just started may refuse requests, which callers send
+			// again. They open one stream after the other until the crash, so that
+			// all streams run at the same time at some moment.
+			var running atomic.Int32
+			var last atomic.Bool
 			var callers conc.WaitGroup
+			defer func() {
+				last.Store(true)
+				callers.Wait()
+			}()
 			results := make([]*streamResult, streams)
 			for i := range results {
 				callers.Go(func() {
-					results[i] = stream(f.callerURL(i%3), f.Site.Keys["account-01-fit"], fmt.Sprintf("question %d", i), func() { started.Add(1) })
+					for n := 0; results[i] == nil; n++ {
+						begun := false
+						s := stream(f.callerURL(i%3), f.Site.Keys["account-01-fit"], fmt.Sprintf("question %d of caller %d", n, i), func() {
+							begun = true
+							running.Add(1)
+						})
+						if begun {
+							running.Add(-1)
+						}
+						if last.Load() {
+							results[i] = s
+						} else if !s.isComplete() {
+							c.Check(s.isRefused(), qt.IsTrue, qt.Commentf("before the crash: %+v", *s))
+							<-time.After(refusalPause)
+						}
+					}
 				})
 			}
 			// A request that runs alone on a crashing engine would be blocked as
 			// the cause, so the test crashes an engine that runs several.
 			busiest := ""
-			await(c, "streams have begun, two of them on one engine", func() bool {
-				running := map[string]int{}
+			await(c, "all streams have begun, two of them on one engine", func() bool {
+				runs := map[string]int{}
 				for _, r := range f.RunLog.Runs() {
 					if r.Outcome == standin.Running {
-						running[r.Endpoint]++
+						runs[r.Endpoint]++
 					}
 				}
-				for name, n := range running {
-					if n > running[busiest] {
+				busiest = ""
+				for name, n := range runs {
+					if n > runs[busiest] {
 						busiest = name
 					}
 				}
 
-				return started.Load() == streams && running[busiest] > 1
+				return running.Load() == streams && runs[busiest] > 1
 			})
+			last.Store(true)
 			f.Control(busiest, standin.Control{Crash: 300 * time.Millisecond})
 			callers.Wait()
 			complete, truncated := 0, []streamResult(nil)
