--- a/internal/director/budget_test.go
+++ b/internal/director/budget_test.go
@@ -1,6 +1,8 @@
 package director
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -148,3 +150,63 @@
 	most := f.most("retries", o.RetryWindow)
 	c.Check(most > 0 && float64(most) <= limit, qt.IsTrue, qt.Commentf("%d retries of %d requests, want at most %g", most, requests, limit))
 }
+
+// Guards against more retries than the requests of any window allow, where endpoints fail
+// at the end of a burst that is shorter than two windows.
+func TestRetriesAfterABurstStayWithinTheBudget(t *testing.T) {
+	const step = 20 * time.Millisecond
+	o := options()
+	for _, length := range []time.Duration{9 * time.Second, 12 * time.Second} {
+		t.Run(length.String(), func(t *testing.T) {
+			f := newTestFleet(6)
+			f.post(EntriesListed{[]registrar.Entry{entry("desk", 0), entry("desk", 1)}})
+			f.now = f.now.Add(time.Minute)
+			begin := f.now
+			fail := begin.Add(3 * o.RetryWindow)
+			// The load is threefold for a while, and endpoints fail in the last two seconds
+			// of it.
+			for f.now.Before(fail.Add(o.RetryWindow)) {
+				f.now = f.now.Add(step)
+				f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: uint16(len(f.nodes) - 1)}, []string{"kollam"}})
+				f.post(ViewConfirmed{f.now})
+				count, status := 1, 200
+				if f.now.After(fail.Add(-length)) && !f.now.After(fail) {
+					count = 3
+				}
+				if f.now.After(fail.Add(-2*time.Second)) && !f.now.After(fail) {
+					status = 500
+				}
+				for _, n := range f.nodes {
+					for range count {
+						f.lastID++
+						f.sent["requests"] = append(f.sent["requests"], f.now)
+						n.arrive(f.lastID, "/look/1")
+						if d, ok := find[Dispatch](n.post(AttemptFinished{ID: f.lastID, Result: Answered, Status: status})); ok {
+							f.sent["retries"] = append(f.sent["retries"], f.now)
+							n.post(AttemptFinished{ID: d.ID, Result: Answered, Status: 200})
+						}
+					}
+				}
+			}
+			between := func(key string, from, to time.Time) int {
+				first, _ := slices.BinarySearchFunc(f.sent[key], from, time.Time.Compare)
+				last, _ := slices.BinarySearchFunc(f.sent[key], to, time.Time.Compare)
+
+				return last - first
+			}
+			worst, where := 0.0, ""
+			for from := begin.Add(2 * o.RetryWindow); from.Before(fail); from = from.Add(step) {
+				requests := 0
+				for _, earlier := range []time.Duration{0, o.RetryWindow / 2, o.RetryWindow} {
+					requests = max(requests, between("requests", from.Add(-earlier), from.Add(o.RetryWindow-earlier)))
+				}
+				limit := o.RetryRatio*float64(requests) + o.RetrySlack
+				retries := between("retries", from, from.Add(o.RetryWindow))
+				if excess := float64(retries) - limit; excess > worst {
+					worst, where = excess, fmt.Sprintf("%d retries of %d requests in the window that begins %s before the end of the burst, want at most %g", retries, requests, fail.Sub(from), limit)
+				}
+			}
+			qt.Check(t, len(f.sent["retries"]) > 0 && worst == 0, qt.IsTrue, qt.Commentf("%s", where))
+		})
+	}
+}
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -38,7 +38,9 @@
 	}
 }
 
-// Budget bounds the retries in a sliding window to a fraction of the requests.
+// Budget bounds the retries in a sliding window to a fraction of the requests in that
+// window, or in the one that ended half a window or a whole window before, if there were
+// more.
 type Budget struct {
 	// Window is the length of the sliding window of requests and retries.
 	Window time.Duration
@@ -56,21 +58,46 @@
 
 // RecordRequest records the first attempt of a request.
 func (b *Budget) RecordRequest(now time.Time) {
-	b.requests = append(trim(b.requests, now.Add(-b.Window)), now)
+	b.requests = append(trim(b.requests, now.Add(-2*b.Window)), now)
 }
 
-// AllowRetry reports whether a retry is allowed, and records it if it is.
+// windowSteps is the number of windows that are checked for each retry. They begin at
+// regular intervals.
+const windowSteps = 40
+
+// AllowRetry reports whether a retry is allowed, and records it if it is. It must be
+// allowed in all windows that include it, even if no requests follow.
 func (b *Budget) AllowRetry(now time.Time) bool {
-	b.requests = trim(b.requests, now.Add(-b.Window))
+	b.requests = trim(b.requests, now.Add(-2*b.Window))
 	b.retries = trim(b.retries, now.Add(-b.Window-b.Margin))
-	if float64(len(b.retries)+1) > b.Ratio*float64(len(b.requests))+b.Slack {
+	if float64(len(b.retries)+1) > b.Ratio*float64(count(b.requests, now.Add(-b.Window), b.Window))+b.Slack {
 		return false
 	}
+	for step := range windowSteps {
+		from := now.Add(-b.Window * time.Duration(step) / windowSteps)
+		requests := 0
+		for _, earlier := range []time.Duration{0, b.Window / 2, b.Window} {
+			requests = max(requests, count(b.requests, from.Add(-earlier), b.Window))
+		}
+		retries := count(b.retries, from.Add(-b.Margin), b.Window+b.Margin) + 1
+		if float64(retries) > b.Ratio*float64(requests)+b.Slack {
+			return false
+		}
+	}
 	b.retries = append(b.retries, now)
 
 	return true
 }
 
+// count returns the number of times in a window that begins at the given time. The times
+// must be in ascending order.
+func count(times []time.Time, from time.Time, window time.Duration) int {
+	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	next, _ := slices.BinarySearchFunc(times[first:], from.Add(window+1), time.Time.Compare)
+
+	return next
+}
+
 // trim removes the times before the limit. The times must be in ascending order.
 func trim(times []time.Time, limit time.Time) []time.Time {
 	n := 0
