--- a/internal/director/budget_test.go
+++ b/internal/director/budget_test.go
@@ -210,3 +210,75 @@
 		})
 	}
 }
+
+// Guards against retries that reach an endpoint long after they are allowed, because those
+// that they were sent to first could not be reached: they arrive together with the first
+// retries of the next window.
+func TestRetriesAfterUnreachedEndpointsStayWithinTheBudget(t *testing.T) {
+	const streams = 60
+	c := qt.New(t)
+	o := options()
+	f := newTestFleet(1)
+	n := f.nodes[0]
+	f.post(EntriesListed{[]registrar.Entry{entry("model", 0), entry("model", 1)}})
+	f.now = f.now.Add(time.Minute)
+	advance := func(length time.Duration) {
+		f.now = f.now.Add(length)
+		f.post(ViewConfirmed{f.now})
+	}
+	// retries returns the requests that are sent now, or counts them if they arrive.
+	retries := func(effects []Effect, arrive bool) (ids []uint64) {
+		for _, e := range effects {
+			if d, ok := e.(Dispatch); ok && arrive {
+				f.sent["retries"] = append(f.sent["retries"], f.now)
+			} else if ok {
+				ids = append(ids, d.ID)
+			}
+		}
+
+		return ids
+	}
+	breakStreams := func() (effects []Effect) {
+		first := f.lastID + 1
+		for range streams {
+			f.lastID++
+			n.post(Arrived{Request{ID: f.lastID, Name: fmt.Sprint("r", f.lastID), Host: "h", Path: "/draft/1", Key: "key", Deadline: 6 * time.Second}})
+			n.post(ResponseStarted{ID: f.lastID, Wait: time.Millisecond})
+		}
+		f.post(CentresOut{[]string{"kochi"}})
+		for id := first; id <= f.lastID; id++ {
+			effects = append(effects, n.post(AttemptFinished{ID: id, Result: Broken, Relayed: true})...)
+		}
+
+		return effects
+	}
+	// centreReturns ends the wait of the broken streams. Their endpoints are warm.
+	centreReturns := func() []Effect {
+		f.post(CentresOut{nil})
+		for _, e := range n.endpoints {
+			e.coldUntil = time.Time{}
+		}
+
+		return n.post(Ticked{})
+	}
+	advance(0)
+	breakStreams()
+	advance(maxMoveWait - 100*time.Millisecond)
+	unreached := retries(centreReturns(), false)
+	c.Assert(unreached, qt.HasLen, streams)
+	advance(250 * time.Millisecond)
+	for _, id := range unreached {
+		retries(n.post(AttemptFinished{ID: id, Result: Unreached, Relayed: true}), true)
+	}
+	// Endpoints that start take them.
+	advance(maxMoveWait - 100*time.Millisecond)
+	for i := range 3 {
+		retries(n.post(EntryPut{entry("model", 2+i)}), true)
+	}
+	advance(o.RetryWindow - 400*time.Millisecond)
+	breakStreams()
+	retries(centreReturns(), true)
+	limit := o.RetryRatio*2*streams + o.RetrySlack
+	most := f.most("retries", o.RetryWindow)
+	c.Check(most > 0 && float64(most) <= limit, qt.IsTrue, qt.Commentf("%d retries of %d requests, want at most %g", most, 2*streams, limit))
+}
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -93,7 +93,7 @@
 		}
 		// A misdirected request has reached an endpoint, so that sending it again is a
 		// retry.
-		inBudget := f.Result != Misdirected || req.replaced || d.mayRetry(now, req.service)
+		inBudget := f.Result != Misdirected || req.replaced || d.mayRetry(now, req)
 		if req.unreachedCount >= maxUnreached || !inBudget {
 			d.fail(now, req, ReasonNoEndpoint)
 
@@ -102,6 +102,12 @@
 		if !req.waitUntil.IsZero() {
 			req.waitUntil = now.Add(maxMoveWait)
 		}
+		if f.Result != Misdirected && !req.retriedAt.IsZero() {
+			// The retry has not arrived, and may do so later than the margin of the
+			// budget allows.
+			req.service.retryBudget.Renew(req.retriedAt, now)
+			req.retriedAt = now
+		}
 		d.emit(Count{Counter: CounterRetries, Label: f.Result.String()})
 		d.place(now, req)
 	case Broken, TimedOut:
@@ -162,7 +168,7 @@
 	if f.Status >= http.StatusInternalServerError && req.route.Kind == router.Safe && !req.relayed {
 		req.mayHaveRun = true
 		req.tried = append(req.tried, e.entry.ID)
-		if len(req.tried) < req.route.Attempts && d.deadline(req).Sub(now) >= minAttemptTime && d.mayRetry(now, req.service) {
+		if len(req.tried) < req.route.Attempts && d.deadline(req).Sub(now) >= minAttemptTime && d.mayRetry(now, req) {
 			if next, holder := d.choose(now, req); next != nil {
 				d.emit(Count{Counter: CounterRetries, Label: "status"})
 				d.dispatch(now, req, next, holder)
@@ -206,13 +212,18 @@
 
 // mayRetry reports whether the node's share of the retry budget allows another
 // attempt, and uses up the budget if it does.
-func (d *Director) mayRetry(now time.Time, s *service) bool {
+func (d *Director) mayRetry(now time.Time, req *request) bool {
 	if d.sharesSpent(now, d.opts.RetryWindow) {
 		return false
 	}
-	s.retryBudget.Slack = d.opts.RetrySlack / float64(d.fleet.size())
+	budget := &req.service.retryBudget
+	budget.Slack = d.opts.RetrySlack / float64(d.fleet.size())
+	if !budget.AllowRetry(now) {
+		return false
+	}
+	req.retriedAt = now
 
-	return s.retryBudget.AllowRetry(now)
+	return true
 }
 
 // retry sends a request to another endpoint than e, that of its reservation if there is
@@ -226,7 +237,7 @@
 
 		return
 	}
-	if req.attemptsUsed() >= req.route.Attempts || !req.replaced && !d.mayRetry(now, req.service) {
+	if req.attemptsUsed() >= req.route.Attempts || !req.replaced && !d.mayRetry(now, req) {
 		d.fail(now, req, reason)
 
 		return
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -76,6 +76,8 @@
 	// place of that attempt; otherwise it is nil.
 	replaced bool
 	reserved *reservation
+	// retriedAt is the time for which the retry budget includes the last retry, or zero.
+	retriedAt time.Time
 	// waitUntil, if not zero, extends the time for which the request may wait for
 	// an endpoint.
 	waitUntil time.Time
--- a/internal/director/reservation.go
+++ b/internal/director/reservation.go
@@ -35,7 +35,7 @@
 	if e != nil && d.engineOf(req) != nil && !req.relayed {
 		r.endpoint = d.admit(now, req, e)
 	}
-	if r.endpoint == nil || !d.mayRetry(now, req.service) {
+	if r.endpoint == nil || !d.mayRetry(now, req) {
 		return false
 	}
 	r.endpoint.pacer.Record(now)
--- a/internal/director/silence_test.go
+++ b/internal/director/silence_test.go
@@ -61,7 +61,7 @@
 // many retries were left.
 func (n *node) useUpBudget(id uint64) int {
 	left := 0
-	for n.mayRetry(n.now, n.requests[id].service) {
+	for n.mayRetry(n.now, n.requests[id]) {
 		left++
 	}
 
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -89,6 +89,15 @@
 	return true
 }
 
+// Renew counts a retry that was allowed at the given time, but has not arrived, from now
+// on.
+func (b *Budget) Renew(at, now time.Time) {
+	if i := slices.IndexFunc(b.retries, at.Equal); i >= 0 {
+		b.retries = slices.Delete(b.retries, i, i+1)
+	}
+	b.retries = append(b.retries, now)
+}
+
 // count returns the number of times in a window that begins at the given time. The times
 // must be in ascending order.
 func count(times []time.Time, from time.Time, window time.Duration) int {
