--- a/internal/director/limit.go
+++ b/internal/director/limit.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"snipedyke/internal/logger"
 )
 
@@ -21,7 +23,8 @@
 	// selectedPart, it leaves room for the variance of the selection.
 	selectedLimitPart = 2.0 / 3
 	// selectionPeriod is how long a node is selected or not, so that each finds out in
-	// time whether the limit has ended.
+	// time whether the limit has ended. A selected node sends nothing in the first
+	// limitWindow of it.
 	selectionPeriod = 10 * time.Second
 )
 
@@ -65,7 +68,14 @@
 	if share >= 1 {
 		return int(share)
 	}
-	period := strconv.Itoa(int(now.Sub(d.startedAt) / selectionPeriod))
+	// Nodes that start together begin their periods at different times, so that the
+	// endpoint gets requests at any time.
+	elapsed := now.Sub(d.startedAt) + time.Duration(xxhash.Sum64String(d.opts.Name)%uint64(selectionPeriod))
+	if elapsed%selectionPeriod < limitWindow {
+		// Nodes of the period before may have sent their requests just now.
+		return 0
+	}
+	period := strconv.Itoa(int(elapsed / selectionPeriod))
 	if d.selected(e.entry.ID+" "+period, share*selectedLimitPart) {
 		return 1
 	}
--- a/internal/director/limit_test.go
+++ b/internal/director/limit_test.go
@@ -11,13 +11,13 @@
 )
 
 // Guards against more requests than an endpoint says that it takes from all nodes
-// together, and against none at all.
+// together, also from those selected one after the other, and against none at all.
 func TestEndpointsGetNoMoreRequestsThanTheirLimit(t *testing.T) {
 	const period = 4 * time.Second
 	for _, test := range []struct {
 		nodes int
 		limit float64
-	}{{6, 0.2}, {6, 1.6}, {6, 20}, {73, 0.2}, {73, 1.6}, {73, 20}, {295, 1.6}} {
+	}{{6, 0.2}, {6, 1.6}, {6, 20}, {73, 0.2}, {73, 1.6}, {73, 1.9}, {73, 20}, {295, 1.6}} {
 		t.Run(fmt.Sprint(test.nodes, " nodes, limit ", test.limit), func(t *testing.T) {
 			c := qt.New(t)
 			f := newTestFleet(test.nodes)
