--- a/internal/director/budget_test.go
+++ b/internal/director/budget_test.go
@@ -151,6 +151,30 @@
 	c.Check(most > 0 && float64(most) <= limit, qt.IsTrue, qt.Commentf("%d retries of %d requests, want at most %g", most, requests, limit))
 }
 
+// budgetExcess describes the window that begins in the given period and has most retries
+// beyond those that the fleet may send. It is empty if there is none.
+func (f *testFleet) budgetExcess(begin, end time.Time) string {
+	o := options()
+	count := func(key string, from time.Time) int {
+		first, _ := slices.BinarySearchFunc(f.sent[key], from, time.Time.Compare)
+		last, _ := slices.BinarySearchFunc(f.sent[key], from.Add(o.RetryWindow), time.Time.Compare)
+
+		return last - first
+	}
+	worst, description := 0.0, ""
+	for from := begin; from.Before(end); from = from.Add(20 * time.Millisecond) {
+		// The requests count of the window, the one half a window before or the one before.
+		requests := max(count("requests", from), count("requests", from.Add(-o.RetryWindow/2)), count("requests", from.Add(-o.RetryWindow)))
+		retries, limit := count("retries", from), o.RetryRatio*float64(requests)+o.RetrySlack
+		if excess := float64(retries) - limit; excess > worst {
+			worst = excess
+			description = fmt.Sprintf("%d retries of %d requests in the window that begins at %s, want at most %g", retries, requests, from.Sub(begin), limit)
+		}
+	}
+
+	return description
+}
+
 // Guards against more retries than the requests of any window allow, where endpoints fail
 // at the end of a burst that is shorter than two windows.
 func TestRetriesAfterABurstStayWithinTheBudget(t *testing.T) {
@@ -188,25 +212,8 @@
 					}
 				}
 			}
-			between := func(key string, from, to time.Time) int {
-				first, _ := slices.BinarySearchFunc(f.sent[key], from, time.Time.Compare)
-				last, _ := slices.BinarySearchFunc(f.sent[key], to, time.Time.Compare)
-
-				return last - first
-			}
-			worst, where := 0.0, ""
-			for from := begin.Add(2 * o.RetryWindow); from.Before(fail); from = from.Add(step) {
-				requests := 0
-				for _, earlier := range []time.Duration{0, o.RetryWindow / 2, o.RetryWindow} {
-					requests = max(requests, between("requests", from.Add(-earlier), from.Add(o.RetryWindow-earlier)))
-				}
-				limit := o.RetryRatio*float64(requests) + o.RetrySlack
-				retries := between("retries", from, from.Add(o.RetryWindow))
-				if excess := float64(retries) - limit; excess > worst {
-					worst, where = excess, fmt.Sprintf("%d retries of %d requests in the window that begins %s before the end of the burst, want at most %g", retries, requests, fail.Sub(from), limit)
-				}
-			}
-			qt.Check(t, len(f.sent["retries"]) > 0 && worst == 0, qt.IsTrue, qt.Commentf("%s", where))
+			excess := f.budgetExcess(begin.Add(2*o.RetryWindow), fail)
+			qt.Check(t, len(f.sent["retries"]) > 0 && excess == "", qt.IsTrue, qt.Commentf("%s", excess))
 		})
 	}
 }
@@ -282,3 +289,41 @@
 	most := f.most("retries", o.RetryWindow)
 	c.Check(most > 0 && float64(most) <= limit, qt.IsTrue, qt.Commentf("%d retries of %d requests, want at most %g", most, 2*streams, limit))
 }
+
+// Guards against more retries than the requests of any window allow, where callers of lost
+// nodes go on at the others, so that their requests count at both.
+func TestRetriesStayWithinTheBudgetWhenCallersMove(t *testing.T) {
+	const step = 20 * time.Millisecond
+	o := options()
+	f := newTestFleet(6)
+	f.post(EntriesListed{[]registrar.Entry{entry("desk", 0), entry("desk", 1)}})
+	f.now = f.now.Add(time.Minute)
+	begin := f.now
+	lost := begin.Add(3 * o.RetryWindow)
+	for f.now.Before(lost.Add(2 * o.RetryWindow)) {
+		f.now = f.now.Add(step)
+		// Endpoints fail for two seconds before half of the nodes are lost, and again
+		// later.
+		since, status, nodes := f.now.Sub(lost), 200, f.nodes
+		if since > -2*time.Second && since <= 0 || since > 6*time.Second && since <= 8*time.Second {
+			status = 500
+		}
+		if since > 0 {
+			nodes = f.nodes[:3]
+		}
+		f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: uint16(len(nodes) - 1)}, []string{"kollam"}})
+		f.post(ViewConfirmed{f.now})
+		for k := range f.nodes {
+			n := nodes[k%len(nodes)]
+			f.lastID++
+			f.sent["requests"] = append(f.sent["requests"], f.now)
+			n.arrive(f.lastID, "/look/1")
+			if d, ok := find[Dispatch](n.post(AttemptFinished{ID: f.lastID, Result: Answered, Status: status})); ok {
+				f.sent["retries"] = append(f.sent["retries"], f.now)
+				n.post(AttemptFinished{ID: d.ID, Result: Answered, Status: 200})
+			}
+		}
+	}
+	excess := f.budgetExcess(begin.Add(2*o.RetryWindow), lost.Add(o.RetryWindow))
+	qt.Check(t, len(f.sent["retries"]) > 0 && excess == "", qt.IsTrue, qt.Commentf("%s", excess))
+}
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -38,9 +38,11 @@
 	}
 }
 
-// Budget bounds the retries in a sliding window to a fraction of the requests in that
-// window, or in the one that ended half a window or a whole window before, if there were
-// more.
+// Budget bounds the retries in a sliding window to a fraction of the requests in the
+// window before. The sum over the nodes then bounds those of the fleet, also where callers
+// go from one node to another. Windows that begin in the first one with requests have
+// none before; there, the requests in the window, or half a window earlier, count if they
+// are more.
 type Budget struct {
 	// Window is the length of the sliding window of requests and retries.
 	Window time.Duration
@@ -54,11 +56,16 @@
 	Slack float64
 
 	requests, retries []time.Time
+	// begun is the time of the first request after two windows without any.
+	begun time.Time
 }
 
 // RecordRequest records the first attempt of a request.
 func (b *Budget) RecordRequest(now time.Time) {
 	b.requests = append(trim(b.requests, now.Add(-2*b.Window)), now)
+	if len(b.requests) == 1 {
+		b.begun = now
+	}
 }
 
 // windowSteps is the number of windows that are checked for each retry. They begin at
@@ -73,11 +80,11 @@
 	if float64(len(b.retries)+1) > b.Ratio*float64(count(b.requests, now.Add(-b.Window), b.Window))+b.Slack {
 		return false
 	}
-	for step := range windowSteps {
+	for step := range windowSteps + 1 {
 		from := now.Add(-b.Window * time.Duration(step) / windowSteps)
-		requests := 0
-		for _, earlier := range []time.Duration{0, b.Window / 2, b.Window} {
-			requests = max(requests, count(b.requests, from.Add(-earlier), b.Window))
+		requests := count(b.requests, from.Add(-b.Window), b.Window)
+		if from.Sub(b.begun) < b.Window {
+			requests = max(requests, count(b.requests, from, b.Window), count(b.requests, from.Add(-b.Window/2), b.Window))
 		}
 		retries := count(b.retries, from.Add(-b.Margin), b.Window+b.Margin) + 1
 		if float64(retries) > b.Ratio*float64(requests)+b.Slack {
