--- a/internal/director/budget_test.go
+++ b/internal/director/budget_test.go
@@ -291,39 +291,60 @@
 }
 
 // Guards against more retries than the requests of any window allow, where callers of lost
-// nodes go on at the others, so that their requests count at both.
+// nodes go on at the others, or go back when the nodes return, so that their requests count
+// at both.
 func TestRetriesStayWithinTheBudgetWhenCallersMove(t *testing.T) {
 	const step = 20 * time.Millisecond
 	o := options()
-	f := newTestFleet(6)
-	f.post(EntriesListed{[]registrar.Entry{entry("desk", 0), entry("desk", 1)}})
-	f.now = f.now.Add(time.Minute)
-	begin := f.now
-	lost := begin.Add(3 * o.RetryWindow)
-	for f.now.Before(lost.Add(2 * o.RetryWindow)) {
-		f.now = f.now.Add(step)
-		// Endpoints fail for two seconds before half of the nodes are lost, and again
-		// later.
-		since, status, nodes := f.now.Sub(lost), 200, f.nodes
-		if since > -2*time.Second && since <= 0 || since > 6*time.Second && since <= 8*time.Second {
-			status = 500
-		}
-		if since > 0 {
-			nodes = f.nodes[:3]
-		}
-		f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: uint16(len(nodes) - 1)}, []string{"kollam"}})
-		f.post(ViewConfirmed{f.now})
-		for k := range f.nodes {
-			n := nodes[k%len(nodes)]
-			f.lastID++
-			f.sent["requests"] = append(f.sent["requests"], f.now)
-			n.arrive(f.lastID, "/look/1")
-			if d, ok := find[Dispatch](n.post(AttemptFinished{ID: f.lastID, Result: Answered, Status: status})); ok {
-				f.sent["retries"] = append(f.sent["retries"], f.now)
-				n.post(AttemptFinished{ID: d.ID, Result: Answered, Status: 200})
+	entries := []registrar.Entry{entry("desk", 0), entry("desk", 1)}
+	for name, test := range map[string]struct {
+		// first and second are when endpoints fail for some seconds, after half of the
+		// nodes are lost.
+		first, second, length time.Duration
+		// back is when these nodes return, or zero.
+		back time.Duration
+	}{
+		"lost":   {first: -2 * time.Second, second: 6 * time.Second, length: 2 * time.Second},
+		"return": {first: 10 * time.Second, second: 17 * time.Second, length: 4 * time.Second, back: 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(6)
+			f.post(EntriesListed{entries})
+			f.now = f.now.Add(time.Minute)
+			begin := f.now
+			lost := begin.Add(3 * o.RetryWindow)
+			for f.now.Before(lost.Add(4 * o.RetryWindow)) {
+				f.now = f.now.Add(step)
+				since, status, nodes := f.now.Sub(lost), 200, f.nodes
+				if since > test.first && since <= test.first+test.length || since > test.second && since <= test.second+test.length {
+					status = 500
+				}
+				if since == test.back && since > 0 {
+					for k := 3; k < 6; k++ {
+						f.nodes[k] = f.startNode(k)
+						f.nodes[k].post(TableLoaded{table(1)})
+						f.nodes[k].post(EntriesListed{entries})
+					}
+				}
+				// Callers notice that nodes have returned after two seconds.
+				if since > 0 && (test.back == 0 || since <= test.back+2*time.Second) {
+					nodes = f.nodes[:3]
+				}
+				f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: 5}, []string{"kollam"}})
+				f.post(ViewConfirmed{f.now})
+				for k := range f.nodes {
+					n := nodes[k%len(nodes)]
+					f.lastID++
+					f.sent["requests"] = append(f.sent["requests"], f.now)
+					n.arrive(f.lastID, "/look/1")
+					if d, ok := find[Dispatch](n.post(AttemptFinished{ID: f.lastID, Result: Answered, Status: status})); ok {
+						f.sent["retries"] = append(f.sent["retries"], f.now)
+						n.post(AttemptFinished{ID: d.ID, Result: Answered, Status: 200})
+					}
+				}
 			}
-		}
+			excess := f.budgetExcess(begin.Add(2*o.RetryWindow), lost.Add(3*o.RetryWindow))
+			qt.Check(t, len(f.sent["retries"]) > 0 && excess == "", qt.IsTrue, qt.Commentf("%s", excess))
+		})
 	}
-	excess := f.budgetExcess(begin.Add(2*o.RetryWindow), lost.Add(o.RetryWindow))
-	qt.Check(t, len(f.sent["retries"]) > 0 && excess == "", qt.IsTrue, qt.Commentf("%s", excess))
 }
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -439,6 +439,9 @@
 			name: name, durations: map[requestKind]*admitter.Duration{},
 			retryBudget: pacer.Budget{Window: d.opts.RetryWindow, Margin: retryMargin, Ratio: d.opts.RetryRatio},
 		}
+		if d.opts.Restarted {
+			s.retryBudget.Started = d.startedAt
+		}
 		d.services[name] = s
 	}
 
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -42,7 +42,7 @@
 // window before. The sum over the nodes then bounds those of the fleet, also where callers
 // go from one node to another. Windows that begin in the first one with requests have
 // none before; there, the requests in the window, or half a window earlier, count if they
-// are more.
+// are more and their callers do not come from other nodes.
 type Budget struct {
 	// Window is the length of the sliding window of requests and retries.
 	Window time.Duration
@@ -54,9 +54,13 @@
 	// Slack is the number of retries allowed in addition, independent of the
 	// number of requests.
 	Slack float64
+	// Started is when the node started, or zero. If requests come soon after that, other
+	// nodes have had their callers before.
+	Started time.Time
 
 	requests, retries []time.Time
-	// begun is the time of the first request after two windows without any.
+	// begun is the time of the first request after two windows without any, or zero if
+	// its caller comes from another node.
 	begun time.Time
 }
 
@@ -64,7 +68,10 @@
 func (b *Budget) RecordRequest(now time.Time) {
 	b.requests = append(trim(b.requests, now.Add(-2*b.Window)), now)
 	if len(b.requests) == 1 {
-		b.begun = now
+		b.begun = time.Time{}
+		if now.Sub(b.Started) >= b.Window/2 {
+			b.begun = now
+		}
 	}
 }
 
