--- a/internal/director/cold.go
+++ b/internal/director/cold.go
@@ -28,8 +28,9 @@
 	// selectedPart is the number of nodes that send requests to a cold endpoint, as a
 	// part of the requests that it may get in a window, if there are more nodes than
 	// such requests. The selection is random, so their number varies, and nodes that do
-	// not know each other select too many.
-	selectedPart = 1.0 / 3
+	// not know each other select too many. With a third, more nodes than the 12 requests
+	// that an endpoint with a rate of 5 may get are selected for one in 2,000 endpoints.
+	selectedPart = 1.0 / 5
 )
 
 // pacing holds what limits the requests to one incarnation of an endpoint.
--- a/internal/director/share_test.go
+++ b/internal/director/share_test.go
@@ -202,6 +202,7 @@
 	}
 	f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: 5}, []string{"kollam"}})
 	f.now = f.now.Add(discoveryPeriod + 7*time.Second)
+	f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: 5}, []string{"kollam"}})
 	cold := entry("desk", 0)
 	cold.Cold = 3 * time.Second
 	f.post(EntriesListed{[]registrar.Entry{cold}})
@@ -338,3 +339,23 @@
 		qt.Check(t, n.Status(n.now).Nodes, qt.Equals, 100, qt.Commentf("second %d", second))
 	}
 }
+
+// Guards against a cold endpoint for which, by chance, more nodes of a large fleet are
+// selected than requests are allowed.
+func TestSelectionForAColdEndpointStaysWithinItsLimit(t *testing.T) {
+	const rate, factor, slack = 5.1, 1.5, 5
+	// Thirteen nodes or more have a hash in the lowest third of the share.
+	for _, i := range []int{2560, 4910, 8180, 10714, 12067, 13565, 19956} {
+		f := newTestFleet(295)
+		for _, n := range f.nodes {
+			// The rate of the service desk is 10.
+			n.opts.ColdFactor = rate / 10 * factor
+		}
+		cold := entry("desk", i)
+		cold.Cold = 3 * time.Second
+		f.post(EntriesListed{[]registrar.Entry{cold}})
+		f.load(time.Second, Answered)
+		most := f.most(cold.ID, time.Second)
+		qt.Check(t, most > 0 && float64(most) <= rate*factor+slack, qt.IsTrue, qt.Commentf("%s: %d requests in a second", cold.ID, most))
+	}
+}
