--- a/internal/director/cold.go
+++ b/internal/director/cold.go
@@ -51,6 +51,13 @@
 	p := d.pacings[i]
 	if p == nil {
 		p = &pacing{pacer: pacer.Pacer{Longest: limitWindow}}
+		// Requests to an earlier incarnation may have reached this one, if it started
+		// again at the same address before its entry was known.
+		for other, former := range d.pacings {
+			if other.id == i.id {
+				p.pacer.Include(&former.pacer)
+			}
+		}
 		d.pacings[i] = p
 	}
 	p.removedAt = time.Time{}
--- a/internal/director/share_test.go
+++ b/internal/director/share_test.go
@@ -276,6 +276,32 @@
 	qt.Check(t, most <= coldLimit, qt.IsTrue, qt.Commentf("%d requests in a second", most))
 }
 
+// Guards against a node that sends its share to an endpoint which has started again under
+// its ID, beside what it has sent there before it knew of that.
+func TestRequestsBeforeANewStartIsKnownCount(t *testing.T) {
+	started := entry("desk", 0)
+	started.Born, started.Sequence, started.Cold = 8, 1, 3*time.Second
+	for name, learn := range map[string]func(f *testFleet){
+		"entry replaced": func(f *testFleet) { f.post(EntryPut{started}) },
+		"entry removed": func(f *testFleet) {
+			f.post(EntryRemoved{started.ID})
+			f.post(EntryPut{started})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(6)
+			former := entry("desk", 0)
+			former.Born, former.Sequence = 7, 1
+			f.post(EntriesListed{[]registrar.Entry{former}})
+			f.load(60*time.Millisecond, Answered)
+			learn(f)
+			f.load(3*time.Second, Answered)
+			most := f.most("desk-0", time.Second)
+			qt.Check(t, most > 0 && most <= coldLimit, qt.IsTrue, qt.Commentf("%d requests in a second", most))
+		})
+	}
+}
+
 // Guards against cutting off a stream because attempts to resume it at cold endpoints
 // were held up in the node.
 func TestHeldUpAttemptsDoNotCutOffAStream(t *testing.T) {
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -31,6 +31,12 @@
 	p.sent = append(trim(p.sent, now.Add(-p.Longest)), now)
 }
 
+// Include adds the requests that another pacer has recorded.
+func (p *Pacer) Include(other *Pacer) {
+	p.sent = append(p.sent, other.sent...)
+	slices.SortFunc(p.sent, time.Time.Compare)
+}
+
 // Withdraw removes a request that was recorded for the given time but not sent.
 func (p *Pacer) Withdraw(at time.Time) {
 	if i := slices.IndexFunc(p.sent, at.Equal); i >= 0 {
