--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// discoveryPeriod is how long the number of nodes must not have grown until a node
-	// that has started takes it for complete.
+	// discoveryPeriod is how long the number of nodes must be steady until a node that
+	// has started takes it for complete.
 	discoveryPeriod = 3 * time.Second
 	// fleetRetention is how long, at least, a node that is no longer heard from still
 	// counts. It may be partitioned from the others and still send requests. For as
@@ -33,8 +33,10 @@
 	// the period before, which is as long as fleetRetention.
 	peakNodes, formerPeak int
 	peakSince             time.Time
-	// grownAt is when the number of nodes last exceeded all former ones.
-	grownAt time.Time
+	// unsteadyAt is when the number of nodes last exceeded all former ones, or was less
+	// than half of the highest: the node is cut off from the others, or did not run, and
+	// their number may have grown unnoticed.
+	unsteadyAt time.Time
 	// unheard holds the data centres of which no node has been heard yet.
 	unheard map[string]bool
 	// discovered reports whether the nodes have discovered each other. It never
@@ -60,20 +62,20 @@
 // the others.
 func (f *fleet) recordNodes(now time.Time, nodes int, centres []string) {
 	if f.startedAt.IsZero() {
-		f.startedAt, f.grownAt, f.peakSince = now, now, now
+		f.startedAt, f.unsteadyAt, f.peakSince = now, now, now
 	}
 	for _, centre := range centres {
 		delete(f.unheard, centre)
 	}
-	if nodes > max(f.peakNodes, f.formerPeak) {
-		f.grownAt = now
+	if known := max(f.peakNodes, f.formerPeak); nodes > known || 2*nodes < known {
+		f.unsteadyAt = now
 	}
 	if now.Sub(f.peakSince) >= fleetRetention {
 		f.formerPeak, f.peakNodes, f.peakSince = f.peakNodes, 0, now
 	}
 	f.peakNodes = max(f.peakNodes, nodes)
 	allHeard := len(f.unheard) == 0 || now.Sub(f.startedAt) >= fleetRetention
-	f.discovered = f.discovered || allHeard && now.Sub(f.grownAt) >= discoveryPeriod
+	f.discovered = f.discovered || allHeard && now.Sub(f.unsteadyAt) >= discoveryPeriod
 }
 
 // size returns the number of nodes by which the limits are divided.
--- a/internal/director/share_test.go
+++ b/internal/director/share_test.go
@@ -366,6 +366,32 @@
 	}
 }
 
+// Guards against a node that takes the few nodes it knows for all, as it is cut off from
+// them or does not run just after its start.
+func TestNodesThatAreNoLongerHeardAreNotComplete(t *testing.T) {
+	for name, silent := range map[string][]time.Duration{
+		"cut off": {200 * time.Millisecond, 1200 * time.Millisecond, 2200 * time.Millisecond, 3200 * time.Millisecond},
+		"frozen":  {3200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newTestFleet(1)
+			n := f.startNode(0)
+			n.post(OthersLoadReplaced{encoder.LoadSum{Nodes: 14}, []string{"kollam"}})
+			for _, at := range silent {
+				n.now = f.now.Add(at)
+				n.post(OthersLoadReplaced{})
+			}
+			c.Check(n.Status(n.now).Nodes, qt.Equals, 100)
+			for range 2 {
+				n.now = n.now.Add(discoveryPeriod)
+				n.post(OthersLoadReplaced{encoder.LoadSum{Nodes: 72}, []string{"kollam"}})
+			}
+			c.Check(n.Status(n.now).Nodes, qt.Equals, 73)
+		})
+	}
+}
+
 // Guards against a cold endpoint for which, by chance, more nodes of a large fleet are
 // selected than requests are allowed.
 func TestSelectionForAColdEndpointStaysWithinItsLimit(t *testing.T) {
