--- a/internal/director/share_test.go
+++ b/internal/director/share_test.go
@@ -47,11 +47,12 @@
 	return &node{Director: New(o), now: f.now}
 }
 
-// post posts an event to all nodes.
+// post posts an event to all nodes, and ends the requests that they send for it with an
+// answer.
 func (f *testFleet) post(e Event) {
 	for _, n := range f.nodes {
 		n.now = f.now
-		n.post(e)
+		f.finish(n, n.post(e), Answered)
 	}
 }
 
