--- a/internal/director/budget_test.go
+++ b/internal/director/budget_test.go
@@ -268,7 +268,9 @@
 
 		return n.post(Ticked{})
 	}
+	// The node has been ready for a while.
 	advance(0)
+	advance(o.RetryWindow)
 	breakStreams()
 	advance(maxMoveWait - 100*time.Millisecond)
 	unreached := retries(centreReturns(), false)
@@ -301,11 +303,12 @@
 		// first and second are when endpoints fail for some seconds, after half of the
 		// nodes are lost.
 		first, second, length time.Duration
-		// back is when these nodes return, or zero.
-		back time.Duration
+		// back is when these nodes return, or zero, and ready when they are ready.
+		back, ready time.Duration
 	}{
 		"lost":   {first: -2 * time.Second, second: 6 * time.Second, length: 2 * time.Second},
-		"return": {first: 10 * time.Second, second: 17 * time.Second, length: 4 * time.Second, back: 4 * time.Second},
+		"return": {first: 10 * time.Second, second: 17 * time.Second, length: 4 * time.Second, back: 4 * time.Second, ready: 4 * time.Second},
+		"late":   {first: 17 * time.Second, second: 24 * time.Second, length: 4 * time.Second, back: 4 * time.Second, ready: 11 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newTestFleet(6)
@@ -326,12 +329,16 @@
 						f.nodes[k].post(EntriesListed{entries})
 					}
 				}
-				// Callers notice that nodes have returned after two seconds.
-				if since > 0 && (test.back == 0 || since <= test.back+2*time.Second) {
+				// Callers notice that nodes are ready after two seconds.
+				if since > 0 && (test.back == 0 || since <= test.ready+2*time.Second) {
 					nodes = f.nodes[:3]
 				}
 				f.post(OthersLoadReplaced{encoder.LoadSum{Nodes: 5}, []string{"kollam"}})
-				f.post(ViewConfirmed{f.now})
+				for k, n := range f.nodes {
+					if k < 3 || since <= 0 || since > test.ready {
+						n.post(ViewConfirmed{f.now})
+					}
+				}
 				for k := range f.nodes {
 					n := nodes[k%len(nodes)]
 					f.lastID++
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -92,6 +92,8 @@
 	leaving                bool
 	leavingSince, answerBy time.Time
 	ready                  bool
+	// readyAt is when the node last became ready.
+	readyAt time.Time
 
 	fleet fleet
 	// isolator finds the prompt parts that crash engines.
@@ -365,6 +367,7 @@
 	}
 	d.ready = ready
 	if ready {
+		d.readyAt = now
 		d.log(logger.NodeReady, "catalogue", d.table.Version(), "hosts", d.registrar.Len())
 	} else {
 		d.log(logger.NodeNotReady, "reason", reason)
@@ -439,9 +442,6 @@
 			name: name, durations: map[requestKind]*admitter.Duration{},
 			retryBudget: pacer.Budget{Window: d.opts.RetryWindow, Margin: retryMargin, Ratio: d.opts.RetryRatio},
 		}
-		if d.opts.Restarted {
-			s.retryBudget.Started = d.startedAt
-		}
 		d.services[name] = s
 	}
 
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -201,6 +201,9 @@
 		req.stream, req.named = streamKey(req, first), first != ""
 	}
 	req.Need.Seed, req.Need.Urgency = xxhash.Sum64String(q.Name), req.route.Priority
+	if d.opts.Restarted {
+		req.service.retryBudget.Ready = d.readyAt
+	}
 	req.service.retryBudget.RecordRequest(now)
 	if d.engineOf(req) != nil {
 		req.usesEngine = true
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -60,9 +60,9 @@
 	// Slack is the number of retries allowed in addition, independent of the
 	// number of requests.
 	Slack float64
-	// Started is when the node started, or zero. If requests come soon after that, other
-	// nodes have had their callers before.
-	Started time.Time
+	// Ready is when the node last became ready, or zero if that is not known. If requests
+	// come soon after that, other nodes have had their callers before.
+	Ready time.Time
 
 	requests, retries []time.Time
 	// begun is the time of the first request after two windows without any, or zero if
@@ -75,7 +75,7 @@
 	b.requests = append(trim(b.requests, now.Add(-2*b.Window)), now)
 	if len(b.requests) == 1 {
 		b.begun = time.Time{}
-		if now.Sub(b.Started) >= b.Window/2 {
+		if now.Sub(b.Ready) >= b.Window/2 {
 			b.begun = now
 		}
 	}
