--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -103,6 +103,8 @@
 	store   *standin.Store
 	nodes   []*node
 	dir     string
+	// processes counts the processes of the nodes that run or are to be started again.
+	processes conc.WaitGroup
 	// block is the third byte of the addresses of the nodes, which blockLock keeps
 	// from other soak tests.
 	block     byte
@@ -275,26 +277,29 @@
 	return s.register(server, false)
 }
 
-// startNode starts the process of a node and restarts it whenever it ends.
+// startNode starts the process of a node, unless the soak test has ended, and restarts
+// it whenever it ends.
 func (s *Soaker) startNode(n *node) error {
 	cmd := exec.Command(s.opts.Binary, "serve", "--settings", n.settingsFile)
 	cmd.Stdout, cmd.Stderr = outputWriter{s}, outputWriter{s}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	// shutDown sets closed before it locks n.mu, so it kills a process that is started
+	// here.
+	if s.isClosed() {
+		return nil
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	n.mu.Lock()
 	n.cmd, n.stopping = cmd, false
-	n.mu.Unlock()
 	s.history.MarkInterrupted(n.index, 0)
-	go func() {
+	s.processes.Go(func() {
 		err := cmd.Wait()
 		n.mu.Lock()
 		stopping := n.stopping
 		n.mu.Unlock()
-		s.mu.Lock()
-		closed := s.closed
-		s.mu.Unlock()
-		if closed {
+		if s.isClosed() {
 			return
 		}
 		if !stopping {
@@ -305,11 +310,19 @@
 		if err := s.startNode(n); err != nil {
 			s.history.AddViolation("starting node %d failed: %v", n.index, err)
 		}
-	}()
+	})
 
 	return nil
 }
 
+// isClosed reports whether the soak test has ended.
+func (s *Soaker) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.closed
+}
+
 // outputWriter serializes the output of all nodes to Options.Output.
 type outputWriter struct{ s *Soaker }
 
@@ -398,7 +411,9 @@
 	}
 }
 
-// shutDown kills the processes of the nodes and closes proxies and servers.
+// shutDown kills the processes of the nodes, waits for them, and closes proxies and
+// servers. A killed process keeps its ports until it has ended, so the block is released
+// after that.
 func (s *Soaker) shutDown() {
 	s.mu.Lock()
 	s.closed = true
@@ -414,6 +429,7 @@
 	for _, server := range s.servers {
 		server.Crash()
 	}
+	s.processes.Wait()
 	if s.blockLock != nil {
 		_ = s.blockLock.Close()
 	}
