--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -3,8 +3,8 @@
 //
 // Pacer is for a data centre that returns cold while callers wait, and for an endpoint
 // that names a limit: without it every node would send its share of the backlog at
-// once. Budget is for a service
-// that fails many of its requests: without it retries could double the load.
+// once. Budget is for a service that fails many of its requests: without it retries
+// could double the load.
 package pacer
 
 import (
