--- a/internal/director/limit_test.go
+++ b/internal/director/limit_test.go
@@ -17,18 +17,21 @@
 	for _, test := range []struct {
 		nodes int
 		limit float64
-	}{{6, 0.2}, {6, 1.6}, {6, 20}, {73, 0.2}, {73, 1.6}, {73, 1.9}, {73, 20}, {295, 1.6}} {
-		t.Run(fmt.Sprint(test.nodes, " nodes, limit ", test.limit), func(t *testing.T) {
+		// endpoint decides which nodes are selected.
+		endpoint int
+	}{{6, 0.2, 0}, {6, 1.6, 0}, {6, 20, 0}, {73, 0.2, 0}, {73, 1.6, 0}, {73, 1.6, 8829}, {73, 1.9, 0}, {73, 20, 0}, {295, 1.6, 0}} {
+		t.Run(fmt.Sprint(test.nodes, " nodes, limit ", test.limit, ", endpoint ", test.endpoint), func(t *testing.T) {
 			c := qt.New(t)
 			f := newTestFleet(test.nodes)
-			f.post(EntriesListed{[]registrar.Entry{entry("desk", 0)}})
+			desk := entry("desk", test.endpoint)
+			f.post(EntriesListed{[]registrar.Entry{desk}})
 			f.limit = test.limit
 			f.load(500*time.Millisecond, Answered)
 			f.sent = map[string][]time.Time{}
 			f.load(20*time.Second, Answered)
-			most := float64(f.most("desk-0", period))
+			most := float64(f.most(desk.ID, period))
 			c.Check(most <= 1.5*test.limit*period.Seconds()+5, qt.IsTrue, qt.Commentf("%g requests in %s", most, period))
-			c.Check(len(f.sent["desk-0"]) > 0, qt.IsTrue)
+			c.Check(len(f.sent[desk.ID]) > 0, qt.IsTrue)
 		})
 	}
 }
