--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -74,8 +74,10 @@
 	viewReport   encoder.ViewReport
 	viewReported time.Time
 	// unsent holds the changes from the node's reports and updates that the
-	// speaker has not yet passed on.
-	unsent delta
+	// speaker has not yet passed on, and observed what the node has observed of
+	// endpoints.
+	unsent   delta
+	observed observations
 }
 
 func (m *member) alive(now time.Time) bool {
@@ -90,8 +92,10 @@
 	lastSeen        time.Time
 	sum             encoder.LoadSum
 	sumTime         time.Time
-	// unsent holds the changes of sum that the speaker has not yet passed on.
-	unsent delta
+	// unsent holds the changes of sum that the speaker has not yet passed on, and
+	// observed the observations of endpoints.
+	unsent   delta
+	observed observations
 }
 
 // foreignNode is a node of another data centre that has sent a hello.
@@ -128,6 +132,10 @@
 	// unsent is the change of the node's own load that neither an update nor a
 	// full sum has carried yet.
 	unsent delta
+	// observed holds what the node has observed of endpoints and has not sent yet, and
+	// received the observations of other nodes that Observations has not returned yet.
+	observed observations
+	received []encoder.Observation
 	// changed holds the endpoints whose load has changed through updates, reports
 	// and digests of other data centres since ChangedLoads was last called.
 	// digestReceived reports whether the speaker has sent a digest since
@@ -140,7 +148,7 @@
 func New(opts Options) *Aggregator {
 	return &Aggregator{
 		opts: opts, members: map[netip.Addr]*member{}, centres: map[string]*centre{},
-		foreignNodes: map[netip.Addr]foreignNode{},
+		foreignNodes: map[netip.Addr]foreignNode{}, observed: observations{},
 	}
 }
 
@@ -432,6 +440,8 @@
 		return a.receiveDigest(now, from, m)
 	case *encoder.Update:
 		a.receiveUpdate(now, from, m)
+	case *encoder.Observations:
+		a.receiveObservations(now, from, m)
 	case *encoder.ViewReport:
 		a.receiveViewReport(now, from, m)
 	case *encoder.ViewDigest:
--- a/internal/aggregator/update.go
+++ b/internal/aggregator/update.go
@@ -77,27 +77,31 @@
 
 func isEmpty(c encoder.LoadChange) bool { return c.Long == 0 && c.Short == 0 && len(c.Shifts) == 0 }
 
-// Update takes the change of the node's own load since the last call and
-// returns the updates to send. A speaker also passes on the changes that it
-// has received.
-func (a *Aggregator) Update(now time.Time, own encoder.LoadChange) []Output {
+// Update takes the change of the node's own load and what it has observed of
+// endpoints since the last call, and returns the messages to send. A speaker also
+// passes on what it has received.
+func (a *Aggregator) Update(now time.Time, own encoder.LoadChange, observed []encoder.Observation) []Output {
 	a.unsent.add(own)
+	a.observed.add(observed)
 	speaker := a.speaker(now)
 	if speaker != a.opts.Self {
+		out := a.memberObservations(speaker)
 		c := a.unsent.change(a.opts.Centre, nil)
 		a.discardAllUnsent()
 		if isEmpty(c) {
-			return nil
+			return out
 		}
 
-		return []Output{{speaker, &encoder.Update{Changes: []encoder.LoadChange{c}}}}
+		return append(out, Output{speaker, &encoder.Update{Changes: []encoder.LoadChange{c}}})
 	}
+	out, n := a.speakerObservations(now)
 
-	return a.speakerUpdates(now)
+	return append(out, a.speakerUpdates(now, maxShifts-shiftsPerObservation*n)...)
 }
 
-// speakerUpdates returns the updates that the node sends as the speaker.
-func (a *Aggregator) speakerUpdates(now time.Time) []Output {
+// speakerUpdates returns the updates that the node sends as the speaker, with at most
+// limit shifts each.
+func (a *Aggregator) speakerUpdates(now time.Time, limit int) []Output {
 	var all delta
 	all.add(a.unsent.change(a.opts.Centre, nil))
 	for _, m := range a.members {
@@ -110,7 +114,7 @@
 	for _, name := range names {
 		rest.add(a.centres[name].unsent.change(name, nil))
 	}
-	chosen := largestShifts(&rest)
+	chosen := largestShifts(&rest, limit)
 	var out []Output
 	if c := filterShifts(all.change(a.opts.Centre, nil), chosen); !isEmpty(c) {
 		for _, name := range names {
@@ -128,15 +132,15 @@
 }
 
 // largestShifts returns the endpoints with the largest changes of load, or nil
-// if the changes of all endpoints fit into an update.
-func largestShifts(p *delta) map[uint32]bool {
+// if those of all endpoints are no more than limit.
+func largestShifts(p *delta, limit int) map[uint32]bool {
 	list := p.change("", nil).Shifts
-	if len(list) <= maxShifts {
+	if len(list) <= limit {
 		return nil
 	}
 	slices.SortFunc(list, func(x, y encoder.Shift) int { return cmp.Compare(weight(y), weight(x)) })
-	chosen := make(map[uint32]bool, maxShifts)
-	for _, x := range list[:maxShifts] {
+	chosen := make(map[uint32]bool, limit)
+	for _, x := range list[:limit] {
 		chosen[x.Endpoint] = true
 	}
 
--- a/internal/aggregator/update_test.go
+++ b/internal/aggregator/update_test.go
@@ -64,7 +64,7 @@
 		c := (&delta{shifts: s.changed[i]}).change(s.centre[addr], nil)
 		s.changed[i] = shifts{}
 		before := s.bytes
-		s.deliver(addr, s.nodes[addr].Update(s.now, c))
+		s.deliver(addr, s.nodes[addr].Update(s.now, c, nil))
 		s.updateBytes += s.bytes - before
 		if s.ticks%int(Interval/UpdateInterval) == 0 {
 			own := encoder.LoadSum{Loads: sortedLoads(s.own[i])}
--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -141,9 +141,13 @@
 		},
 		LoadChange:      func() encoder.LoadChange { return n.forwarder.LoadChange() },
 		SetChangedLoads: func(others encoder.LoadSum) { n.forwarder.Post(director.OthersLoadUpdated{Others: others}) },
-		Crashes:         n.forwarder.Crashes,
-		MergeCrashes:    func(list []encoder.Crash) { n.forwarder.Post(director.CrashesObserved{Crashes: list}) },
-		StoreContact:    n.forwarder.StoreContact,
+		Observations:    n.forwarder.Observations,
+		MergeObservations: func(list []encoder.Observation) {
+			n.forwarder.Post(director.ObservationsReceived{List: list})
+		},
+		Crashes:      n.forwarder.Crashes,
+		MergeCrashes: func(list []encoder.Crash) { n.forwarder.Post(director.CrashesObserved{Crashes: list}) },
+		StoreContact: n.forwarder.StoreContact,
 		NoteContact: func(since, until time.Time) {
 			n.forwarder.Post(director.StoreReached{From: since, To: until})
 		},
@@ -200,7 +204,7 @@
 		FreshView: freshViewAge, AssumedNodes: assumedNodes, PublicationInterval: s.PublicationInterval,
 		ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack,
 		RetryWindow: s.RetryWindow, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
-		Restarted: true,
+		Restarted: true, Outcomes: s.Outcomes, Speeds: s.Speeds, Accounts: s.Accounts,
 	}
 }
 
@@ -323,6 +327,7 @@
 	write("endpoints_displaced", float64(s.Displaced))
 	write("endpoints_cold", float64(s.Cold))
 	write("endpoints_limited", float64(s.Limited))
+	write("endpoints_failing", float64(s.Failing))
 	memory := n.forwarder.Memory()
 	write("memory_budget_bytes", float64(memory.Limit))
 	write("memory_budget_used_bytes", float64(memory.Used))
@@ -356,6 +361,8 @@
 		return exporter.RoutedTakeUps
 	case director.CounterCuts:
 		return exporter.RoutedCuts
+	case director.CounterProbes:
+		return exporter.RoutedProbes
 	default:
 		return reducer.Counter(c)
 	}
--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -93,31 +93,31 @@
 // Suspect reports whether a share is high enough to compare it with Threshold.
 func Suspect(share float64) bool { return share >= failingShare }
 
-// trialInterval is the time between two trial requests to a failing endpoint,
-// from all nodes together. Several fit into decayTime, so that successful ones
-// bring the endpoint back.
-const trialInterval = 250 * time.Millisecond
-
-// Trials paces a node's share of the trial requests to one endpoint. The zero
-// value is ready to use.
-type Trials struct {
+// probeInterval is the time between two probe requests to a failing endpoint, from
+// all nodes together. Several fit into decayTime, so that successful ones bring the
+// endpoint back.
+const probeInterval = 500 * time.Millisecond
+
+// Probes paces a node's share of the probe requests to one endpoint. The zero value
+// is ready to use.
+type Probes struct {
 	next time.Time
 }
 
-// Due reports whether the node may send a trial request now. phase, which is at
-// least 0 and less than 1, spreads the first trial requests of the nodes.
-func (t *Trials) Due(now time.Time, nodes int, phase float64) bool {
-	if interval := time.Duration(nodes) * trialInterval; t.next.IsZero() || now.Sub(t.next) > interval {
+// Due reports whether the node may send a probe request now. phase, which is at
+// least 0 and less than 1, spreads the first probe requests of the nodes.
+func (p *Probes) Due(now time.Time, nodes int, phase float64) bool {
+	if interval := time.Duration(nodes) * probeInterval; p.next.IsZero() || now.Sub(p.next) > interval {
 		// The endpoint has not been failing until now.
-		t.next = now.Add(time.Duration(phase * float64(interval)))
+		p.next = now.Add(time.Duration(phase * float64(interval)))
 	}
 
-	return !now.Before(t.next)
+	return !now.Before(p.next)
 }
 
-// Sent records a trial request.
-func (t *Trials) Sent(now time.Time, nodes int) {
-	t.next = now.Add(time.Duration(nodes) * trialInterval)
+// Sent records a probe request.
+func (p *Probes) Sent(now time.Time, nodes int) {
+	p.next = now.Add(time.Duration(nodes) * probeInterval)
 }
 
 // Tally counts the outcomes at one endpoint that other nodes have not been told
--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -60,9 +60,9 @@
 	// Own is the load placed by this node, and Others is the load placed by the
 	// other nodes as far as it is known.
 	Own, Others Load
-	// Penalty is at least 0. The load of an endpoint that is slow or fails
-	// requests is multiplied by 1 + Penalty.
-	Penalty float64
+	// Loss is the load that the risk of losing the request to be placed is worth. It is
+	// at least 0.
+	Loss float64
 
 	hash uint64
 	// servesLong reports whether the engine was assigned to long prompts in the
@@ -95,9 +95,12 @@
 
 // weightedLoad returns the load by which engines are compared.
 func (e *Engine) weightedLoad() float64 {
-	return (loadPerRequest*float64(e.Running()) + e.PrefillTokens()/prefillTokensPerLoad) * (1 + e.Penalty)
+	return loadPerRequest*float64(e.Running()) + e.PrefillTokens()/prefillTokensPerLoad
 }
 
+// cost returns the load by which an engine is compared for the request to be placed.
+func (e *Engine) cost() float64 { return e.weightedLoad() + e.Loss }
+
 const (
 	// loadPerRequest is the load of one running request.
 	loadPerRequest = 0.5
@@ -464,7 +467,7 @@
 		}
 	}
 	for _, e := range ranked {
-		if e != nil && e.weightedLoad() <= bound {
+		if e != nil && e.cost() <= bound {
 			return e
 		}
 	}
@@ -481,9 +484,9 @@
 	var best *Engine
 	lowest := 0.0
 	for _, e := range engines {
-		load := e.weightedLoad()
+		load := e.cost()
 		if !e.Local {
-			load += remoteLoad * (1 + e.Penalty)
+			load += remoteLoad
 		}
 		if best == nil || load < lowest {
 			best, lowest = e, load
--- a/internal/configurer/routing.go
+++ b/internal/configurer/routing.go
@@ -41,6 +41,10 @@
 	RetryWindow time.Duration
 	RetryRatio  float64
 	RetrySlack  float64
+	// Outcomes, Speeds and Accounts report whether placement takes into account which
+	// endpoints fail attempts, how fast endpoints are and, where room is short, the
+	// shares of client accounts.
+	Outcomes, Speeds, Accounts bool
 	// Memory is the memory limit of the process in megabytes.
 	Memory int
 	// Descriptors is the file descriptor limit of the process.
@@ -152,6 +156,14 @@
 		s.RetryRatio, s.RetrySlack = r.Float("ratio", 0, maxFactor), r.Float("slack", 0, maxSlack)
 		r.End()
 	}
+	readSwitch := func(field string, dst *bool) {
+		if o.Has(field) {
+			*dst = o.Bool(field)
+		}
+	}
+	readSwitch("outcomes", &s.Outcomes)
+	readSwitch("speeds", &s.Speeds)
+	readSwitch("accounts", &s.Accounts)
 	if n := o.Field("log"); n != nil {
 		readLog(n.Object(), &s.Log)
 	}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -43,6 +43,10 @@
 	RetryWindow time.Duration
 	RetryRatio  float64
 	RetrySlack  float64
+	// Outcomes reports whether endpoints that fail requests are avoided, Speeds whether
+	// placement takes the speed of each endpoint into account, and Accounts whether
+	// client accounts share the capacity where it is short.
+	Outcomes, Speeds, Accounts bool
 	// Restarted reports whether another process may have run at this node just before.
 	// It may have used up the node's shares of the fleet's limits.
 	Restarted bool
@@ -114,6 +118,9 @@
 	// waiting holds the requests that wait for an endpoint, oldest first.
 	waiting []*request
 
+	// observedEndpoints holds the endpoints with outcomes that were not reported to the
+	// other nodes.
+	observedEndpoints []*endpoint
 	// changedEndpoints holds the endpoints whose own load has changed since it
 	// was last reported to the other nodes.
 	changedEndpoints []*endpoint
@@ -127,6 +134,8 @@
 	effects []Effect
 	// candidateBuffer is reused for the candidates of each choice.
 	candidateBuffer []*chooser.Engine
+	// shareBuffer is reused for the failure shares of a service.
+	shareBuffer []float64
 }
 
 // service is the state of one service.
@@ -199,6 +208,8 @@
 		d.replaceOthersLoad(now, e.Others, e.Centres)
 	case OthersLoadUpdated:
 		d.updateOthersLoad(now, e.Others)
+	case ObservationsReceived:
+		d.mergeObservations(now, e.List)
 	case CrashesObserved:
 		d.isolator.Merge(now, e.Crashes)
 	case OriginsLearned:
@@ -255,9 +266,10 @@
 	// Paused that of those that get no requests because they asked for time.
 	// Displaced is the number of those that get none because another one has their
 	// address. Cold is the number of those that are cold, and
-	// Limited that of those that have named a limit of requests.
-	Leaving, Paused, Displaced, Cold, Limited int
-	Ready                                     bool
+	// Limited that of those that have named a limit of requests. Failing is the number of
+	// those that get only probe requests because they fail most requests.
+	Leaving, Paused, Displaced, Cold, Limited, Failing int
+	Ready                                              bool
 }
 
 // Status returns the current status.
@@ -282,6 +294,9 @@
 		if e.limited() {
 			s.Limited++
 		}
+		if e.observed.failing {
+			s.Failing++
+		}
 	}
 	if d.table != nil {
 		s.Version = d.table.Version()
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -15,11 +15,6 @@
 	// maxSuspension.
 	minSuspension = 250 * time.Millisecond
 	maxSuspension = 2 * time.Second
-	// outcomeWeight is the weight of a new outcome in the moving failure share,
-	// and maxFailurePenalty is the penalty of an endpoint that fails all
-	// requests.
-	outcomeWeight     = 0.1
-	maxFailurePenalty = 8.0
 )
 
 // endpoint is the state of one incarnation of an endpoint.
@@ -44,10 +39,9 @@
 	// address is shared by all endpoints whose entries have the same address, and
 	// refuted reports whether another endpoint has answered there since this one was
 	// added or last answered.
-	address *address
-	refuted bool
-	// failureShare is the moving share of failed attempts.
-	failureShare float64
+	address  *address
+	refuted  bool
+	observed observed
 }
 
 func (e *endpoint) incarnation() incarnation {
@@ -156,14 +150,3 @@
 	d.log(logger.EndpointSuspended, "endpoint", e.entry.ID, "service", e.entry.Service,
 		"result", result.String(), "failures", e.consecutiveFailures, "length", length.String())
 }
-
-// recordOutcome updates the failure share with the outcome of an attempt.
-func (e *endpoint) recordOutcome(failed bool) {
-	e.failureShare -= e.failureShare * outcomeWeight
-	if failed {
-		e.failureShare += outcomeWeight
-	} else {
-		e.consecutiveFailures = 0
-	}
-	e.load.Penalty = maxFailurePenalty * e.failureShare
-}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -191,6 +191,9 @@
 // endpoints only.
 type OthersLoadUpdated struct{ Others encoder.LoadSum }
 
+// ObservationsReceived provides what other nodes have observed of endpoints.
+type ObservationsReceived struct{ List []encoder.Observation }
+
 // CrashesObserved provides what other nodes have observed about prompt parts
 // that crash endpoints.
 type CrashesObserved struct{ Crashes []encoder.Crash }
@@ -231,31 +234,32 @@
 // ShutdownEnded reports that the process ends. Requests in progress are cut off.
 type ShutdownEnded struct{}
 
-func (Arrived) event()            {}
-func (ResponseStarted) event()    {}
-func (AttemptStalled) event()     {}
-func (EndpointNoticed) event()    {}
-func (AttemptFinished) event()    {}
-func (RequestLost) event()        {}
-func (CallerDisconnected) event() {}
-func (Ticked) event()             {}
-func (TableLoaded) event()        {}
-func (EntriesListed) event()      {}
-func (EntryPut) event()           {}
-func (EntryRemoved) event()       {}
-func (CentresOut) event()         {}
-func (ViewConfirmed) event()      {}
-func (CrashesObserved) event()    {}
-func (ViewReachable) event()      {}
-func (ViewRestored) event()       {}
-func (TableMissing) event()       {}
-func (ViewLost) event()           {}
-func (StoreReached) event()       {}
-func (OthersLoadReplaced) event() {}
-func (OthersLoadUpdated) event()  {}
-func (OptionsChanged) event()     {}
-func (ShutdownRequested) event()  {}
-func (ShutdownEnded) event()      {}
+func (Arrived) event()              {}
+func (ResponseStarted) event()      {}
+func (AttemptStalled) event()       {}
+func (EndpointNoticed) event()      {}
+func (AttemptFinished) event()      {}
+func (RequestLost) event()          {}
+func (CallerDisconnected) event()   {}
+func (Ticked) event()               {}
+func (TableLoaded) event()          {}
+func (EntriesListed) event()        {}
+func (EntryPut) event()             {}
+func (EntryRemoved) event()         {}
+func (CentresOut) event()           {}
+func (ViewConfirmed) event()        {}
+func (CrashesObserved) event()      {}
+func (ObservationsReceived) event() {}
+func (ViewReachable) event()        {}
+func (ViewRestored) event()         {}
+func (TableMissing) event()         {}
+func (ViewLost) event()             {}
+func (StoreReached) event()         {}
+func (OthersLoadReplaced) event()   {}
+func (OthersLoadUpdated) event()    {}
+func (OptionsChanged) event()       {}
+func (ShutdownRequested) event()    {}
+func (ShutdownEnded) event()        {}
 
 // Effect is an action that the node must carry out. Only the types of this
 // package implement it.
@@ -373,6 +377,9 @@
 	// CounterTakeUps counts the streams that callers take up again, by where their
 	// versions are known from.
 	CounterTakeUps Counter = "take_ups"
+	// CounterProbes counts the requests that were sent to failing endpoints to find out
+	// whether they still fail, by service.
+	CounterProbes Counter = "probes"
 	// CounterCuts counts the messages that gave way because the memory budget was used
 	// up, by what they were.
 	CounterCuts Counter = "memory_cuts"
--- a/internal/director/notice_test.go
+++ b/internal/director/notice_test.go
@@ -161,7 +161,7 @@
 	n.decline(1, 4*time.Second)
 	paused := n.endpoints[sent.Endpoint]
 	c.Check(paused.consecutiveFailures, qt.Equals, 0)
-	c.Check(paused.failureShare, qt.Equals, 0.0)
+	c.Check(paused.observed.outcomes.Share(n.now), qt.Equals, 0.0)
 	for id := uint64(100); id < 4000; id += 100 {
 		c.Check(n.endpointsUsed("/pay/x", id)[sent.Endpoint], qt.Equals, 0)
 		n.now = n.now.Add(100 * time.Millisecond)
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -143,18 +143,25 @@
 	switch f.Result {
 	case Answered:
 		d.confirmAddress(now, e)
-		e.recordOutcome(f.Status >= http.StatusInternalServerError)
+		if f.Status >= http.StatusInternalServerError {
+			d.recordErrorStatus(now, req, e)
+		} else {
+			d.recordOutcome(now, e, false)
+			d.settleErrors(now, req, true)
+		}
 	case Declined:
 		d.confirmAddress(now, e)
-		e.recordOutcome(false)
+		d.recordOutcome(now, e, false)
 	case Misdirected, Unreached:
 		if f.Result == Misdirected {
 			d.handleMisdirected(now, req, e, f)
+		} else {
+			d.recordOutcome(now, e, true)
 		}
 		d.suspend(now, e, f.Result)
 		d.isolator.RecordEnded(now, e.number)
 	case Broken, TimedOut:
-		e.recordOutcome(true)
+		d.recordOutcome(now, e, true)
 	case Cancelled, Unsent:
 	}
 	if f.Cold > 0 {
@@ -165,11 +172,11 @@
 // handleAnswered relays a complete answer, or retries a safe request that
 // failed at the endpoint.
 func (d *Director) handleAnswered(now time.Time, req *request, e *endpoint, f AttemptFinished) {
-	if f.Status >= http.StatusInternalServerError && req.route.Kind == router.Safe && !req.relayed {
+	if f.Status >= http.StatusInternalServerError && d.retriesErrors(req) && !req.relayed {
 		req.mayHaveRun = true
 		req.tried = append(req.tried, e.entry.ID)
 		if len(req.tried) < req.route.Attempts && d.deadline(req).Sub(now) >= minAttemptTime && d.mayRetry(now, req) {
-			if next, holder := d.choose(now, req); next != nil {
+			if next, holder := d.chooseAdmitted(now, req); next != nil {
 				d.emit(Count{Counter: CounterRetries, Label: "status"})
 				d.dispatch(now, req, next, holder)
 
@@ -177,6 +184,7 @@
 			}
 		}
 	}
+	d.settleErrors(now, req, false)
 	if f.Status < http.StatusInternalServerError {
 		req.recordDuration(now.Sub(req.arrivedAt))
 	}
@@ -192,6 +200,23 @@
 	delete(d.requests, req.ID)
 }
 
+// retriesErrors reports whether a request that an endpoint has answered with an error
+// status may be sent to another one.
+func (d *Director) retriesErrors(req *request) bool {
+	return req.route.Kind == router.Safe || d.opts.Outcomes && req.route.Repeatable()
+}
+
+// chooseAdmitted is like choose, but returns no endpoint if the engine does not admit the
+// request.
+func (d *Director) chooseAdmitted(now time.Time, req *request) (chosen, holder *endpoint) {
+	e, holder := d.choose(now, req)
+	if e != nil && d.engineOf(req) != nil {
+		e = d.admit(now, req, e)
+	}
+
+	return e, holder
+}
+
 // logAnswered logs how a request was answered and what its latency consisted
 // of.
 func (d *Director) logAnswered(now time.Time, req *request, e *endpoint, f AttemptFinished) {
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -65,6 +65,9 @@
 	declined int
 	// unreachedCount is the number of attempts that did not reach an endpoint.
 	unreachedCount int
+	// erred holds the endpoints that have answered the request with an error status, until
+	// another one answers it.
+	erred []*endpoint
 	// endpoint is the endpoint of the attempt in progress, or nil, and sentLimited
 	// reports whether it had named a limit when the attempt began.
 	endpoint    *endpoint
@@ -289,6 +292,9 @@
 // probably has the shared parts of its prompt in its cache, or nil.
 func (d *Director) choose(now time.Time, req *request) (chosen, holder *endpoint) {
 	req.prefixCached = false
+	if e := d.probe(now, req); e != nil {
+		return e, nil
+	}
 	candidates := d.candidates(now, req)
 	var choice chooser.Choice
 	if engine := d.engineOf(req); engine != nil {
@@ -311,13 +317,26 @@
 // is valid until the next call.
 func (d *Director) candidates(now time.Time, req *request) []*chooser.Engine {
 	d.candidateBuffer = d.candidateBuffer[:0]
+	threshold, failing := d.failingThreshold(now, req.service), 0
 	for _, e := range req.service.endpoints {
-		if d.takes(now, req, e) {
-			d.candidateBuffer = append(d.candidateBuffer, e.load)
+		d.assess(now, e, threshold)
+		if !d.takes(now, req, e) {
+			continue
+		}
+		e.load.Loss = d.loss(now, req, e)
+		d.candidateBuffer = append(d.candidateBuffer, e.load)
+		if e.observed.failing {
+			last := len(d.candidateBuffer) - 1
+			d.candidateBuffer[failing], d.candidateBuffer[last] = d.candidateBuffer[last], d.candidateBuffer[failing]
+			failing++
 		}
 	}
+	if failing == len(d.candidateBuffer) {
+		// There is nothing better.
+		return d.candidateBuffer
+	}
 
-	return d.candidateBuffer
+	return d.candidateBuffer[failing:]
 }
 
 // takes reports whether an endpoint of the request's service can receive the
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -43,6 +43,10 @@
 	// nodes at the endpoints where it has changed.
 	LoadChange      func() encoder.LoadChange
 	SetChangedLoads func(encoder.LoadSum)
+	// Observations returns what the node has observed of endpoints since the last call,
+	// and MergeObservations is called with what other nodes have observed.
+	Observations      func() []encoder.Observation
+	MergeObservations func([]encoder.Observation)
 	// View returns the node's copy of the shared view. SetRelayedView is called
 	// with the view that the speaker has sent, CompareTable with the version of the
 	// routing table of another node, and SetSpeaker with whether the node is the
@@ -149,10 +153,10 @@
 
 func (x *Exchanger) sendUpdates() {
 	x.origins.update()
-	change := x.opts.LoadChange()
+	change, observed := x.opts.LoadChange(), x.opts.Observations()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.send(x.aggregator.Update(x.opts.Clock(), change))
+	x.send(x.aggregator.Update(x.opts.Clock(), change, observed))
 }
 
 func (x *Exchanger) sendFullSums() {
@@ -256,9 +260,10 @@
 	// centres holds the data centres of the other nodes if hasOthers is true.
 	centres []string
 	// relayed is the view that the speaker has sent, if hasView is true.
-	relayed aggregator.RelayedView
-	hasView bool
-	tables  []aggregator.TableState
+	relayed  aggregator.RelayedView
+	hasView  bool
+	tables   []aggregator.TableState
+	observed []encoder.Observation
 }
 
 // aggregate passes a message to the aggregator and sends the messages that follow.
@@ -269,6 +274,7 @@
 	x.send(x.aggregator.Receive(x.opts.Clock(), from, m))
 	n.relayed, n.hasView = x.aggregator.Relayed()
 	n.tables = x.aggregator.TableStates()
+	n.observed = x.aggregator.Observations()
 	n.hasOthers = x.aggregator.DigestReceived()
 	n.changedLoads, n.hasChanges = x.aggregator.ChangedLoads(x.opts.Clock())
 	if n.hasOthers {
@@ -285,6 +291,9 @@
 	case n.hasChanges:
 		x.opts.SetChangedLoads(n.changedLoads)
 	}
+	if len(n.observed) > 0 {
+		x.opts.MergeObservations(n.observed)
+	}
 	if n.hasView {
 		x.opts.SetRelayedView(n.relayed)
 	}
--- a/internal/exporter/exporter.go
+++ b/internal/exporter/exporter.go
@@ -44,6 +44,7 @@
 	RoutedNotices  reducer.Counter = "routed_notices"
 	RoutedTakeUps  reducer.Counter = "routed_take_ups"
 	RoutedCuts     reducer.Counter = "routed_memory_cuts"
+	RoutedProbes   reducer.Counter = "routed_probes"
 )
 
 // labelNames maps each counter to the name of its label, and initialValues to
@@ -64,6 +65,7 @@
 		RoutedNotices:            "notice",
 		RoutedTakeUps:            "source",
 		RoutedCuts:               "content",
+		RoutedProbes:             "service",
 	}
 	initialValues = map[reducer.Counter][]string{
 		reducer.CounterRefusals:  reasonNames(),
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -359,6 +359,14 @@
 	return f.director.TakeLoadChanges()
 }
 
+// Observations returns what the node has observed of endpoints since the last call.
+func (f *Forwarder) Observations() []encoder.Observation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.director.TakeObservations(f.opts.Clock())
+}
+
 // StoreContact returns the last period in which the node could read the store without an
 // outage in which entries can expire. Both times are zero if there is none.
 func (f *Forwarder) StoreContact() (since, until time.Time) {
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -88,6 +88,8 @@
 	EndpointLimited    = 746
 	EndpointLimitEnded = 747
 	LimitIgnored       = 748
+	EndpointFailing    = 749
+	EndpointRecovered  = 750
 )
 
 // Definition describes a log event.
@@ -184,6 +186,8 @@
 	{EndpointLimited, hclog.Info, "endpoint names a limit of requests", []string{"request", "endpoint", "service", "limit", "nodes"}},
 	{EndpointLimitEnded, hclog.Info, "endpoint names no limit any more", []string{"request", "endpoint", "service", "length"}},
 	{LimitIgnored, hclog.Warn, "malformed limit of requests ignored", []string{"request", "endpoint", "value"}},
+	{EndpointFailing, hclog.Warn, "endpoint fails most requests", []string{"endpoint", "service", "share"}},
+	{EndpointRecovered, hclog.Info, "endpoint no longer fails most requests", []string{"endpoint", "service", "share"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
