--- a/internal/placer/speed.go
+++ b/internal/placer/speed.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"snipedyke/internal/profiler"
 )
 
 const (
@@ -78,12 +80,8 @@
 	if s.n == 0 {
 		return 0
 	}
-	idle := now.Sub(s.at)
-	if idle <= time.Second {
-		return s.first
-	}
 
-	return s.first * math.Exp2(-float64(idle)/float64(slownessHalfLife))
+	return profiler.Fade(s.first, now.Sub(s.at), slownessHalfLife)
 }
 
 // expectedFirstToken returns the expected first-token time in seconds of a
@@ -142,7 +140,7 @@
 	}
 	slow := e.speed.slowness(now)
 	deviation := x - b.first - slow
-	step := min(max(deviation, -maxError), maxError)
+	step := profiler.Bound(deviation, maxError)
 	gain := max(1/float64(b.n+1), minBaselineGain)
 	if e.state == Cold && b.n >= minSamples {
 		// Measurements during a cold start do not describe the class.
