--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -26,6 +26,12 @@
 	TokensPerEvent int
 	// CacheTokens is the capacity of the prefix cache in tokens.
 	CacheTokens int
+	// Slowness is the factor by which steps take longer. Zero means 1.
+	Slowness float64
+	// SlowBatch is the batch size from which steps take SlowBatchFactor times as
+	// long, or zero if there is none.
+	SlowBatch       int
+	SlowBatchFactor float64
 }
 
 // Dense models a dense 70 B model on two accelerators.
@@ -66,6 +72,10 @@
 
 	pendingTokens, generatedTokens int
 	lastEvent                      time.Duration
+	// progress is the fraction of a step that noise has left to the request, and
+	// advances reports whether it takes part in the present step.
+	progress float64
+	advances bool
 }
 
 // Engine simulates one engine. It is not safe for concurrent use.
@@ -79,11 +89,18 @@
 	// OnFirstToken and OnDone, if not nil, are called at the first token and at
 	// the end of a request.
 	OnFirstToken, OnDone func(now time.Duration, r *Request)
+	// Noise, if not nil, returns the factor, at least 1, by which a request takes
+	// longer than its engine at the given time. It must be deterministic.
+	Noise func(now time.Duration, r *Request) float64
 }
 
 // New returns an idle engine.
 func New(model Model) *Engine { return &Engine{model: model} }
 
+// SetSlowness changes the factor by which steps take longer, from the next step
+// on.
+func (e *Engine) SetSlowness(factor float64) { e.model.Slowness = factor }
+
 // Submit queues a request at the engine's current time.
 func (e *Engine) Submit(r *Request) { e.waiting = append(e.waiting, r) }
 
@@ -112,21 +129,53 @@
 	}
 	chunkLeft := e.model.ChunkTokens
 	for _, r := range e.running {
+		r.advances = e.advances(r)
+		if !r.advances {
+			continue
+		}
 		n := min(r.pendingTokens, chunkLeft)
 		r.pendingTokens -= n
 		chunkLeft -= n
 	}
 	prefilled := e.model.ChunkTokens - chunkLeft
-	e.now += e.model.BaseStep + time.Duration(len(e.running))*e.model.StepPerRequest +
+	duration := e.model.BaseStep + time.Duration(len(e.running))*e.model.StepPerRequest +
 		time.Duration(float64(prefilled)/e.model.PrefillTokensPerMs*float64(time.Millisecond))
+	e.now += time.Duration(float64(duration) * e.stepFactor())
 	for _, r := range e.running {
-		if r.pendingTokens == 0 {
+		if r.advances && r.pendingTokens == 0 {
 			e.emitToken(r)
 		}
 	}
 	e.running = slices.DeleteFunc(e.running, func(r *Request) bool { return r.Done })
 }
 
+// stepFactor returns the factor by which the next step takes longer.
+func (e *Engine) stepFactor() float64 {
+	factor := 1.0
+	if e.model.Slowness > 0 {
+		factor = e.model.Slowness
+	}
+	if e.model.SlowBatch > 0 && len(e.running) >= e.model.SlowBatch {
+		factor *= e.model.SlowBatchFactor
+	}
+
+	return factor
+}
+
+// advances reports whether a request takes part in the next step.
+func (e *Engine) advances(r *Request) bool {
+	if e.Noise == nil {
+		return true
+	}
+	r.progress += 1 / e.Noise(e.now, r)
+	if r.progress < 1 {
+		return false
+	}
+	r.progress--
+
+	return true
+}
+
 func (e *Engine) emitToken(r *Request) {
 	r.generatedTokens++
 	if r.generatedTokens == 1 {
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -32,3 +32,35 @@
 	e.RunUntil(3 * time.Second)
 	c.Check(stream.LongestPause, qt.Equals, 30*time.Millisecond)
 }
+
+// Guards against steps that do not take longer by the slowness, the batch size
+// or the noise, and against a change that does not apply.
+func TestStepsTakeLonger(t *testing.T) {
+	c := qt.New(t)
+	m := Model{
+		Slots: 4, BaseStep: 10 * time.Millisecond, PrefillTokensPerMs: 10, ChunkTokens: 100, TokensPerEvent: 2,
+		Slowness: 2, SlowBatch: 2, SlowBatchFactor: 3,
+	}
+	e := New(m)
+	// measure returns the time for the first tokens of a number of requests.
+	measure := func(requests int) time.Duration {
+		start := e.now
+		for range requests {
+			e.Submit(&Request{Arrival: start, PromptTokens: 10, OutputTokens: 1})
+		}
+		e.RunUntil(start + 1)
+
+		return e.now - start
+	}
+	c.Check(measure(1), qt.Equals, 22*time.Millisecond)
+	c.Check(measure(2), qt.Equals, 72*time.Millisecond)
+	e.SetSlowness(0)
+	c.Check(measure(1), qt.Equals, 11*time.Millisecond)
+	// A step without a prompt takes 10 ms. Two of them pass before the request
+	// advances.
+	e.Noise = func(time.Duration, *Request) float64 { return 2.5 }
+	noisy := &Request{Arrival: e.now, PromptTokens: 10, OutputTokens: 1}
+	e.Submit(noisy)
+	e.RunUntil(e.now + time.Second)
+	c.Check(noisy.TimeToFirstToken, qt.Equals, 31*time.Millisecond)
+}
