--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -63,6 +63,8 @@
 	// Penalty is at least 0. The load of an endpoint that is slow or fails
 	// requests is multiplied by 1 + Penalty.
 	Penalty float64
+	// Slowness multiplies the load and that of the request to be placed.
+	Slowness Slowness
 
 	hash uint64
 	// servesLong reports whether the engine was assigned to long prompts in the
@@ -72,6 +74,30 @@
 	lastLongPrefill time.Time
 }
 
+// Slowness is the factor by which requests take longer at an engine than at a
+// typical one of its service. Factors of zero mean 1.
+type Slowness struct {
+	// Light applies below BusyFrom requests, and Busy from there on.
+	Light, Busy float64
+	// BusyFrom is a number of requests, including the one to be placed, or zero if
+	// Light always applies.
+	BusyFrom int
+}
+
+// factor returns the slowness of an engine with a number of running requests
+// when another one is placed there.
+func (s Slowness) factor(running int) float64 {
+	factor := s.Light
+	if s.BusyFrom > 0 && running+1 >= s.BusyFrom {
+		factor = s.Busy
+	}
+	if factor == 0 {
+		return 1
+	}
+
+	return factor
+}
+
 // NewEngine returns an idle engine.
 func NewEngine(id string, local bool) *Engine {
 	return &Engine{ID: id, Local: local, hash: xxhash.Sum64String(id)}
@@ -95,7 +121,10 @@
 
 // weightedLoad returns the load by which engines are compared.
 func (e *Engine) weightedLoad() float64 {
-	return (loadPerRequest*float64(e.Running()) + e.PrefillTokens()/prefillTokensPerLoad) * (1 + e.Penalty)
+	load := (loadPerRequest*float64(e.Running()) + e.PrefillTokens()/prefillTokensPerLoad) * (1 + e.Penalty)
+	slowness := e.Slowness.factor(e.Running())
+
+	return load*slowness + placedLoad*(slowness-1)
 }
 
 const (
@@ -104,6 +133,10 @@
 	// prefillTokensPerLoad is the number of prompt tokens to prefill that count
 	// as a load of 1.
 	prefillTokensPerLoad = 2000
+	// placedLoad is the load of the request to be placed. It is counted only as
+	// far as the slowness changes it, so that other engines are ranked by their
+	// load alone.
+	placedLoad = 1.0
 )
 
 // interferingPrefillTokens is the number of prompt tokens whose prefill takes
