--- a/internal/chooser/replay_test.go
+++ b/internal/chooser/replay_test.go
@@ -129,16 +129,26 @@
 	return onTarget(arrivals), prefillTokens, &splitter
 }
 
+// targets holds what the callers of a group accept: the time to the first token
+// and the longest pause.
+type targets struct{ first, pause time.Duration }
+
 // onTarget returns the share of the work that is on target.
 func onTarget(arrivals []*arrival) float64 {
+	const first = 600 * time.Millisecond
+
+	return shareOnTarget(arrivals, targets{first, 250 * time.Millisecond}, targets{first, 150 * time.Millisecond})
+}
+
+func shareOnTarget(arrivals []*arrival, long, short targets) float64 {
 	onTime, total := 0.0, 0.0
 	for _, a := range arrivals {
-		gap, weight := 150*time.Millisecond, 1.4
+		target, weight := short, 1.4
 		if a.long {
-			gap, weight = 250*time.Millisecond, 4.5
+			target, weight = long, 4.5
 		}
 		total += weight
-		if a.Done && a.TimeToFirstToken <= 600*time.Millisecond && a.LongestPause <= gap {
+		if a.Done && a.TimeToFirstToken <= target.first && a.LongestPause <= target.pause {
 			onTime += weight
 		}
 	}
@@ -158,23 +168,29 @@
 
 // placeAndAdmit places and admits requests as the director does.
 func placeAndAdmit(now time.Time, a *arrival, state []*Engine, s *Splitter, r *admitter.Estimator) int {
-	candidates := append([]*Engine(nil), state...)
-	e := s.Choose(now, a.need, emulator.Dense.Slots, candidates).Engine
-	gap := 150 * time.Millisecond
-	if a.long {
-		gap = 0
-	}
-	admits := func(e *Engine, gap time.Duration) bool {
+	return placeIfAdmitted(now, a, state, s, emulator.Dense.Slots, func(e *Engine, limitPause bool) bool {
+		gap := time.Duration(0)
+		if limitPause {
+			gap = 150 * time.Millisecond
+		}
+
 		return r.Admit(e.PrefillTokens(), 600*time.Millisecond, gap) && r.HasSlot(e.Running(), emulator.Dense.Slots, 600*time.Millisecond)
-	}
-	if admits(e, gap) {
+	})
+}
+
+// placeIfAdmitted places a request on an engine that admits it. limitPause
+// reports whether the pauses of streams count as well.
+func placeIfAdmitted(now time.Time, a *arrival, state []*Engine, s *Splitter, slots int, admits func(e *Engine, limitPause bool) bool) int {
+	candidates := append([]*Engine(nil), state...)
+	e := s.Choose(now, a.need, slots, candidates).Engine
+	if admits(e, !a.long) {
 		return indexOf(state, e)
 	}
 	if s.Urgent(a.need) {
-		if other := s.ChooseSpillover(a.need, emulator.Dense.Slots, candidates); other != nil && admits(other, gap) {
+		if other := s.ChooseSpillover(a.need, slots, candidates); other != nil && admits(other, !a.long) {
 			return indexOf(state, other)
 		}
-		if admits(e, 0) {
+		if admits(e, false) {
 			return indexOf(state, e)
 		}
 	}
