--- a/internal/director/admission.go
+++ b/internal/director/admission.go
@@ -71,7 +71,13 @@
 // hasSlot reports whether an engine has a free slot for a request, or frees one
 // in time.
 func (d *Director) hasSlot(req *request, e *endpoint) bool {
-	return req.service.estimator.HasSlot(e.load.Running(), d.engineOf(req).Slots, req.route.LatencyTarget)
+	return req.service.estimator.HasSlot(e.load.Running(), d.engineOf(req).Slots, d.slotTarget(e, req.route.LatencyTarget))
+}
+
+// slotTarget returns a target for the wait for a slot in terms of the mean run time of
+// the service. A slow engine frees its slots later.
+func (d *Director) slotTarget(e *endpoint, target time.Duration) time.Duration {
+	return time.Duration(float64(target) / e.load.Slowness.Factor(e.load.Running()))
 }
 
 // leavesRoom reports whether an engine that takes a request would still admit one like
@@ -81,10 +87,9 @@
 	if !yields {
 		return true
 	}
-	estimator := &req.service.estimator
 
-	return estimator.HasSlot(e.load.Running()+1, d.engineOf(req).Slots, reserved.Target) &&
-		estimator.Admit(e.load.PrefillTokens()+req.Need.PrefillTokens(), reserved.Target, reserved.Gap)
+	return req.service.estimator.HasSlot(e.load.Running()+1, d.engineOf(req).Slots, d.slotTarget(e, reserved.Target)) &&
+		d.prefillsInTime(req, e, req.Need.PrefillTokens(), reserved.Target, reserved.Gap)
 }
 
 // rejects returns why an engine cannot admit a request without pauses longer than gap,
@@ -93,7 +98,7 @@
 	switch {
 	case !d.hasSlot(req, e):
 		return "no slot in time"
-	case !req.service.estimator.Admit(e.load.PrefillTokens(), req.route.LatencyTarget, gap):
+	case !d.prefillsInTime(req, e, 0, req.route.LatencyTarget, gap):
 		return "prefill takes too long"
 	case !d.leavesRoom(now, req, e):
 		return "no room beside more urgent requests"
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -11,6 +11,7 @@
 	"snipedyke/internal/logger"
 	"snipedyke/internal/pacer"
 	"snipedyke/internal/pinner"
+	"snipedyke/internal/profiler"
 	"snipedyke/internal/registrar"
 	"snipedyke/internal/router"
 )
@@ -145,6 +146,7 @@
 	splitter    chooser.Splitter
 	retryBudget pacer.Budget
 	estimator   admitter.Estimator
+	model       profiler.Model
 	shedder     admitter.Shedder
 	versions    pinner.Versions
 	// reroutedAt is when a table last changed which requests the service gets.
--- a/internal/director/observation.go
+++ b/internal/director/observation.go
@@ -8,6 +8,7 @@
 
 	"snipedyke/internal/assessor"
 	"snipedyke/internal/logger"
+	"snipedyke/internal/profiler"
 	"snipedyke/pkg/encoder"
 )
 
@@ -16,8 +17,12 @@
 	// outcomes holds the outcomes of the attempts of all nodes as far as they are
 	// known, and own those of this node.
 	outcomes, own assessor.Record
-	// unreported holds the own outcomes that the other nodes have not been told of.
-	unreported assessor.Tally
+	// speed is the speed of the endpoint as all nodes have measured it.
+	speed profiler.Speed
+	// unreported and unreportedSpeeds hold the own outcomes and times that the other nodes
+	// have not been told of.
+	unreported       assessor.Tally
+	unreportedSpeeds speedSums
 	// listed reports whether the endpoint is in Director.observedEndpoints.
 	listed bool
 	probes assessor.Probes
@@ -42,8 +47,14 @@
 	o.outcomes.Add(now, 1, failures)
 	o.own.Add(now, 1, failures)
 	o.unreported.Add(failed)
-	if !o.listed {
-		o.listed = true
+	d.markObserved(e)
+}
+
+// markObserved records that something was observed of an endpoint that the other nodes
+// have not been told of.
+func (d *Director) markObserved(e *endpoint) {
+	if !e.observed.listed {
+		e.observed.listed = true
 		d.observedEndpoints = append(d.observedEndpoints, e)
 	}
 }
@@ -81,6 +92,9 @@
 		if !cutOff && d.current(e) && e.observed.unreported.Reports(e.observed.outcomes.Share(now)) {
 			e.observed.unreported.Take(&o)
 		}
+		if speeds := &e.observed.unreportedSpeeds; d.current(e) {
+			o.Light, o.Busy = speeds.light.take(), speeds.busy.take()
+		}
 		e.observed.unreported, e.observed.listed = assessor.Tally{}, false
 		if o != (encoder.Observation{Endpoint: e.number}) {
 			list = append(list, o)
@@ -113,9 +127,14 @@
 // mergeObservations adds what other nodes have observed of endpoints.
 func (d *Director) mergeObservations(now time.Time, list []encoder.Observation) {
 	for _, o := range list {
-		if e := d.endpointsByNumber[o.Endpoint]; e != nil && d.opts.Outcomes {
+		e := d.endpointsByNumber[o.Endpoint]
+		if e == nil {
+			continue
+		}
+		if d.opts.Outcomes {
 			e.observed.outcomes.Add(now, o.Attempts, o.Failures)
 		}
+		d.mergeSpeeds(now, e, o)
 	}
 }
 
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -10,6 +10,7 @@
 
 	"snipedyke/internal/admitter"
 	"snipedyke/internal/chooser"
+	"snipedyke/internal/profiler"
 	"snipedyke/internal/router"
 )
 
@@ -52,6 +53,8 @@
 	// prefill first when the request was sent.
 	awaitingFirstByte  bool
 	prefillTokensAhead float64
+	// sentLoad is the load of the engine with the request when it was sent.
+	sentLoad profiler.Load
 	// prefixCached reports whether the engine of the last choice has cached the
 	// shared parts of the prompt.
 	prefixCached bool
@@ -317,13 +320,13 @@
 // is valid until the next call.
 func (d *Director) candidates(now time.Time, req *request) []*chooser.Engine {
 	d.candidateBuffer = d.candidateBuffer[:0]
-	threshold, failing := d.failingThreshold(now, req.service), 0
+	threshold, slots, failing := d.failingThreshold(now, req.service), d.slotsOf(req), 0
 	for _, e := range req.service.endpoints {
 		d.assess(now, e, threshold)
 		if !d.takes(now, req, e) {
 			continue
 		}
-		e.load.Loss = d.loss(now, req, e)
+		e.load.Loss, e.load.Slowness = d.loss(now, req, e), d.slowness(now, e, slots)
 		d.candidateBuffer = append(d.candidateBuffer, e.load)
 		if e.observed.failing {
 			last := len(d.candidateBuffer) - 1
@@ -376,6 +379,7 @@
 	req.endpoint, req.sentLimited, req.replaced = e, e.limited(), false
 	if req.usesEngine && !req.relayed {
 		req.awaitingFirstByte, req.prefillTokensAhead = true, e.load.PrefillTokens()
+		req.sentLoad = d.engineLoad(req, e)
 		e.load.Own.PrefillTokens += req.Need.PrefillTokens()
 		e.load.NoteLongPrefill(now)
 	}
