--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -151,7 +151,7 @@
 
 	resp.StreamBody = true
 	resp.SkipBody = a.work.Method == fasthttp.MethodHead
-	if err := resp.ReadLimitBody(a.endpointConn.br, 0); err != nil {
+	if err := a.endpointConn.readResponse(resp, 0); err != nil {
 		return a.failureOutcome(), false
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
--- a/internal/dispatcher/control.go
+++ b/internal/dispatcher/control.go
@@ -92,7 +92,7 @@
 	if err := c.write(req); err != nil {
 		return 0, nil
 	}
-	if err := resp.ReadLimitBody(c.br, limit); err != nil {
+	if err := c.readResponse(resp, limit); err != nil {
 		return 0, nil
 	}
 
--- a/internal/forwarder/responsehead.go
+++ b/internal/forwarder/responsehead.go
@@ -5,18 +5,19 @@
 	"bytes"
 	"errors"
 	"fmt"
+
+	"snipedyke/internal/dispatcher"
 )
 
 // The reasons for which the head of a response is not accepted.
 var (
-	errNotHTTP = errors.New("response does not begin with an HTTP version")
 	errBareLF  = errors.New("response head has a line that does not end with CRLF")
 	errCoded   = errors.New("response of HTTP/1.0 has a transfer coding")
 	errNoFrame = errors.New("response has no length, and the connection was not to be closed")
 )
 
 // peekHead waits for the next head and returns it without consuming it. It ends
-// with the blank line. The parser, which reads it next, does not report
+// with the blank line, and its status is from 100 to 599. The parser, which reads it next, does not report
 // everything that decides whether the response can be complete.
 func peekHead(br *bufio.Reader) ([]byte, error) {
 	for n := 1; ; n = br.Buffered() + 1 {
@@ -24,8 +25,8 @@
 		buffered, _ := br.Peek(br.Buffered())
 		// The parser skips empty lines before the head.
 		head := bytes.TrimLeft(buffered, "\r\n")
-		if version := head[:min(len(head), len("HTTP/"))]; !bytes.HasPrefix([]byte("HTTP/"), version) {
-			return nil, errNotHTTP
+		if _, malformed := dispatcher.ParseStatus(head); malformed != nil {
+			return nil, malformed
 		}
 		if end := bytes.Index(head, []byte("\r\n\r\n")); end >= 0 {
 			return head[:end+4], nil
