--- a/internal/administrator/client.go
+++ b/internal/administrator/client.go
@@ -168,7 +168,8 @@
 	if err != nil {
 		return fail(err)
 	}
-	if response.StatusCode < 300 {
+	// net/http accepts statuses below 100.
+	if response.StatusCode >= 200 && response.StatusCode < 300 {
 		return response, nil
 	}
 	defer closeBody(response)
