--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -134,6 +134,7 @@
 	// DigestReceived was last called.
 	changed        []uint32
 	digestReceived bool
+	demands        demandTable
 }
 
 // New returns an aggregator that knows only its seeds.
@@ -436,6 +437,8 @@
 		a.receiveViewReport(now, from, m)
 	case *encoder.ViewDigest:
 		a.receiveViewDigest(now, from, m)
+	case *encoder.Demands:
+		a.receiveDemands(now, from, m)
 	}
 
 	return nil
--- a/internal/aggregator/update.go
+++ b/internal/aggregator/update.go
@@ -110,7 +110,7 @@
 	for _, name := range names {
 		rest.add(a.centres[name].unsent.change(name, nil))
 	}
-	chosen := largestShifts(&rest)
+	chosen := largestShifts(&rest, a.shiftLimit(now))
 	var out []Output
 	if c := filterShifts(all.change(a.opts.Centre, nil), chosen); !isEmpty(c) {
 		for _, name := range names {
@@ -129,14 +129,14 @@
 
 // largestShifts returns the endpoints with the largest changes of load, or nil
 // if the changes of all endpoints fit into an update.
-func largestShifts(p *delta) map[uint32]bool {
+func largestShifts(p *delta, limit int) map[uint32]bool {
 	list := p.change("", nil).Shifts
-	if len(list) <= maxShifts {
+	if len(list) <= limit {
 		return nil
 	}
 	slices.SortFunc(list, func(x, y encoder.Shift) int { return cmp.Compare(weight(y), weight(x)) })
-	chosen := make(map[uint32]bool, maxShifts)
-	for _, x := range list[:maxShifts] {
+	chosen := make(map[uint32]bool, limit)
+	for _, x := range list[:limit] {
 		chosen[x.Endpoint] = true
 	}
 
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -65,7 +65,12 @@
 	// address.
 	Origin       func(key uint64, service string) (encoder.Origin, bool)
 	LearnOrigins func(list []encoder.Origin, from netip.Addr)
-	Logger       Logger
+	// Demands returns what the client accounts ask of this node, and SetDemands is
+	// called after it with what they ask of the fleet, or nil if that is unknown. Both
+	// are called once per second. If they are nil, demands are not exchanged.
+	Demands    func() []encoder.Demand
+	SetDemands func([]encoder.Demand)
+	Logger     Logger
 	// Clock returns the time on the clock that the node's decisions use.
 	Clock func() time.Time
 }
@@ -95,6 +100,8 @@
 	// contactSent is the last time at which others were told of the contact with the
 	// store.
 	contactSent time.Time
+	// demandsSent is the last time at which demands were sent.
+	demandsSent time.Time
 	// nodes is the number of known nodes that was last logged.
 	nodes int
 	// sendFailed reports whether the last message could not be sent. Only the
@@ -160,6 +167,7 @@
 	since, until := x.opts.StoreContact()
 	isSpeaker, others, centres := x.tick(load, view, crashes)
 	x.announceContact(since, until)
+	x.exchangeDemands()
 	x.opts.SetSpeaker(isSpeaker)
 	x.opts.SetOthersLoad(others, centres)
 }
--- a/internal/exchanger/origin_test.go
+++ b/internal/exchanger/origin_test.go
@@ -32,6 +32,8 @@
 	// those of other nodes.
 	contact  [2]time.Time
 	contacts chan [2]time.Time
+	// fleetDemands gets what the node learns of the demands of the fleet.
+	fleetDemands chan []encoder.Demand
 
 	// mu is held by the callbacks like the lock of a forwarder.
 	mu sync.Mutex
@@ -112,6 +114,7 @@
 		n := &node{
 			ready: make(chan struct{}), learned: make(chan encoder.Origin, 1<<14), refused: make(chan struct{}, 1<<10),
 			known: map[uint64]encoder.Origin{}, contacts: make(chan [2]time.Time, 1<<10),
+			fleetDemands: make(chan []encoder.Demand, 1<<10),
 		}
 		if i == 0 {
 			n.contact = firstContact
@@ -138,6 +141,10 @@
 			StoreContact: func() (since, until time.Time) { return n.contact[0], n.contact[1] },
 			NoteContact:  func(since, until time.Time) { n.contacts <- [2]time.Time{since, until} },
 			Origin:       n.origin, LearnOrigins: n.learn,
+			Demands: func() []encoder.Demand {
+				return []encoder.Demand{{Group: 1, Account: 5, Offered: 1 << i, Admitted: 1}}
+			},
+			SetDemands: func(list []encoder.Demand) { n.fleetDemands <- list },
 		})
 		c.Assert(err, qt.IsNil)
 		nodes[i] = n
