--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -136,12 +136,15 @@
 	// received the observations of other nodes that Observations has not returned yet.
 	observed observations
 	received []encoder.Observation
+	// samplesSent is when observations were last sent.
+	samplesSent time.Time
 	// changed holds the endpoints whose load has changed through updates, reports
 	// and digests of other data centres since ChangedLoads was last called.
 	// digestReceived reports whether the speaker has sent a digest since
 	// DigestReceived was last called.
 	changed        []uint32
 	digestReceived bool
+	demands        demandTable
 }
 
 // New returns an aggregator that knows only its seeds.
@@ -446,6 +449,8 @@
 		a.receiveViewReport(now, from, m)
 	case *encoder.ViewDigest:
 		a.receiveViewDigest(now, from, m)
+	case *encoder.Demands:
+		a.receiveDemands(now, from, m)
 	}
 
 	return nil
--- a/internal/aggregator/observation.go
+++ b/internal/aggregator/observation.go
@@ -16,6 +16,9 @@
 	// observation sent to the same node, so that both together stay within the bytes
 	// of maxShifts. A shift takes 5 bytes and an observation 9.
 	shiftsPerObservation = 2
+	// sampleInterval is the least time between two messages without failures. Speeds may
+	// be known later than loads, whose shifts they would displace.
+	sampleInterval = 2 * UpdateInterval
 )
 
 // observations sums up observations by endpoint.
@@ -59,10 +62,10 @@
 	return list
 }
 
-// most returns the endpoints whose observations are sent next: those with failures
-// first, because nodes must stop using such an endpoint soon, then those with most
-// samples.
-func (s observations) most() []uint32 {
+// nextObserved returns the endpoints whose observations are sent next: those with
+// failures first, because nodes must stop using such an endpoint soon, then those with
+// most samples.
+func (a *Aggregator) nextObserved(now time.Time, s observations) []uint32 {
 	list := make([]encoder.Observation, 0, len(s))
 	for _, o := range s {
 		list = append(list, o)
@@ -71,6 +74,10 @@
 		return cmp.Or(cmp.Compare(b.Failures, a.Failures), cmp.Compare(samples(b), samples(a)), cmp.Compare(a.Endpoint, b.Endpoint))
 	})
 	list = list[:min(len(list), maxObservations)]
+	if len(list) == 0 || list[0].Failures == 0 && now.Sub(a.samplesSent) < sampleInterval {
+		return nil
+	}
+	a.samplesSent = now
 	endpoints := make([]uint32, len(list))
 	for i, o := range list {
 		endpoints[i] = o.Endpoint
@@ -90,8 +97,8 @@
 
 // memberObservations returns the message with the node's own observations to its
 // speaker.
-func (a *Aggregator) memberObservations(speaker netip.Addr) []Output {
-	endpoints := a.observed.most()
+func (a *Aggregator) memberObservations(now time.Time, speaker netip.Addr) []Output {
+	endpoints := a.nextObserved(now, a.observed)
 	list := a.observed.pick(endpoints, nil)
 	a.observed.remove(endpoints)
 	a.discardOthersObservations()
@@ -121,7 +128,7 @@
 	for _, name := range names {
 		sum(all, a.centres[name].observed)
 	}
-	endpoints := all.most()
+	endpoints := a.nextObserved(now, all)
 	if len(endpoints) == 0 {
 		return nil, 0
 	}
--- a/internal/aggregator/update.go
+++ b/internal/aggregator/update.go
@@ -85,7 +85,7 @@
 	a.observed.add(observed)
 	speaker := a.speaker(now)
 	if speaker != a.opts.Self {
-		out := a.memberObservations(speaker)
+		out := a.memberObservations(now, speaker)
 		c := a.unsent.change(a.opts.Centre, nil)
 		a.discardAllUnsent()
 		if isEmpty(c) {
@@ -96,7 +96,7 @@
 	}
 	out, n := a.speakerObservations(now)
 
-	return append(out, a.speakerUpdates(now, maxShifts-shiftsPerObservation*n)...)
+	return append(out, a.speakerUpdates(now, a.shiftLimit(now)-shiftsPerObservation*n)...)
 }
 
 // speakerUpdates returns the updates that the node sends as the speaker, with at most
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -44,7 +44,8 @@
 	LoadChange      func() encoder.LoadChange
 	SetChangedLoads func(encoder.LoadSum)
 	// Observations returns what the node has observed of endpoints since the last call,
-	// and MergeObservations is called with what other nodes have observed.
+	// and MergeObservations is called with what other nodes have observed. Either may be
+	// nil.
 	Observations      func() []encoder.Observation
 	MergeObservations func([]encoder.Observation)
 	// View returns the node's copy of the shared view. SetRelayedView is called
@@ -69,7 +70,12 @@
 	// address.
 	Origin       func(key uint64, service string) (encoder.Origin, bool)
 	LearnOrigins func(list []encoder.Origin, from netip.Addr)
-	Logger       Logger
+	// Demands returns what the client accounts ask of this node, and SetDemands is
+	// called after it with what they ask of the fleet, or nil if that is unknown. Both
+	// are called once per second. If they are nil, demands are not exchanged.
+	Demands    func() []encoder.Demand
+	SetDemands func([]encoder.Demand)
+	Logger     Logger
 	// Clock returns the time on the clock that the node's decisions use.
 	Clock func() time.Time
 }
@@ -99,6 +105,8 @@
 	// contactSent is the last time at which others were told of the contact with the
 	// store.
 	contactSent time.Time
+	// demandsSent is the last time at which demands were sent.
+	demandsSent time.Time
 	// nodes is the number of known nodes that was last logged.
 	nodes int
 	// sendFailed reports whether the last message could not be sent. Only the
@@ -153,7 +161,11 @@
 
 func (x *Exchanger) sendUpdates() {
 	x.origins.update()
-	change, observed := x.opts.LoadChange(), x.opts.Observations()
+	change := x.opts.LoadChange()
+	var observed []encoder.Observation
+	if x.opts.Observations != nil {
+		observed = x.opts.Observations()
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.send(x.aggregator.Update(x.opts.Clock(), change, observed))
@@ -164,6 +176,7 @@
 	since, until := x.opts.StoreContact()
 	isSpeaker, others, centres := x.tick(load, view, crashes)
 	x.announceContact(since, until)
+	x.exchangeDemands()
 	x.opts.SetSpeaker(isSpeaker)
 	x.opts.SetOthersLoad(others, centres)
 }
@@ -291,7 +304,7 @@
 	case n.hasChanges:
 		x.opts.SetChangedLoads(n.changedLoads)
 	}
-	if len(n.observed) > 0 {
+	if len(n.observed) > 0 && x.opts.MergeObservations != nil {
 		x.opts.MergeObservations(n.observed)
 	}
 	if n.hasView {
