--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -151,7 +151,9 @@
 		NoteContact: func(since, until time.Time) {
 			n.forwarder.Post(director.StoreReached{From: since, To: until})
 		},
-		Origin: n.forwarder.Origin,
+		Demands:    n.demands,
+		SetDemands: func(list []encoder.Demand) { n.forwarder.Post(director.DemandsReceived{List: list}) },
+		Origin:     n.forwarder.Origin,
 		LearnOrigins: func(list []encoder.Origin, from netip.Addr) {
 			n.forwarder.Post(director.OriginsLearned{List: list, From: from})
 		},
@@ -178,6 +180,18 @@
 	}
 }
 
+// demands returns what the client accounts ask of this node if they share capacity.
+func (n *RoutingNode) demands() []encoder.Demand {
+	n.mu.Lock()
+	shared := n.opts.Settings.Accounts
+	n.mu.Unlock()
+	if !shared {
+		return nil
+	}
+
+	return n.forwarder.Demands()
+}
+
 // confirmView starts a read of the changes of the shared view. The forwarder exists
 // before the follower.
 func (n *RoutingNode) confirmView() {
--- a/internal/director/admission.go
+++ b/internal/director/admission.go
@@ -15,6 +15,7 @@
 	}
 	gap := req.demand().Gap
 	cause := d.rejects(now, req, e, gap)
+	req.shareRejected = cause == causeShare
 	if cause == "" {
 		return e
 	}
@@ -46,7 +47,7 @@
 		return spillover
 	case d.rejects(now, req, e, 0) == "":
 		return e
-	case req.Need.Long():
+	case req.Need.Long() || req.beyondShare:
 		return nil
 	case spillover != nil && d.hasSlot(req, spillover) && d.leavesRoom(now, req, spillover):
 		return spillover
@@ -92,6 +93,10 @@
 		d.prefillsInTime(req, e, req.Need.PrefillTokens(), reserved.Target, reserved.Gap)
 }
 
+// causeShare is why an engine does not admit a request that is beyond the share of its
+// account.
+const causeShare = "no room for two requests beyond the share of the account"
+
 // rejects returns why an engine cannot admit a request without pauses longer than gap,
 // or an empty string if it can.
 func (d *Director) rejects(now time.Time, req *request, e *endpoint, gap time.Duration) string {
@@ -102,6 +107,8 @@
 		return "prefill takes too long"
 	case !d.leavesRoom(now, req, e):
 		return "no room beside more urgent requests"
+	case req.beyondShare && !d.admitsSecond(req, e, gap):
+		return causeShare
 	default:
 		return ""
 	}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -14,6 +14,7 @@
 	"snipedyke/internal/profiler"
 	"snipedyke/internal/registrar"
 	"snipedyke/internal/router"
+	"snipedyke/internal/sharer"
 )
 
 // Options are the limits of the deployment. All durations and counts must be
@@ -101,6 +102,8 @@
 	readyAt time.Time
 
 	fleet fleet
+	// sharer divides the capacity between client accounts where it is short.
+	sharer *sharer.Sharer
 	// isolator finds the prompt parts that crash engines.
 	isolator isolator.Isolator
 
@@ -116,7 +119,7 @@
 	asking []*request
 
 	requests map[uint64]*request
-	// waiting holds the requests that wait for an endpoint, oldest first.
+	// waiting holds the requests that wait for an endpoint.
 	waiting []*request
 
 	// observedEndpoints holds the endpoints with outcomes that were not reported to the
@@ -161,7 +164,7 @@
 	return &Director{
 		opts: opts, registrar: registrar.New(opts.PublicationInterval),
 		endpoints: map[string]*endpoint{}, notices: map[incarnation]*notice{}, pacings: map[incarnation]*pacing{}, centreReturns: map[string]time.Time{}, addresses: map[netip.AddrPort]*address{}, services: map[string]*service{},
-		requests: map[uint64]*request{}, endpointsByNumber: map[uint32]*endpoint{}, fleet: newFleet(opts),
+		requests: map[uint64]*request{}, endpointsByNumber: map[uint32]*endpoint{}, fleet: newFleet(opts), sharer: sharer.New(),
 	}
 }
 
@@ -210,6 +213,8 @@
 		d.replaceOthersLoad(now, e.Others, e.Centres)
 	case OthersLoadUpdated:
 		d.updateOthersLoad(now, e.Others)
+	case DemandsReceived:
+		d.sharer.SetFleet(now, e.List)
 	case ObservationsReceived:
 		d.mergeObservations(now, e.List)
 	case CrashesObserved:
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -194,6 +194,10 @@
 // ObservationsReceived provides what other nodes have observed of endpoints.
 type ObservationsReceived struct{ List []encoder.Observation }
 
+// DemandsReceived provides what the client accounts ask of the fleet, or no list if that
+// is unknown.
+type DemandsReceived struct{ List []encoder.Demand }
+
 // CrashesObserved provides what other nodes have observed about prompt parts
 // that crash endpoints.
 type CrashesObserved struct{ Crashes []encoder.Crash }
@@ -249,6 +253,7 @@
 func (CentresOut) event()           {}
 func (ViewConfirmed) event()        {}
 func (CrashesObserved) event()      {}
+func (DemandsReceived) event()      {}
 func (ObservationsReceived) event() {}
 func (ViewReachable) event()        {}
 func (ViewRestored) event()         {}
@@ -402,14 +407,17 @@
 	ReasonMalformed  Reason = "malformed"
 	ReasonNoEndpoint Reason = "no_endpoint"
 	ReasonOverload   Reason = "overload"
-	ReasonDeclined   Reason = "endpoint_declined"
-	ReasonBroken     Reason = "endpoint_broken"
-	ReasonTimeout    Reason = "timeout"
-	ReasonGone       Reason = "caller_gone"
-	ReasonHarmful    Reason = "harmful_prompt"
-	ReasonPaused     Reason = "endpoints_paused"
-	ReasonLimited    Reason = "endpoints_limited"
-	ReasonLeaving    Reason = "leaving"
+	// ReasonAccountShare is that the request is beyond the share of its account, and no
+	// engine has room for two like it.
+	ReasonAccountShare Reason = "account_share"
+	ReasonDeclined     Reason = "endpoint_declined"
+	ReasonBroken       Reason = "endpoint_broken"
+	ReasonTimeout      Reason = "timeout"
+	ReasonGone         Reason = "caller_gone"
+	ReasonHarmful      Reason = "harmful_prompt"
+	ReasonPaused       Reason = "endpoints_paused"
+	ReasonLimited      Reason = "endpoints_limited"
+	ReasonLeaving      Reason = "leaving"
 	// ReasonVersionGone is that no endpoint of the version at which a stream began
 	// can go on with it.
 	ReasonVersionGone Reason = "version_gone"
@@ -425,7 +433,7 @@
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	ReasonNotReady, ReasonNoRoute, ReasonNoKey, ReasonStaleView, ReasonTooLarge, ReasonMalformed,
-	ReasonNoEndpoint, ReasonOverload, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmful,
+	ReasonNoEndpoint, ReasonOverload, ReasonAccountShare, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmful,
 	ReasonPaused, ReasonLimited, ReasonLeaving, ReasonVersionGone, ReasonVersionUnknown, ReasonMemory, ReasonInternal,
 }
 
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -22,8 +22,8 @@
 		req.awaitingFirstByte = false
 		if req.prefixCached {
 			req.service.estimator.RecordFirstToken(req.prefillTokensAhead+req.Need.PrefillTokens(), e.Wait)
-			d.recordFirstToken(now, req, e.Wait)
 		}
+		d.recordFirstToken(now, req, e.Wait)
 		req.endpoint.load.Own.PrefillTokens -= req.Need.PrefillTokens()
 		d.markChanged(req.endpoint)
 	}
--- a/internal/director/refusal.go
+++ b/internal/director/refusal.go
@@ -34,9 +34,12 @@
 // fail ends a request without an answer from an endpoint. The status of the
 // refusal states whether the request may have run.
 func (d *Director) fail(now time.Time, req *request, reason Reason) {
-	if reason == ReasonOverload && req.rejection != "" {
+	switch {
+	case reason == ReasonOverload && req.rejection != "":
 		req.service.shedder.RecordRefusal(now, req.class(), req.demand())
 		req.lastCause = req.rejection
+	case reason == ReasonAccountShare:
+		req.lastCause = req.rejection
 	}
 	status := http.StatusServiceUnavailable
 	switch {
@@ -56,6 +59,9 @@
 		var retryAfter time.Duration
 		if status == http.StatusServiceUnavailable {
 			retryAfter = minRetryAfter
+			if reason == ReasonOverload || reason == ReasonAccountShare {
+				retryAfter = max(retryAfter, d.roomIn(now, req))
+			}
 			if reason == ReasonHarmful {
 				retryAfter = harmfulRetryAfter
 			}
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -92,6 +92,10 @@
 	// timeToFirstByte is the time from arrival to the first byte of the answer,
 	// and longestPause is the longest pause between two events.
 	timeToFirstByte, longestPause time.Duration
+	// beyondShare reports whether the request is beyond the share of its account, and
+	// shareRejected whether the preferred engine did not admit it for that. counted reports
+	// whether the request counts as admitted.
+	beyondShare, shareRejected, counted bool
 	// rejection is why the preferred engine did not admit the request, or empty.
 	rejection string
 	// lastCause describes why the last attempt failed, for the log.
@@ -214,12 +218,13 @@
 	if d.engineOf(req) != nil {
 		req.usesEngine = true
 	}
+	d.offerDemand(now, req)
 	if q.Continues && resumable {
 		d.takeUp(now, req)
 
 		return
 	}
-	d.place(now, req)
+	d.placeInTurn(now, req)
 }
 
 func (d *Director) engineOf(req *request) *router.Engine {
@@ -271,7 +276,11 @@
 			if !req.wasQueued {
 				req.service.splitter.NoteRefusal(now, req.Need)
 			}
-			d.enqueue(now, req, ReasonOverload)
+			reason := ReasonOverload
+			if req.shareRejected {
+				reason = ReasonAccountShare
+			}
+			d.enqueue(now, req, reason)
 
 			return
 		}
@@ -376,10 +385,11 @@
 
 func (d *Director) dispatch(now time.Time, req *request, e, holder *endpoint) {
 	e.pacer.Record(now)
+	d.admitDemand(now, req)
 	req.endpoint, req.sentLimited, req.replaced = e, e.limited(), false
 	if req.usesEngine && !req.relayed {
 		req.awaitingFirstByte, req.prefillTokensAhead = true, e.load.PrefillTokens()
-		req.sentLoad = d.engineLoad(req, e)
+		req.sentLoad = e.loadWith(req)
 		e.load.Own.PrefillTokens += req.Need.PrefillTokens()
 		e.load.NoteLongPrefill(now)
 	}
@@ -467,15 +477,3 @@
 		d.waiting = append(d.waiting, req)
 	}
 }
-
-// retryWaiting tries to place the waiting requests.
-func (d *Director) retryWaiting(now time.Time) {
-	waiting := d.waiting
-	d.waiting = nil
-	for _, req := range waiting {
-		req.queued = false
-		if d.requests[req.ID] == req {
-			d.place(now, req)
-		}
-	}
-}
--- a/internal/director/speed.go
+++ b/internal/director/speed.go
@@ -38,8 +38,8 @@
 	return sum
 }
 
-// engineLoad returns the load of an engine with a request that is placed there.
-func (d *Director) engineLoad(req *request, e *endpoint) profiler.Load {
+// loadWith returns the load of an engine with a request that is placed there.
+func (e *endpoint) loadWith(req *request) profiler.Load {
 	return profiler.Load{Tokens: e.load.PrefillTokens() + req.Need.PrefillTokens(), Running: e.load.Running() + 1}
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -367,6 +367,14 @@
 	return f.director.TakeObservations(f.opts.Clock())
 }
 
+// Demands returns what the client accounts ask of this node.
+func (f *Forwarder) Demands() []encoder.Demand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.director.TakeDemands(f.opts.Clock())
+}
+
 // StoreContact returns the last period in which the node could read the store without an
 // outage in which entries can expire. Both times are zero if there is none.
 func (f *Forwarder) StoreContact() (since, until time.Time) {
