--- a/internal/configurer/routing.go
+++ b/internal/configurer/routing.go
@@ -41,6 +41,9 @@
 	RetryWindow time.Duration
 	RetryRatio  float64
 	RetrySlack  float64
+	// Outcomes, Speeds and Accounts enable the parts of overload control that
+	// docs/design/overload.md describes.
+	Outcomes, Speeds, Accounts bool
 	// Memory is the memory limit of the process in megabytes.
 	Memory int
 	// Descriptors is the file descriptor limit of the process.
@@ -152,6 +155,11 @@
 		s.RetryRatio, s.RetrySlack = r.Float("ratio", 0, maxFactor), r.Float("slack", 0, maxSlack)
 		r.End()
 	}
+	for f, dst := range map[string]*bool{"outcomes": &s.Outcomes, "speeds": &s.Speeds, "accounts": &s.Accounts} {
+		if o.Has(f) {
+			*dst = o.Bool(f)
+		}
+	}
 	if n := o.Field("log"); n != nil {
 		readLog(n.Object(), &s.Log)
 	}
