--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,6 +23,7 @@
 	Servers int           `arg:"--servers" default:"5" help:"number of stand-in servers"`
 	Callers int           `arg:"--callers" default:"12" help:"number of callers"`
 	Limits  bool          `arg:"--limits" help:"press the limits that all nodes share, with more callers and further faults"`
+	Load    bool          `arg:"--load" help:"degrade servers and let accounts burst, with overload control enabled"`
 	Length  time.Duration `arg:"--length" default:"20s" help:"time during which faults are injected"`
 	Logs    string        `arg:"--logs" help:"directory for the logs of failed seeds, created if missing [default: that for temporary files]"`
 }
@@ -57,7 +58,7 @@
 func run(a arguments, seed uint64) (ok bool, err error) {
 	path, err := withLog(a.Logs, seed, func(log io.Writer) (bool, error) {
 		r, err := soaker.Run(soaker.Options{
-			Binary: a.Binary, Nodes: a.Nodes, Servers: a.Servers, Seed: seed, Length: a.Length, Callers: a.Callers, Limits: a.Limits, Output: log,
+			Binary: a.Binary, Nodes: a.Nodes, Servers: a.Servers, Seed: seed, Length: a.Length, Callers: a.Callers, Limits: a.Limits, Load: a.Load, Output: log,
 		})
 		if err != nil {
 			return false, err
@@ -67,6 +68,9 @@
 		if a.Limits {
 			fmt.Printf("   at most %d requests in a second to a cold server, %d of %.1f repeats\n", r.Peaks.Cold, r.Peaks.Repeats, r.Peaks.AllowedRepeats)
 		}
+		if a.Load {
+			fmt.Printf("   %d requests met a reset and could be repeated, %d returns of servers and %d accounts beside a burst checked\n", r.LoadChecks.Resets, r.LoadChecks.Returns, r.LoadChecks.Accounts)
+		}
 		for _, v := range r.Violations {
 			fmt.Println("  ", v)
 		}
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -164,11 +164,14 @@
 	}
 	r.Host, r.ContentLength = host, 6
 	standin.SetRequestHeaders(r, q.id, q.key, q.timeout)
+	if c.soaker.opts.Load {
+		standin.SetTokens(r, loadPromptTokens, standin.Events)
+	}
 	if q.stream != "" {
 		standin.TakeUp(r, q.stream, q.after)
 	}
-	unsafe := q.path == "/unsafe/" || q.path == "/stream/"
-	o := outcome{unsafe: unsafe, withRevokedKey: a.withRevokedKey, sent: a.sent, node: q.node.index}
+	unsafe := strings.HasPrefix(q.path, "/unsafe/") || strings.HasPrefix(q.path, "/stream/")
+	o := outcome{unsafe: unsafe, takesUp: q.stream != "", withRevokedKey: a.withRevokedKey, account: q.key, sent: a.sent, node: q.node.index}
 	// Record the request before it is sent, because an endpoint may report its
 	// run before the response arrives.
 	c.soaker.history.setOutcome(q.id, o)
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -315,10 +315,12 @@
 		}
 	}
 	s.history.EndLimits()
+	s.history.EndLoad()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, server := range s.servers {
 		server.SetLimit(0)
 		server.SetFaults(standin.Faults{})
+		server.SetDegradation(standin.Degradation{})
 	}
 }
--- a/internal/soaker/history.go
+++ b/internal/soaker/history.go
@@ -12,6 +12,10 @@
 // outcome is the result of an attempt as its caller observed it.
 type outcome struct {
 	unsafe bool
+	// takesUp reports whether the attempt takes up a stream that has begun.
+	takesUp bool
+	// account is the key of the client account.
+	account string
 	// withRevokedKey reports whether the attempt used the key that the test
 	// revokes.
 	withRevokedKey bool
@@ -64,8 +68,17 @@
 	// storeFaults holds, for each node, the periods in which it may not know what the
 	// store says, with the recoveryTime after each.
 	storeFaults map[int][]period
-	// peaks is set by Check.
-	peaks Peaks
+	// attempts is the number of attempts that routes allow, and nodes that of nodes.
+	attempts, nodes int
+	// degraded holds the periods in which each endpoint resets or fails all requests or
+	// is slow, and bursts those in which accounts burst.
+	degraded map[string][]degradation
+	bursts   []burst
+	// end is the time from which callers send no more.
+	end time.Time
+	// peaks and loadChecks are set by Check.
+	peaks      Peaks
+	loadChecks LoadChecks
 }
 
 // NewHistory returns an empty history.
@@ -76,6 +89,7 @@
 		answers: map[string][]standin.Answer{}, interruptions: map[int][]period{},
 		streams: map[string][]attempt{}, services: map[string]*serviceTime{},
 		cold: map[string][]period{}, storeFaults: map[int][]period{}, limited: map[string][]limit{},
+		degraded: map[string][]degradation{},
 	}
 }
 
@@ -194,6 +208,7 @@
 	violations = append(violations, h.checkCold()...)
 	violations = append(violations, h.checkRetries()...)
 	violations = append(violations, h.checkLimits()...)
+	violations = append(violations, h.checkLoad()...)
 
 	return append(violations, h.checkNotices()...)
 }
--- a/internal/soaker/release.go
+++ b/internal/soaker/release.go
@@ -16,7 +16,7 @@
 
 // releases reports whether servers of newer software versions replace the others
 // during the test. Seeds that are odd have one version only.
-func (s *Soaker) releases() bool { return s.opts.Seed%2 == 0 }
+func (s *Soaker) releases() bool { return s.opts.Seed%2 == 0 && !s.onlyLoad() }
 
 // releaser replaces all servers by ones of a newer software version, again and again,
 // and injects other faults meanwhile. It has its own source of random numbers, so
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -39,6 +39,9 @@
 	// requests to cold servers and the retry budget. There are then at least
 	// limitCallers callers for each node.
 	Limits bool
+	// Load adds faults that degrade servers and bursts of client accounts, and enables
+	// overload control in the nodes.
+	Load bool
 	// Output receives the logs of the nodes and the fault schedule; nil discards
 	// them.
 	Output io.Writer
@@ -54,6 +57,7 @@
 	FinalSuccessRate float64
 	TakeUps          TakeUps
 	Peaks            Peaks
+	LoadChecks       LoadChecks
 	Violations       []string
 }
 
@@ -79,6 +83,11 @@
 	peerPort      = 7300
 	// nodeMemory is the memory of a node in megabytes. No process may exceed it.
 	nodeMemory = 112
+	// routeTimeout and routeAttempts are those of all routes. In a test of the limits, the
+	// latter is limitRouteAttempts.
+	routeTimeout       = 4 * time.Second
+	routeAttempts      = 2
+	limitRouteAttempts = 3
 )
 
 // node is a node of the fleet, whose process is restarted when it ends.
@@ -132,6 +141,10 @@
 		servers: map[string]*standin.Server{},
 	}
 	s.history.coldRate = s.coldRate()
+	s.history.attempts, s.history.nodes = routeAttempts, opts.Nodes
+	if opts.Limits {
+		s.history.attempts = limitRouteAttempts
+	}
 	if s.opts.Output == nil {
 		s.opts.Output = io.Discard
 	}
@@ -218,9 +231,9 @@
 
 	return fmt.Sprintf(`{"name": "node-%d", "centre": "c%d", "regions": [{"centre": "c0", "region": "r"}, {"centre": "c1", "region": "r"}],
  "callers": "%s", "readiness": "%s:%d", "peers": "%s:%d", "seeds": ["%s:1"], "store": "%s",
- "withdrawal": "5s", "grace": "%s", %s,
+ "withdrawal": "5s", "grace": "%s", %s, %s
  "memory": %d, "descriptors": 4096}`,
-		n.index, n.index%2, n.callerAddr, n.addr, peerPort+2, n.addr, peerPort, first, n.storeProxy.Addr(), shutdownGrace, limitSettings(), nodeMemory)
+		n.index, n.index%2, n.callerAddr, n.addr, peerPort+2, n.addr, peerPort, first, n.storeProxy.Addr(), shutdownGrace, limitSettings(), s.loadSettings(), nodeMemory)
 }
 
 // publishManifest writes a new version of the manifest to the store. The
@@ -230,10 +243,13 @@
 	route := func(name, prefix, kind string, resumable bool) standin.Route {
 		r := standin.Route{
 			Name: name, Host: host, Prefix: prefix, Kind: kind, Service: service,
-			Timeout: 4 * time.Second, Target: 500 * time.Millisecond, Attempts: 2, Resumable: resumable,
+			Timeout: routeTimeout, Target: 500 * time.Millisecond, Attempts: routeAttempts, Resumable: resumable,
 		}
 		if s.opts.Limits {
-			r.Attempts = 3
+			r.Attempts = limitRouteAttempts
+		}
+		if s.opts.Load {
+			r.Slots = loadSlots
 		}
 		if s.coldRate() > 0 {
 			r.ColdPeriod, r.ColdRate = coldPeriod, s.coldRate()
@@ -245,6 +261,11 @@
 	if withKey {
 		keys[revokedKey] = revokedTenant
 	}
+	if s.opts.Load {
+		for _, account := range loadAccounts {
+			keys[account] = account
+		}
+	}
 
 	return s.store.PutManifest(s.manifestVersion, []standin.Route{
 		route("a", "/safe/", "safe", false), route("b", "/unsafe/", "unsafe", false),
@@ -354,6 +375,12 @@
 	if s.opts.Limits {
 		callers, create, inject = max(callers, limitCallers*s.opts.Nodes), newLimitCaller, newLimitFaults(s, ended).inject
 	}
+	freeTime := faultFreeTime
+	var load *loadFaults
+	if s.opts.Load {
+		load = newLoadFaults(s, ended, inject)
+		inject, create, freeTime = load.inject, loadCallers(create), loadFreeTime
+	}
 	for i := range callers {
 		wg.Go(func() { create(s, i).run(stop) })
 	}
@@ -372,15 +399,19 @@
 	close(ended)
 	releases.Wait()
 	s.clearFaults()
+	if load != nil {
+		load.callers.Wait()
+	}
 	from := time.Now().Add(settleTime)
-	time.Sleep(faultFreeTime)
+	time.Sleep(freeTime)
 	to := time.Now()
 	close(stop)
 	wg.Wait()
 	s.checkMemory()
+	s.history.MarkEnd(to)
 	r := Result{Faults: s.faultCount, TakeUps: s.history.TakeUps(), Violations: s.history.Check()}
 	s.history.mu.Lock()
-	r.Peaks = s.history.peaks
+	r.Peaks, r.LoadChecks = s.history.peaks, s.history.loadChecks
 	r.Attempts, r.Runs = len(s.history.outcomes), len(s.history.runs)
 	s.history.mu.Unlock()
 	sent := 0
--- a/internal/soaker/stream.go
+++ b/internal/soaker/stream.go
@@ -155,13 +155,13 @@
 	return t
 }
 
-// serving returns the number of endpoints of a version that nodes must know and that
-// can run requests between two times. The caller holds mu.
+// serving returns the number of endpoints of a version, or of any if it is empty, that
+// nodes must know and that can run requests between two times. The caller holds mu.
 func (h *History) serving(version string, from, to time.Time) int {
 	count := 0
-	for _, s := range h.services {
-		known := s.version == version && from.Sub(s.from) > drainBound && (s.to.IsZero() || s.to.After(to))
-		if known && !slices.ContainsFunc(s.outages, func(p period) bool { return p.from.Before(to) && from.Before(p.to) }) {
+	for id, s := range h.services {
+		known := (s.version == version || version == "") && from.Sub(s.from) > drainBound && (s.to.IsZero() || s.to.After(to))
+		if known && !slices.ContainsFunc(h.unusable(id), func(p period) bool { return p.overlaps(from, to) }) {
 			count++
 		}
 	}
