--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -247,11 +247,19 @@
 	if !budget.AllowRetry(now) {
 		return false
 	}
-	req.retriedAt = now
+	req.retriedAt, req.retryPending = now, true
 
 	return true
 }
 
+// withdrawRetry gives a retry back to the budget that the request ends without.
+func (r *request) withdrawRetry() {
+	if r.retryPending {
+		r.retryPending = false
+		r.service.retryBudget.Withdraw(r.retriedAt)
+	}
+}
+
 // retry sends a request to another endpoint than e, that of its reservation if there is
 // one, if the attempts of its route and the retry budget allow it.
 func (d *Director) retry(now time.Time, req *request, e *endpoint, f AttemptFinished, reason Reason, reserved *reservation) {
--- a/internal/director/refusal.go
+++ b/internal/director/refusal.go
@@ -34,6 +34,7 @@
 // fail ends a request without an answer from an endpoint. The status of the
 // refusal states whether the request may have run.
 func (d *Director) fail(now time.Time, req *request, reason Reason) {
+	req.withdrawRetry()
 	switch {
 	case reason == ReasonOverload && req.rejection != "":
 		req.service.shedder.RecordRefusal(now, req.class(), req.demand())
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -82,8 +82,10 @@
 	// place of that attempt; otherwise it is nil.
 	replaced bool
 	reserved *reservation
-	// retriedAt is the time for which the retry budget includes the last retry, or zero.
-	retriedAt time.Time
+	// retriedAt is the time for which the retry budget includes the last retry, or zero,
+	// and retryPending reports whether that retry has not been sent to an endpoint.
+	retriedAt    time.Time
+	retryPending bool
 	// waitUntil, if not zero, extends the time for which the request may wait for
 	// an endpoint.
 	waitUntil time.Time
@@ -386,6 +388,7 @@
 func (d *Director) dispatch(now time.Time, req *request, e, holder *endpoint) {
 	e.pacer.Record(now)
 	d.admitDemand(now, req)
+	req.retryPending = false
 	req.endpoint, req.sentLimited, req.replaced = e, e.limited(), false
 	if req.usesEngine && !req.relayed {
 		req.awaitingFirstByte, req.prefillTokensAhead = true, e.load.PrefillTokens()
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -112,10 +112,15 @@
 // Renew counts a retry that was allowed at the given time, but has not arrived, from now
 // on.
 func (b *Budget) Renew(at, now time.Time) {
+	b.Withdraw(at)
+	b.retries = append(b.retries, now)
+}
+
+// Withdraw removes a retry that was allowed at the given time but not sent.
+func (b *Budget) Withdraw(at time.Time) {
 	if i := slices.IndexFunc(b.retries, at.Equal); i >= 0 {
 		b.retries = slices.Delete(b.retries, i, i+1)
 	}
-	b.retries = append(b.retries, now)
 }
 
 // count returns the number of times in a window that begins at the given time. The times
