--- a/internal/director/refusal.go
+++ b/internal/director/refusal.go
@@ -107,6 +107,7 @@
 
 // abandon ends a request whose caller no longer needs an answer.
 func (d *Director) abandon(req *request, reason Reason) {
+	req.withdrawRetry()
 	d.emit(Count{Counter: CounterRefusals, Label: string(reason)})
 	d.emit(Abort{ID: req.ID, Reason: reason})
 	delete(d.requests, req.ID)
