--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -55,8 +55,8 @@
 	if e.load.PrefillTokens() == 0 && e.load.Running() == 0 {
 		return true
 	}
-	target := req.route.LatencyTarget
+	target, own := req.route.LatencyTarget, req.Need.PrefillTokens()
 
 	return req.service.estimator.HasSlot(e.load.Running()+1, d.slotsOf(req), d.slotTarget(e, target)) &&
-		(e.load.PrefillTokens() == 0 || d.prefillsInTime(req, e, req.Need.PrefillTokens(), target, gap))
+		(e.load.PrefillTokens() == 0 || d.prefillsInTime(req.service, e, req.route.Priority, e.load.PrefillTokens()+own, own, target, gap))
 }
--- a/internal/director/admission.go
+++ b/internal/director/admission.go
@@ -24,7 +24,7 @@
 	}
 	tokens := e.load.PrefillTokens()
 	req.rejection = fmt.Sprintf("engine %s: %s; %.0f prompt tokens to prefill, estimated to take %s; %d requests running",
-		e.entry.ID, cause, tokens, req.service.estimator.PrefillTime(tokens), e.load.Running())
+		e.entry.ID, cause, tokens, d.prefillTime(req.service, e, tokens), e.load.Running())
 
 	return nil
 }
@@ -90,7 +90,7 @@
 	}
 
 	return req.service.estimator.HasSlot(e.load.Running()+1, d.engineOf(req).Slots, d.slotTarget(e, reserved.Target)) &&
-		d.prefillsInTime(req, e, req.Need.PrefillTokens(), reserved.Target, reserved.Gap)
+		d.prefillsInTime(req.service, e, req.route.Priority, e.load.PrefillTokens()+req.Need.PrefillTokens(), 0, reserved.Target, reserved.Gap)
 }
 
 // causeShare is why an engine does not admit a request that is beyond the share of its
@@ -103,7 +103,7 @@
 	switch {
 	case !d.hasSlot(req, e):
 		return "no slot in time"
-	case !d.prefillsInTime(req, e, 0, req.route.LatencyTarget, gap):
+	case !d.prefillsInTime(req.service, e, req.route.Priority, e.load.PrefillTokens(), req.Need.PrefillTokens(), req.route.LatencyTarget, gap):
 		return "prefill takes too long"
 	case !d.leavesRoom(now, req, e):
 		return "no room beside more urgent requests"
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -150,6 +150,7 @@
 	retryBudget pacer.Budget
 	estimator   admitter.Estimator
 	model       profiler.Model
+	mix         mix
 	shedder     admitter.Shedder
 	versions    pinner.Versions
 	// reroutedAt is when a table last changed which requests the service gets.
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -220,6 +220,7 @@
 	if d.engineOf(req) != nil {
 		req.usesEngine = true
 	}
+	req.service.mix.record(now, req.route.Priority, req.Need.PrefillTokens())
 	d.offerDemand(now, req)
 	if q.Continues && resumable {
 		d.takeUp(now, req)
@@ -331,13 +332,14 @@
 // is valid until the next call.
 func (d *Director) candidates(now time.Time, req *request) []*chooser.Engine {
 	d.candidateBuffer = d.candidateBuffer[:0]
-	threshold, slots, failing := d.failingThreshold(now, req.service), d.slotsOf(req), 0
+	d.setSlowness(now, req.service, d.slotsOf(req))
+	threshold, failing := d.failingThreshold(now, req.service), 0
 	for _, e := range req.service.endpoints {
 		d.assess(now, e, threshold)
 		if !d.takes(now, req, e) {
 			continue
 		}
-		e.load.Loss, e.load.Slowness = d.loss(now, req, e), d.slowness(now, e, slots)
+		e.load.Loss = d.loss(now, req, e)
 		d.candidateBuffer = append(d.candidateBuffer, e.load)
 		if e.observed.failing {
 			last := len(d.candidateBuffer) - 1
--- a/internal/director/speed.go
+++ b/internal/director/speed.go
@@ -79,14 +79,24 @@
 	}
 }
 
-// slowness returns the learned slowness of an engine.
-func (d *Director) slowness(now time.Time, e *endpoint, slots int) chooser.Slowness {
-	if !d.opts.Speeds {
-		return chooser.Slowness{}
+// setSlowness sets the slowness of the engines of a service, relative to their mean. What
+// is common to all of them is an error of the nodes' models, which learn it themselves.
+func (d *Director) setSlowness(now time.Time, s *service, slots int) {
+	if !d.opts.Speeds || len(s.endpoints) == 0 {
+		return
 	}
-
-	return chooser.Slowness{
-		Light: e.observed.speed.Slowness(now, false), Busy: e.observed.speed.Slowness(now, true), BusyFrom: slots / 2,
+	sum := 0.0
+	for _, e := range s.endpoints {
+		slowness := chooser.Slowness{
+			Light: e.observed.speed.Slowness(now, false), Busy: e.observed.speed.Slowness(now, true), BusyFrom: slots / 2,
+		}
+		e.load.Slowness = slowness
+		sum += math.Log(slowness.Factor(e.load.Running()))
+	}
+	mean := math.Exp(sum / float64(len(s.endpoints)))
+	for _, e := range s.endpoints {
+		e.load.Slowness.Light /= mean
+		e.load.Slowness.Busy /= mean
 	}
 }
 
@@ -100,20 +110,71 @@
 	return 0
 }
 
-// prefillsInTime reports whether an engine meets the first-token target of a request, and
-// its maximum pause if that is not zero. extra is the number of prompt tokens to prefill
-// besides those that wait at the engine.
-func (d *Director) prefillsInTime(req *request, e *endpoint, extra float64, target, gap time.Duration) bool {
-	pending := e.load.PrefillTokens() + extra
+// prefillTime returns the time that an engine is expected to take to prefill a number of
+// tokens.
+func (d *Director) prefillTime(s *service, e *endpoint, tokens float64) time.Duration {
+	if !d.opts.Speeds {
+		return s.estimator.PrefillTime(tokens)
+	}
+
+	return time.Duration(e.load.Slowness.Factor(e.load.Running()) * float64(s.model.PrefillTime(tokens)))
+}
+
+// prefillsInTime reports whether an engine on which a number of prompt tokens wait for
+// prefill meets the first-token target of a request with a prompt of own tokens, and the
+// maximum gap between tokens if that is not zero. Of the waiting tokens, only the part
+// that is at least as urgent as the priority delays the first token.
+func (d *Director) prefillsInTime(s *service, e *endpoint, priority int, pending, own float64, target, gap time.Duration) bool {
 	if !d.opts.Speeds {
-		return req.service.estimator.Admit(pending, target, gap)
+		return s.estimator.Admit(pending, target, gap)
 	}
-	m, slowness := &req.service.model, e.load.Slowness.Factor(e.load.Running())
-	pendingTime := slowness * float64(m.Expect(profiler.Load{Tokens: pending, Running: e.load.Running() + 1}))
-	ownTime := slowness * float64(m.PrefillTime(req.Need.PrefillTokens()))
+	m, slowness := &s.model, e.load.Slowness.Factor(e.load.Running())
+	ahead := profiler.Load{Tokens: pending * s.mix.ahead(priority), Running: e.load.Running() + 1}
+	pendingTime := slowness * float64(m.Expect(ahead))
+	ownTime := slowness * float64(m.PrefillTime(own))
 	if gap > 0 && slowness*float64(m.PrefillTime(pending)) > pauseShare*float64(gap) {
 		return false
 	}
 
 	return pendingTime+min(ownTime, maxOwnShare*float64(target)) <= firstTokenShare*float64(target)
 }
+
+// mixDecay is the time constant with which the mix of priorities is forgotten.
+const mixDecay = 2 * time.Second
+
+// mix holds decayed sums of the prompt tokens of a service's requests by priority. The zero
+// value is empty.
+type mix struct {
+	tokens  [maxUrgencyRank + 1]float64
+	updated time.Time
+}
+
+// record adds the prompt of a request.
+func (m *mix) record(now time.Time, priority int, tokens float64) {
+	decay := 0.0
+	if !m.updated.IsZero() {
+		decay = math.Exp(-now.Sub(m.updated).Seconds() / mixDecay.Seconds())
+	}
+	for i := range m.tokens {
+		m.tokens[i] *= decay
+	}
+	m.updated = now
+	m.tokens[min(max(priority, 0), maxUrgencyRank)] += tokens
+}
+
+// ahead returns the part of the tokens whose requests are at least as urgent as those of a
+// priority: engines take more urgent requests first.
+func (m *mix) ahead(priority int) float64 {
+	ahead, total := 0.0, 0.0
+	for i, tokens := range m.tokens {
+		total += tokens
+		if i <= priority {
+			ahead += tokens
+		}
+	}
+	if total == 0 {
+		return 1
+	}
+
+	return ahead / total
+}
