--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -92,10 +92,8 @@
 	lastSeen        time.Time
 	sum             encoder.LoadSum
 	sumTime         time.Time
-	// unsent holds the changes of sum that the speaker has not yet passed on, and
-	// observed the observations of endpoints.
-	unsent   delta
-	observed observations
+	// unsent holds the changes of sum that the speaker has not yet passed on.
+	unsent delta
 }
 
 // foreignNode is a node of another data centre that has sent a hello.
@@ -136,6 +134,9 @@
 	// received the observations of other nodes that Observations has not returned yet.
 	observed observations
 	received []encoder.Observation
+	// centreObserved and fleetObserved are, on a speaker, the sums of the observations of
+	// its data centre and of all nodes that it has not passed on yet.
+	centreObserved, fleetObserved observations
 	// samplesSent is when observations were last sent.
 	samplesSent time.Time
 	// changed holds the endpoints whose load has changed through updates, reports
@@ -151,7 +152,8 @@
 func New(opts Options) *Aggregator {
 	return &Aggregator{
 		opts: opts, members: map[netip.Addr]*member{}, centres: map[string]*centre{},
-		foreignNodes: map[netip.Addr]foreignNode{}, observed: observations{},
+		foreignNodes: map[netip.Addr]foreignNode{},
+		observed:     observations{}, centreObserved: observations{}, fleetObserved: observations{},
 	}
 }
 
--- a/internal/aggregator/observation.go
+++ b/internal/aggregator/observation.go
@@ -62,18 +62,18 @@
 	return list
 }
 
-// nextObserved returns the endpoints whose observations are sent next: those with
-// failures first, because nodes must stop using such an endpoint soon, then those with
-// most samples.
+// nextObserved returns the endpoints whose observations are sent next, at most
+// maxObservations: those with failures first, because nodes must stop using such an
+// endpoint soon, then those with most samples.
 func (a *Aggregator) nextObserved(now time.Time, s observations) []uint32 {
-	list := make([]encoder.Observation, 0, len(s))
+	var list []encoder.Observation
 	for _, o := range s {
-		list = append(list, o)
+		at, _ := slices.BinarySearchFunc(list, o, comparePriority)
+		if at == maxObservations {
+			continue
+		}
+		list = slices.Insert(list[:min(len(list), maxObservations-1)], at, o)
 	}
-	slices.SortFunc(list, func(a, b encoder.Observation) int {
-		return cmp.Or(cmp.Compare(b.Failures, a.Failures), cmp.Compare(samples(b), samples(a)), cmp.Compare(a.Endpoint, b.Endpoint))
-	})
-	list = list[:min(len(list), maxObservations)]
 	if len(list) == 0 || list[0].Failures == 0 && now.Sub(a.samplesSent) < sampleInterval {
 		return nil
 	}
@@ -86,6 +86,11 @@
 	return endpoints
 }
 
+// comparePriority orders observations by how soon they are sent.
+func comparePriority(a, b encoder.Observation) int {
+	return cmp.Or(cmp.Compare(b.Failures, a.Failures), cmp.Compare(samples(b), samples(a)), cmp.Compare(a.Endpoint, b.Endpoint))
+}
+
 func samples(o encoder.Observation) int { return o.Attempts + o.Light.Samples + o.Busy.Samples }
 
 // remove removes the observations of endpoints after they have been sent.
@@ -112,44 +117,27 @@
 // speakerObservations returns the messages with observations that the node sends as
 // the speaker, and the most observations in one of them.
 func (a *Aggregator) speakerObservations(now time.Time) ([]Output, int) {
-	local := observations{}
-	sum := func(to, from observations) {
-		for _, o := range from {
-			to.add([]encoder.Observation{o})
-		}
-	}
-	sum(local, a.observed)
-	for _, m := range a.members {
-		sum(local, m.observed)
-	}
-	all := observations{}
-	sum(all, local)
-	names := a.centreNames()
-	for _, name := range names {
-		sum(all, a.centres[name].observed)
-	}
-	endpoints := a.nextObserved(now, all)
+	endpoints := a.nextObserved(now, a.fleetObserved)
 	if len(endpoints) == 0 {
 		return nil, 0
 	}
 	var out []Output
-	if list := local.pick(endpoints, nil); len(list) > 0 {
-		for _, name := range names {
+	if list := a.centreObserved.pick(endpoints, nil); len(list) > 0 {
+		for _, name := range a.centreNames() {
 			out = append(out, Output{a.centres[name].speaker, &encoder.Observations{Centre: a.opts.Centre, List: list}})
 		}
 	}
 	for _, addr := range a.heardMembers(now) {
-		if list := all.pick(endpoints, a.members[addr].observed); len(list) > 0 {
+		if list := a.fleetObserved.pick(endpoints, a.members[addr].observed); len(list) > 0 {
 			out = append(out, Output{addr, &encoder.Observations{List: list}})
 		}
 	}
+	a.fleetObserved.remove(endpoints)
+	a.centreObserved.remove(endpoints)
 	a.observed.remove(endpoints)
 	for _, m := range a.members {
 		m.observed.remove(endpoints)
 	}
-	for _, c := range a.centres {
-		c.observed.remove(endpoints)
-	}
 
 	return out, len(endpoints)
 }
@@ -157,12 +145,18 @@
 // discardOthersObservations drops the observations of other nodes, which only a
 // speaker passes on.
 func (a *Aggregator) discardOthersObservations() {
+	clear(a.fleetObserved)
+	clear(a.centreObserved)
 	for _, m := range a.members {
 		clear(m.observed)
 	}
-	for _, c := range a.centres {
-		clear(c.observed)
-	}
+}
+
+// observe adds what the node has observed itself.
+func (a *Aggregator) observe(list []encoder.Observation) {
+	a.observed.add(list)
+	a.centreObserved.add(list)
+	a.fleetObserved.add(list)
 }
 
 // receiveObservations handles observations of other nodes.
@@ -177,10 +171,7 @@
 		// The sender does not know the speaker; the next digest names it.
 	case m.Centre != a.opts.Centre:
 		if c := a.centres[m.Centre]; c != nil && from == c.speaker {
-			if c.observed == nil {
-				c.observed = observations{}
-			}
-			c.observed.add(m.List)
+			a.fleetObserved.add(m.List)
 			a.keepObservations(m.List)
 		}
 	default:
@@ -189,6 +180,8 @@
 				known.observed = observations{}
 			}
 			known.observed.add(m.List)
+			a.centreObserved.add(m.List)
+			a.fleetObserved.add(m.List)
 			a.keepObservations(m.List)
 		}
 	}
--- a/internal/aggregator/update.go
+++ b/internal/aggregator/update.go
@@ -82,7 +82,7 @@
 // passes on what it has received.
 func (a *Aggregator) Update(now time.Time, own encoder.LoadChange, observed []encoder.Observation) []Output {
 	a.unsent.add(own)
-	a.observed.add(observed)
+	a.observe(observed)
 	speaker := a.speaker(now)
 	if speaker != a.opts.Self {
 		out := a.memberObservations(now, speaker)
--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -38,7 +38,8 @@
 	updated            time.Time
 }
 
-// Add adds attempts and those of them that have failed.
+// Add adds attempts and those of them that have failed. Failures beyond the attempts are
+// ignored, and evidence beyond maxAttempts is scaled down.
 func (r *Record) Add(now time.Time, attempts, failures int) {
 	decay := r.decay(now)
 	r.attempts = decay*r.attempts + float64(attempts)
@@ -87,7 +88,7 @@
 	}
 	slices.Sort(shares)
 
-	return max(failingShare, shares[len(shares)/2]+failingMargin)
+	return max(failingShare, shares[(len(shares)-1)/2]+failingMargin)
 }
 
 // Suspect reports whether a share is high enough to compare it with Threshold.
@@ -159,12 +160,12 @@
 	cutOffPart = 2.0 / 3
 )
 
-// Isolation finds out whether a node is cut off from the endpoints, so that its
+// Isolation finds out whether a node may be partitioned from the endpoints, so that its
 // failures say nothing about them. The zero value has seen no endpoint.
 type Isolation struct{ used, failed int }
 
-// Note adds an endpoint with the outcomes of the node's own attempts.
-func (i *Isolation) Note(now time.Time, own *Record) {
+// Add adds an endpoint with the outcomes of the node's own attempts.
+func (i *Isolation) Add(now time.Time, own *Record) {
 	if own.Attempts(now) < usedAttempts {
 		return
 	}
--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -31,10 +31,11 @@
 		return
 	}
 	key := accountKey(req)
-	d.sharer.Record(now, key, req.Need.PrefillTokens(), false)
-	// A hash of the name gives each size of request the same part.
+	// A hash of the name gives each size of request the same part. The share must not
+	// include this request, which is not admitted yet.
 	point := float64(xxhash.Sum64String("share "+req.Name)) / math.MaxUint64
 	req.beyondShare = point >= d.sharer.Share(now, key)
+	d.sharer.Record(now, key, req.Need.PrefillTokens(), false)
 }
 
 // admitDemand counts a request that is sent to an endpoint for the first time.
@@ -50,7 +51,7 @@
 func (d *Director) TakeDemands(now time.Time) []encoder.Demand { return d.sharer.Own(now) }
 
 // admitsSecond reports whether an engine that takes a request would admit another one like
-// it. An engine without waiting prompts takes any request: it would be idle otherwise.
+// it. An idle engine admits any request.
 func (d *Director) admitsSecond(req *request, e *endpoint, gap time.Duration) bool {
 	if e.load.PrefillTokens() == 0 && e.load.Running() == 0 {
 		return true
--- a/internal/director/account_test.go
+++ b/internal/director/account_test.go
@@ -157,9 +157,10 @@
 	n := overloadedNode()
 	n.opts.Speeds = true
 	var delays []time.Duration
-	for _, pending := range []float64{20_000, 60_000, 1_000_000} {
+	tokensPerSecond := 1000 / n.services["model"].model.PrefillTime(1000).Seconds()
+	for _, seconds := range []float64{0.6, 1.8, 20} {
 		for _, e := range n.endpoints {
-			e.load.Others.PrefillTokens = pending
+			e.load.Others.PrefillTokens = seconds * tokensPerSecond
 		}
 		_, sent := n.draft("club", 0)
 		c.Assert(sent, qt.IsFalse)
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -122,8 +122,8 @@
 	// waiting holds the requests that wait for an endpoint.
 	waiting []*request
 
-	// observedEndpoints holds the endpoints with outcomes that were not reported to the
-	// other nodes.
+	// observedEndpoints holds the endpoints with outcomes or times to the first token that
+	// were not reported to the other nodes.
 	observedEndpoints []*endpoint
 	// changedEndpoints holds the endpoints whose own load has changed since it
 	// was last reported to the other nodes.
--- a/internal/director/observation.go
+++ b/internal/director/observation.go
@@ -70,11 +70,11 @@
 	req.erred = append(req.erred, e)
 }
 
-// settleErrors records whether the endpoints that have answered a request with an error
-// status have failed: they have if another endpoint has answered it without one.
-func (d *Director) settleErrors(now time.Time, req *request, answered bool) {
+// attributeErrors records whether the endpoints that have answered a request with an error
+// status have failed, or the error is the request's.
+func (d *Director) attributeErrors(now time.Time, req *request, failed bool) {
 	for _, e := range req.erred {
-		d.recordOutcome(now, e, answered)
+		d.recordOutcome(now, e, failed)
 	}
 	req.erred = nil
 }
@@ -118,7 +118,7 @@
 	}
 	var isolation assessor.Isolation
 	for _, e := range d.endpoints {
-		isolation.Note(now, &e.observed.own)
+		isolation.Add(now, &e.observed.own)
 	}
 
 	return isolation.CutOff()
@@ -142,8 +142,8 @@
 	// lossIfRetried is the load that losing an attempt is worth if the request can be
 	// sent to another endpoint: it then waits a second time.
 	lossIfRetried = 8.0
-	// lossIfFinal is that load if the request is lost with the attempt. It exceeds the
-	// difference between a full and an idle endpoint.
+	// lossIfFinal is that load if the request is lost with the attempt. An endpoint that
+	// fails all attempts is then worse than a full one.
 	lossIfFinal = 40.0
 )
 
@@ -209,7 +209,7 @@
 // probe returns a failing endpoint to which a request is sent to find out whether it
 // still fails, or nil. Only requests that another endpoint can take over are used.
 func (d *Director) probe(now time.Time, req *request) *endpoint {
-	if !d.opts.Outcomes || req.endpoint != nil || len(req.tried) > 0 || req.relayed || !req.hasRetryLeft() {
+	if !d.opts.Outcomes || req.endpoint != nil || len(req.tried) > 0 || req.relayed || !req.hasRetryLeft() || !d.canRetry(now, req) {
 		return nil
 	}
 	for _, e := range req.service.endpoints {
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"snipedyke/internal/logger"
+	"snipedyke/internal/pacer"
 	"snipedyke/internal/router"
 )
 
@@ -148,11 +149,12 @@
 			d.recordErrorStatus(now, req, e)
 		} else {
 			d.recordOutcome(now, e, false)
-			d.settleErrors(now, req, true)
+			d.attributeErrors(now, req, true)
 		}
 	case Declined:
 		d.confirmAddress(now, e)
-		d.recordOutcome(now, e, false)
+		// An endpoint that leaves or asks for time says so, and gets no requests for that.
+		d.recordOutcome(now, e, !e.leaving() && !e.pausedUntil().After(now))
 	case Misdirected, Unreached:
 		if f.Result == Misdirected {
 			d.handleMisdirected(now, req, e, f)
@@ -161,8 +163,13 @@
 		}
 		d.suspend(now, e, f.Result)
 		d.isolator.RecordEnded(now, e.number)
-	case Broken, TimedOut:
+	case Broken:
 		d.recordOutcome(now, e, true)
+	case TimedOut:
+		// A caller with little time left says nothing about the endpoint.
+		if f.Took >= firstByteFactor*req.route.LatencyTarget {
+			d.recordOutcome(now, e, true)
+		}
 	case Cancelled, Unsent:
 	}
 	if f.Cold > 0 {
@@ -185,7 +192,8 @@
 			}
 		}
 	}
-	d.settleErrors(now, req, false)
+	// Two endpoints with an error mean that it is the request's.
+	d.attributeErrors(now, req, len(req.erred) == 1)
 	if f.Status < http.StatusInternalServerError {
 		req.recordDuration(now.Sub(req.arrivedAt))
 	}
@@ -195,6 +203,7 @@
 			req.service.splitter.NoteMixedStream(req.longestPause > req.route.MaxPause)
 		}
 	}
+	req.withdrawRetry()
 	d.emit(Relay{ID: req.ID})
 	d.emit(Observe{Kind: req.route.Kind, Value: now.Sub(req.arrivedAt)})
 	d.logAnswered(now, req, e, f)
@@ -211,7 +220,7 @@
 // request.
 func (d *Director) chooseAdmitted(now time.Time, req *request) (chosen, holder *endpoint) {
 	e, holder := d.choose(now, req)
-	if e != nil && d.engineOf(req) != nil {
+	if e != nil && d.opts.Outcomes && d.engineOf(req) != nil {
 		e = d.admit(now, req, e)
 	}
 
@@ -236,15 +245,26 @@
 // an endpoint, and then for a connection.
 const retryMargin = maxMoveWait + 500*time.Millisecond
 
+// retryBudget returns the node's share of the retry budget of a request's service.
+func (d *Director) retryBudget(req *request) *pacer.Budget {
+	budget := &req.service.retryBudget
+	budget.Slack = d.opts.RetrySlack / float64(d.fleet.size())
+
+	return budget
+}
+
+// canRetry reports whether the retry budget would allow another attempt.
+func (d *Director) canRetry(now time.Time, req *request) bool {
+	return !d.sharesSpent(now, d.opts.RetryWindow) && d.retryBudget(req).Allows(now)
+}
+
 // mayRetry reports whether the node's share of the retry budget allows another
 // attempt, and uses up the budget if it does.
 func (d *Director) mayRetry(now time.Time, req *request) bool {
 	if d.sharesSpent(now, d.opts.RetryWindow) {
 		return false
 	}
-	budget := &req.service.retryBudget
-	budget.Slack = d.opts.RetrySlack / float64(d.fleet.size())
-	if !budget.AllowRetry(now) {
+	if !d.retryBudget(req).AllowRetry(now) {
 		return false
 	}
 	req.retriedAt, req.retryPending = now, true
--- a/internal/director/queue.go
+++ b/internal/director/queue.go
@@ -70,9 +70,9 @@
 // take. Callers do not wait longer for a second attempt.
 const maxRetryAfterPart = 1.0 / 3
 
-// roomIn returns the time after which engines admit requests like the given one again, by
-// the mean of what waits at them.
-func (d *Director) roomIn(now time.Time, req *request) time.Duration {
+// timeUntilRoom returns the time after which engines admit requests like the given one
+// again, by the mean of what waits at them. It is zero if their speeds are not learned.
+func (d *Director) timeUntilRoom(now time.Time, req *request) time.Duration {
 	if !d.opts.Speeds || !req.usesEngine {
 		return 0
 	}
--- a/internal/director/refusal.go
+++ b/internal/director/refusal.go
@@ -61,7 +61,7 @@
 		if status == http.StatusServiceUnavailable {
 			retryAfter = minRetryAfter
 			if reason == ReasonOverload || reason == ReasonAccountShare {
-				retryAfter = max(retryAfter, d.roomIn(now, req))
+				retryAfter = max(retryAfter, d.timeUntilRoom(now, req))
 			}
 			if reason == ReasonHarmful {
 				retryAfter = harmfulRetryAfter
@@ -121,6 +121,7 @@
 	}
 	d.release(req)
 	d.releaseReservation(req)
+	req.withdrawRetry()
 	d.emit(Count{Counter: CounterRefusals, Label: string(ReasonInternal)})
 	delete(d.requests, id)
 }
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -349,10 +349,31 @@
 	}
 	if failing == len(d.candidateBuffer) {
 		// There is nothing better.
-		return d.candidateBuffer
+		return d.withSlots(req, d.candidateBuffer)
 	}
 
-	return d.candidateBuffer[failing:]
+	return d.withSlots(req, d.candidateBuffer[failing:])
+}
+
+// withSlots returns the engines that have a slot for a request in time, or all if none has.
+// The slowness and the risk of losing a request can make a full engine the best one.
+func (d *Director) withSlots(req *request, engines []*chooser.Engine) []*chooser.Engine {
+	if !req.usesEngine || !d.opts.Outcomes && !d.opts.Speeds {
+		return engines
+	}
+	slots := d.slotsOf(req)
+	full := 0
+	for i, e := range engines {
+		if slots > 0 && e.Running() >= slots {
+			engines[full], engines[i] = engines[i], engines[full]
+			full++
+		}
+	}
+	if full == len(engines) {
+		return engines
+	}
+
+	return engines[full:]
 }
 
 // takes reports whether an endpoint of the request's service can receive the
--- a/internal/director/speed.go
+++ b/internal/director/speed.go
@@ -72,11 +72,13 @@
 	if !d.opts.Speeds {
 		return
 	}
-	for busy, sum := range map[bool]encoder.SpeedSum{false: o.Light, true: o.Busy} {
+	record := func(busy bool, sum encoder.SpeedSum) {
 		if sum.Samples > 0 {
 			e.observed.speed.Record(now, busy, sum.Samples, float64(sum.Log)/encoder.LogUnits)
 		}
 	}
+	record(false, o.Light)
+	record(true, o.Busy)
 }
 
 // setSlowness sets the slowness of the engines of a service, relative to their mean. What
@@ -128,6 +130,10 @@
 	if !d.opts.Speeds {
 		return s.estimator.Admit(pending, target, gap)
 	}
+	if pending == 0 && e.load.Running() == 0 {
+		// The model learns only from requests that are admitted, and may be too slow.
+		return true
+	}
 	m, slowness := &s.model, e.load.Slowness.Factor(e.load.Running())
 	ahead := profiler.Load{Tokens: pending * s.mix.ahead(priority), Running: e.load.Running() + 1}
 	pendingTime := slowness * float64(m.Expect(ahead))
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -85,9 +85,19 @@
 // regular intervals.
 const windowSteps = 40
 
-// AllowRetry reports whether a retry is allowed, and records it if it is. It must be
-// allowed in all windows that include it, even if no requests follow.
+// AllowRetry reports whether a retry is allowed, and records it if it is.
 func (b *Budget) AllowRetry(now time.Time) bool {
+	if !b.Allows(now) {
+		return false
+	}
+	b.retries = append(b.retries, now)
+
+	return true
+}
+
+// Allows reports whether a retry is allowed. It must be allowed in all windows that
+// include it, even if no requests follow.
+func (b *Budget) Allows(now time.Time) bool {
 	b.requests = trim(b.requests, now.Add(-2*b.Window))
 	b.retries = trim(b.retries, now.Add(-b.Window-b.Margin))
 	if float64(len(b.retries)+1) > b.Ratio*float64(count(b.requests, now.Add(-b.Window), b.Window))+b.Slack {
@@ -104,7 +114,6 @@
 			return false
 		}
 	}
-	b.retries = append(b.retries, now)
 
 	return true
 }
--- a/pkg/encoder/observation.go
+++ b/pkg/encoder/observation.go
@@ -31,8 +31,7 @@
 }
 
 // ObservationList is a list of observations. Each is encoded in 9 bytes: 3 for
-// the endpoint and one for each number, which is clamped to the range of a uint8 or,
-// for SpeedSum.Log, of an int8.
+// the endpoint and one for each number. Sums that do not fit are scaled down.
 type ObservationList []Observation
 
 const observationSize = 9
@@ -93,6 +92,7 @@
 func (l ObservationList) pack() []byte {
 	b := make([]byte, 0, observationSize*len(l))
 	for _, o := range l {
+		o = o.scaled()
 		b = append(b, byte(o.Endpoint>>16), byte(o.Endpoint>>8), byte(o.Endpoint), count(o.Attempts), count(o.Failures),
 			count(o.Light.Samples), fit(o.Light.Log), count(o.Busy.Samples), fit(o.Busy.Log))
 	}
@@ -100,6 +100,37 @@
 	return b
 }
 
+// scaled returns the observation with sums that fit into their bytes. Sums that belong
+// together keep their ratio.
+func (o Observation) scaled() Observation {
+	if o.Attempts > math.MaxUint8 {
+		o.Failures = o.Failures * math.MaxUint8 / o.Attempts
+		o.Attempts = math.MaxUint8
+	}
+	o.Light, o.Busy = o.Light.scaled(), o.Busy.scaled()
+
+	return o
+}
+
+func (s SpeedSum) scaled() SpeedSum {
+	factor := 1.0
+	if s.Samples > math.MaxUint8 {
+		factor = math.MaxUint8 / float64(s.Samples)
+	}
+	limit := float64(math.MaxInt8)
+	if s.Log < 0 {
+		limit = -math.MinInt8
+	}
+	if size := math.Abs(float64(s.Log)); factor*size > limit {
+		factor = limit / size
+	}
+	if factor == 1 {
+		return s
+	}
+
+	return SpeedSum{Samples: max(int(factor*float64(s.Samples)), 1), Log: int(factor * float64(s.Log))}
+}
+
 func count(n int) byte { return byte(min(max(n, 0), math.MaxUint8)) }
 
 func (l *ObservationList) unpack(b []byte) error {
--- a/pkg/encoder/shift_test.go
+++ b/pkg/encoder/shift_test.go
@@ -44,9 +44,10 @@
 		c.Check(decoded, qt.DeepEquals, m)
 	}
 	var o ObservationList
-	_, err := o.UnmarshalMsg(ObservationList{{Attempts: 1000, Failures: 256, Light: SpeedSum{Log: -1000}}}.appendTo(nil))
+	_, err := o.UnmarshalMsg(ObservationList{{Attempts: 510, Failures: 100, Light: SpeedSum{100, -254}, Busy: SpeedSum{510, 100}}}.appendTo(nil))
 	c.Assert(err, qt.IsNil)
-	c.Check(o, qt.DeepEquals, ObservationList{{Attempts: 255, Failures: 255, Light: SpeedSum{Log: -128}}})
+	// The shares and means are kept.
+	c.Check(o, qt.DeepEquals, ObservationList{{Attempts: 255, Failures: 50, Light: SpeedSum{50, -128}, Busy: SpeedSum{255, 50}}})
 	var d DemandList
 	_, err = d.UnmarshalMsg([]byte{0xc4, 4, 1, 2, 3, 4})
 	c.Check(err, qt.ErrorMatches, "encoder: .*")
