--- a/internal/director/account_test.go
+++ b/internal/director/account_test.go
@@ -143,7 +143,7 @@
 		ids = append(ids, id)
 	}
 	waiting := n.lastID
-	n.Director.release(n.requests[ids[0]])
+	n.release(n.requests[ids[0]])
 	n.post(Arrived{Request{ID: 1000, Name: "new", Host: "h", Path: "/draft/", Key: "club", Need: chooser.Need{PromptTokens: 9000}}})
 	dispatch, sent := find[Dispatch](n.effects)
 	c.Check(sent, qt.IsTrue)
@@ -156,7 +156,7 @@
 	c := qt.New(t)
 	n := overloadedNode()
 	n.opts.Speeds = true
-	var delays []time.Duration
+	delays := make([]time.Duration, 0, 3)
 	tokensPerSecond := 1000 / n.services["model"].model.PrefillTime(1000).Seconds()
 	for _, seconds := range []float64{0.6, 1.8, 20} {
 		for _, e := range n.endpoints {
--- a/internal/profiler/model.go
+++ b/internal/profiler/model.go
@@ -28,7 +28,7 @@
 // initialTerms holds the initial base time, time per prompt token and time per
 // running request in milliseconds. They are below the speed of common engines,
 // so that the first burst after a start does not overload an engine.
-var initialTerms = [termCount]float64{termBase: 30, termToken: 1.0 / 50, termRunning: 0.3}
+var initialTerms = [termCount]float64{termBase: 30, termToken: 1.0 / 25, termRunning: 0.3}
 
 // initialVariance holds the variances of the logarithms of the initial terms.
 var initialVariance = [termCount]float64{termBase: 0.6, termToken: 0.6, termRunning: 0.6}
