--- a/internal/aggregator/update_test.go
+++ b/internal/aggregator/update_test.go
@@ -16,8 +16,10 @@
 	*fleet
 	own     []map[uint32]encoder.Load
 	changed []shifts
-	rng     *rand.Rand
-	ticks   int
+	// observed holds what each node has observed and not yet reported.
+	observed [][]encoder.Observation
+	rng      *rand.Rand
+	ticks    int
 	// updateBytes counts the bytes of updates, including the replies to them.
 	updateBytes int
 }
@@ -28,7 +30,7 @@
 		s.own = append(s.own, map[uint32]encoder.Load{})
 		s.changed = append(s.changed, shifts{})
 	}
-	s.loads = make([][]encoder.Load, nodes)
+	s.loads, s.observed = make([][]encoder.Load, nodes), make([][]encoder.Observation, nodes)
 
 	return s
 }
@@ -64,7 +66,8 @@
 		c := (&delta{shifts: s.changed[i]}).change(s.centre[addr], nil)
 		s.changed[i] = shifts{}
 		before := s.bytes
-		s.deliver(addr, s.nodes[addr].Update(s.now, c, nil))
+		s.deliver(addr, s.nodes[addr].Update(s.now, c, s.observed[i]))
+		s.observed[i] = nil
 		s.updateBytes += s.bytes - before
 		if s.ticks%int(Interval/UpdateInterval) == 0 {
 			own := encoder.LoadSum{Loads: sortedLoads(s.own[i])}
@@ -158,21 +161,36 @@
 func TestBytesAtTheTargetSize(t *testing.T) {
 	c := qt.New(t)
 	const nodes, centres, endpoints, rate = 330, 9, 2100, 2600
+	for _, observes := range []bool{false, true} {
+		all, updates := bytesAtTheTargetSize(nodes, centres, endpoints, rate, observes)
+		t.Logf("observations %t: %.0f bytes per node and second, %.0f of them updates and observations", observes, all, updates)
+		c.Check(all <= 19_000, qt.IsTrue, qt.Commentf("%.0f bytes per node and second", all))
+	}
+}
+
+// bytesAtTheTargetSize returns the bytes that a node sends per second, and those of
+// updates and observations among them. If observes is set, nodes report the time to the
+// first token of each request.
+func bytesAtTheTargetSize(nodes, centres, endpoints, rate int, observes bool) (all, updates float64) {
 	f := newUpdatingFleet(nodes, centres)
 	for range int(2 * time.Second / UpdateInterval) {
 		f.step()
 	}
 	f.bytes, f.updateBytes = 0, 0
 	const seconds = 1
+	updateRate := int(time.Second / UpdateInterval)
 	type run struct {
 		node     int
 		endpoint uint32
 	}
 	var running []run
-	for range int(seconds * time.Second / UpdateInterval) {
-		for range int(rate * UpdateInterval / time.Second) {
+	for range seconds * updateRate {
+		for range rate / updateRate {
 			r := run{f.rng.IntN(nodes), uint32(f.rng.IntN(endpoints)) + 1<<20}
 			f.place(r.node, r.endpoint, 1, 10)
+			if observes {
+				f.observed[r.node] = append(f.observed[r.node], encoder.Observation{Endpoint: r.endpoint, Light: encoder.SpeedSum{Samples: 1, Log: 3}})
+			}
 			running = append(running, r)
 			if len(running) > rate {
 				old := running[0]
@@ -182,9 +200,33 @@
 		}
 		f.step()
 	}
-	all, updates := float64(f.bytes)/nodes/seconds, float64(f.updateBytes)/nodes/seconds
-	t.Logf("%.0f bytes per node and second, %.0f of them updates", all, updates)
-	c.Check(all <= 19_000, qt.IsTrue, qt.Commentf("%.0f bytes per node and second", all))
+
+	return float64(f.bytes) / float64(nodes) / seconds, float64(f.updateBytes) / float64(nodes) / seconds
+}
+
+// Guards against observations that come back to the node that made them, that reach a node
+// twice, or that do not reach all nodes within a tenth of a second: an endpoint that fails
+// each request would draw work until then.
+func TestObservationsReachEachOtherNodeOnce(t *testing.T) {
+	c := qt.New(t)
+	f := newUpdatingFleet(24, 3)
+	for range 4 * int(time.Second/UpdateInterval) {
+		f.step()
+	}
+	for i := range f.order {
+		f.observed[i] = []encoder.Observation{{Endpoint: 7, Attempts: 2, Failures: 1}}
+	}
+	for range int(100 * time.Millisecond / UpdateInterval) {
+		f.step()
+	}
+	for _, addr := range f.order {
+		var total encoder.Observation
+		for _, o := range f.nodes[addr].Observations() {
+			c.Check(o.Endpoint, qt.Equals, uint32(7))
+			total.Attempts, total.Failures = total.Attempts+o.Attempts, total.Failures+o.Failures
+		}
+		c.Check(total, qt.Equals, encoder.Observation{Attempts: 46, Failures: 23}, qt.Commentf("node %s", addr))
+	}
 }
 
 // Guards against changes that an update has no room for and that then wait
