--- a/internal/admitter/shedder.go
+++ b/internal/admitter/shedder.go
@@ -1,6 +1,9 @@
 package admitter
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // yieldTime is how long less urgent requests leave room after a refusal. It is
 // shorter than a burst, and longer than the time in which a node of a large
@@ -33,6 +36,9 @@
 	refusals map[Class]refusal
 }
 
+// Clone returns an independent copy.
+func (s *Shedder) Clone() Shedder { return Shedder{refusals: maps.Clone(s.refusals)} }
+
 // RecordRefusal records that a request was refused because of overload.
 func (s *Shedder) RecordRefusal(now time.Time, c Class, d Demand) {
 	if s.refusals == nil {
--- a/internal/chooser/engine.go
+++ b/internal/chooser/engine.go
@@ -14,6 +14,7 @@
 package chooser
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -67,6 +68,8 @@
 	Slowness Slowness
 
 	hash uint64
+	// compared reports whether the last choice compared the cost of the engine.
+	compared bool
 	// servesLong reports whether the engine was assigned to long prompts in the
 	// last choice, and lastLongPrefill is when it was last known to have long
 	// prompts to prefill.
@@ -130,6 +133,20 @@
 // cost returns the load by which an engine is compared for the request to be placed.
 func (e *Engine) cost() float64 { return e.weightedLoad() + e.Loss }
 
+// Cost returns the load by which engines in different data centres are compared for the
+// request to be placed.
+func (e *Engine) Cost() float64 {
+	if e.Local {
+		return e.cost()
+	}
+
+	return e.cost() + remoteLoad
+}
+
+// Compared reports whether the last choice with the engine as a candidate compared its
+// cost. Others are of the other group, or not in the sample of the request.
+func (e *Engine) Compared() bool { return e.compared }
+
 const (
 	// loadPerRequest is the load of one running request.
 	loadPerRequest = 0.5
@@ -224,6 +241,14 @@
 	partUses map[uint64]partUse
 }
 
+// Clone returns an independent copy.
+func (s *Splitter) Clone() Splitter {
+	c := *s
+	c.partUses = maps.Clone(s.partUses)
+
+	return c
+}
+
 // AddRunning adds a running request, or removes one if sign is -1.
 func (s *Splitter) AddRunning(n Need, sign int) {
 	if n.Long() {
@@ -352,6 +377,9 @@
 	if len(engines) == 0 {
 		return Choice{}
 	}
+	for _, e := range engines {
+		e.compared = false
+	}
 	s.updateAverages(now)
 	own, _ := s.split(n, slots, engines)
 	if n.Long() && n.SharedHash != 0 {
@@ -500,7 +528,11 @@
 		}
 	}
 	for _, e := range ranked {
-		if e != nil && e.cost() <= bound {
+		if e == nil {
+			continue
+		}
+		e.compared = true
+		if e.cost() <= bound {
 			return e
 		}
 	}
@@ -517,10 +549,8 @@
 	var best *Engine
 	lowest := 0.0
 	for _, e := range engines {
-		load := e.cost()
-		if !e.Local {
-			load += remoteLoad
-		}
+		e.compared = true
+		load := e.Cost()
 		if best == nil || load < lowest {
 			best, lowest = e, load
 		}
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -124,16 +124,31 @@
 }
 
 // usable reports whether an endpoint can receive a request now.
-func (d *Director) usable(now time.Time, e *endpoint) bool {
-	if !d.registrar.Usable(e.entry.ID) || d.displaced(now, e) || e.leaving() || now.Before(e.pausedUntil()) || now.Before(e.suspendedUntil) {
-		return false
+func (d *Director) usable(now time.Time, e *endpoint) bool { return d.obstacle(now, e) == "" }
+
+// obstacle returns why an endpoint cannot receive a request now, or an empty state if it
+// can.
+func (d *Director) obstacle(now time.Time, e *endpoint) State {
+	switch {
+	case !d.registrar.Usable(e.entry.ID) && e.entry.Draining:
+		return StateDraining
+	case !d.registrar.Usable(e.entry.ID):
+		return StateOut
+	case d.displaced(now, e):
+		return StateDisplaced
+	case e.leaving():
+		return StateLeaving
+	case now.Before(e.pausedUntil()):
+		return StatePaused
+	case now.Before(e.suspendedUntil):
+		return StateSuspended
+	case now.Before(e.coldUntil) && !e.pacer.Allowed(now, d.coldLimit(now, e), coldWindow):
+		return StateCold
+	case !d.withinLimit(now, e):
+		return StateLimited
+	default:
+		return ""
 	}
-
-	if now.Before(e.coldUntil) && !e.pacer.Allowed(now, d.coldLimit(now, e), coldWindow) {
-		return false
-	}
-
-	return d.withinLimit(now, e)
 }
 
 // suspend stops new requests to an endpoint that could not be reached. It may
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -98,6 +98,8 @@
 	// shareRejected whether the preferred engine did not admit it for that. counted reports
 	// whether the request counts as admitted.
 	beyondShare, shareRejected, counted bool
+	// waitReason is why the request was last queued, or empty.
+	waitReason Reason
 	// rejection is why the preferred engine did not admit the request, or empty.
 	rejection string
 	// lastCause describes why the last attempt failed, for the log.
@@ -169,41 +171,57 @@
 // handleArrival places a new request or refuses it.
 func (d *Director) handleArrival(now time.Time, q Request) {
 	req := &request{Request: q, arrivedAt: now}
+	switch {
+	case !d.receive(now, req):
+	case req.Continues && req.resumable():
+		d.takeUp(now, req)
+	default:
+		d.placeInTurn(now, req)
+	}
+}
+
+// resumable reports whether callers can take up the streams of the request's route again.
+func (r *request) resumable() bool { return r.route.Kind == router.Stream && r.route.Resumable }
+
+// receive finds the route, the account and the service of a new request and counts it.
+// It refuses the request if it lacks one of them, and reports whether it has not.
+func (d *Director) receive(now time.Time, req *request) bool {
+	q := &req.Request
 	d.requests[q.ID] = req
 	if d.table == nil || !d.entriesListed {
 		d.refuse(now, req, http.StatusServiceUnavailable, ReasonNotReady)
 
-		return
+		return false
 	}
 	fresh := !d.confirmedAt.IsZero() && now.Sub(d.confirmedAt) <= d.opts.FreshView && !d.lacksTable(now)
 	req.route = d.table.Route(q.Host, q.Path)
 	if req.route == nil {
 		d.refuseUnknown(now, req, fresh, http.StatusNotFound, ReasonNoRoute)
 
-		return
+		return false
 	}
 	if !req.route.Public {
 		if !d.keysValid(now) {
 			d.refuse(now, req, http.StatusServiceUnavailable, ReasonStaleView)
 
-			return
+			return false
 		}
 		if req.account = d.table.Account(q.Key); req.account == nil {
 			d.refuseUnknown(now, req, fresh, http.StatusUnauthorized, ReasonNoKey)
 
-			return
+			return false
 		}
 	}
 	if limit := d.table.MaxBodyBytes(); limit > 0 && q.Body > limit {
 		d.refuse(now, req, http.StatusRequestEntityTooLarge, ReasonTooLarge)
 
-		return
+		return false
 	}
 	req.expiresAt = now.Add(req.route.Timeout)
 	if q.Deadline > 0 && q.Deadline < req.route.Timeout {
 		req.expiresAt = now.Add(q.Deadline)
 	}
-	resumable := req.route.Kind == router.Stream && req.route.Resumable
+	resumable := req.resumable()
 	first := q.Name
 	if q.Continues && resumable {
 		first = q.Resumes
@@ -221,12 +239,8 @@
 		req.usesEngine = true
 	}
 	d.offerDemand(now, req)
-	if q.Continues && resumable {
-		d.takeUp(now, req)
 
-		return
-	}
-	d.placeInTurn(now, req)
+	return true
 }
 
 func (d *Director) engineOf(req *request) *router.Engine {
@@ -337,7 +351,7 @@
 		if !d.takes(now, req, e) {
 			continue
 		}
-		e.load.Loss, e.load.Slowness = d.loss(now, req, e), d.slowness(now, e, slots)
+		d.setTerms(now, req, e, slots)
 		d.candidateBuffer = append(d.candidateBuffer, e.load)
 		if e.observed.failing {
 			last := len(d.candidateBuffer) - 1
@@ -353,6 +367,11 @@
 	return d.candidateBuffer[failing:]
 }
 
+// setTerms sets the terms of the cost of an endpoint that depend on the request.
+func (d *Director) setTerms(now time.Time, req *request, e *endpoint, slots int) {
+	e.load.Loss, e.load.Slowness = d.loss(now, req, e), d.slowness(now, e, slots)
+}
+
 // takes reports whether an endpoint of the request's service can receive the
 // request now.
 func (d *Director) takes(now time.Time, req *request, e *endpoint) bool {
@@ -475,6 +494,7 @@
 
 		return
 	}
+	req.waitReason = reason
 	if !req.queued {
 		req.queued, req.wasQueued = true, true
 		d.waiting = append(d.waiting, req)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -342,6 +342,15 @@
 	return f.director.Status(f.opts.Clock())
 }
 
+// Explain returns where a request would go now, and why, without sending it. If account is
+// not empty, it names the account of the caller.
+func (f *Forwarder) Explain(q director.Request, account string) director.Placement {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.director.Explain(f.opts.Clock(), q, account)
+}
+
 // Load returns the load that the node places on endpoints.
 func (f *Forwarder) Load() encoder.LoadSum {
 	f.mu.Lock()
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -37,6 +37,9 @@
 	slices.SortFunc(p.sent, time.Time.Compare)
 }
 
+// Clone returns an independent copy.
+func (p *Pacer) Clone() Pacer { return Pacer{Longest: p.Longest, sent: slices.Clone(p.sent)} }
+
 // Withdraw removes a request that was recorded for the given time but not sent.
 func (p *Pacer) Withdraw(at time.Time) {
 	if i := slices.IndexFunc(p.sent, at.Equal); i >= 0 {
@@ -70,6 +73,14 @@
 	begun time.Time
 }
 
+// Clone returns an independent copy.
+func (b *Budget) Clone() Budget {
+	c := *b
+	c.requests, c.retries = slices.Clone(b.requests), slices.Clone(b.retries)
+
+	return c
+}
+
 // RecordRequest records the first attempt of a request.
 func (b *Budget) RecordRequest(now time.Time) {
 	b.requests = append(trim(b.requests, now.Add(-2*b.Window)), now)
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -347,6 +347,17 @@
 // Account returns the account that owns the key, or nil.
 func (t *Table) Account(key string) *Account { return t.keys[key] }
 
+// Key returns a key of the named account, and reports whether there is one.
+func (t *Table) Key(account string) (string, bool) {
+	for key, a := range t.keys {
+		if a.Name == account {
+			return key, true
+		}
+	}
+
+	return "", false
+}
+
 // ErrorKind classifies an Error.
 type ErrorKind string
 
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -93,6 +94,18 @@
 	return &Sharer{own: map[Key]*rate{}, groups: map[uint16]int{}}
 }
 
+// Clone returns an independent copy.
+func (s *Sharer) Clone() *Sharer {
+	c := *s
+	c.own, c.groups, c.shares = make(map[Key]*rate, len(s.own)), maps.Clone(s.groups), maps.Clone(s.shares)
+	for k, r := range s.own {
+		copied := *r
+		c.own[k] = &copied
+	}
+
+	return &c
+}
+
 // Record counts the prompt tokens of a request of this node: as offered if admitted is
 // false, and as admitted otherwise. It is called once when the request arrives and once
 // when it is first sent to an endpoint; further attempts are not recorded, since they
