--- a/cmd/snipedyke/main.go
+++ b/cmd/snipedyke/main.go
@@ -41,6 +41,7 @@
 	Leave     *leaveCommand     `arg:"subcommand:leave" help:"shut a node down gracefully"`
 	Trace     *traceCommand     `arg:"subcommand:trace" help:"download a node's recording"`
 	Explain   *explainCommand   `arg:"subcommand:explain" help:"print the log lines about one request"`
+	Place     *placeCommand     `arg:"subcommand:place" help:"show where a routing node would send a request now, and why"`
 	Replay    *replayCommand    `arg:"subcommand:replay" help:"replay trace files and check their stated outcomes"`
 	Demo      *demoCommand      `arg:"subcommand:demo" help:"run both deployments with stand-ins and a short mixed load"`
 	Version   *versionCommand   `arg:"subcommand:version" help:"print the version"`
--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -274,7 +274,7 @@
 	wg.Go(func() { n.exchanger.Run(background) })
 	wg.Go(func() { n.serveHTTP(n.readiness, n.handleReadiness) })
 	if n.metrics != nil {
-		wg.Go(func() { n.serveHTTP(n.metrics, n.handleMetrics) })
+		wg.Go(func() { n.serveHTTP(n.metrics, n.handleMonitoring) })
 	}
 	err := n.forwarder.Run(ctx)
 	stop()
@@ -350,6 +350,16 @@
 	write("requests_waiting", float64(s.Waiting))
 }
 
+// handleMonitoring responds with the placement of a described request on the path /place,
+// and with the metrics on others.
+func (n *RoutingNode) handleMonitoring(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == "/place" {
+		n.handlePlace(ctx)
+	} else {
+		n.handleMetrics(ctx)
+	}
+}
+
 // handleMetrics responds with the metrics in the Prometheus text format.
 func (n *RoutingNode) handleMetrics(ctx *fasthttp.RequestCtx) {
 	ctx.SetContentType("text/plain; version=0.0.4")
