--- a/internal/director/explain.go
+++ b/internal/director/explain.go
@@ -72,7 +72,7 @@
 	OutcomeRejected Outcome = "rejected"
 )
 
-// State tells whether an endpoint can receive a request, and if not, why.
+// State is whether an endpoint can receive a request, and if not, why.
 type State string
 
 // The states of endpoints. Those from StateDraining on are no candidates.
--- a/internal/forwarder/responsehead.go
+++ b/internal/forwarder/responsehead.go
@@ -17,7 +17,8 @@
 )
 
 // peekHead waits for the next head and returns it without consuming it. It ends
-// with the blank line, and its status is from 100 to 599. The parser, which reads it next, does not report
+// with the blank line, and its status is from 100 to 599. The parser, which reads it
+// next, does not report
 // everything that decides whether the response can be complete.
 func peekHead(br *bufio.Reader) ([]byte, error) {
 	for n := 1; ; n = br.Buffered() + 1 {
