Log attempts that endpoints cut off, and what is isolated

Requests now have a hash of their account and content; event 751 names it for each attempt that was cut off, 752 and 753 say what is refused for it, and the gauges suspects and suspects_isolated count. No decision changes.

--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -342,6 +342,8 @@
 	write("endpoints_cold", float64(s.Cold))
 	write("endpoints_limited", float64(s.Limited))
 	write("endpoints_failing", float64(s.Failing))
+	write("suspects", float64(s.Suspected))
+	write("suspects_isolated", float64(s.Isolated))
 	memory := n.forwarder.Memory()
 	write("memory_budget_bytes", float64(memory.Limit))
 	write("memory_budget_used_bytes", float64(memory.Used))
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -241,6 +241,7 @@
 	case ShutdownEnded:
 		d.logCutOff(now)
 	}
+	d.logIsolations(now)
 	d.checkReady(now)
 
 	return d.effects
@@ -277,7 +278,10 @@
 	// Limited that of those that have named a limit of requests. Failing is the number of
 	// those that get only probe requests because they fail most requests.
 	Leaving, Paused, Displaced, Cold, Limited, Failing int
-	Ready                                              bool
+	// Suspected is the number of prompt parts under which endpoints have cut off
+	// answers, and Isolated that of those whose requests are refused.
+	Suspected, Isolated int
+	Ready               bool
 }
 
 // Status returns the current status.
@@ -286,6 +290,7 @@
 		Age: d.Age(now), Nodes: d.fleet.size(), Endpoints: d.registrar.Len(),
 		Requests: len(d.requests), Waiting: len(d.waiting), Ready: d.ready,
 	}
+	s.Suspected, s.Isolated = d.isolator.Counts()
 	for _, e := range d.endpoints {
 		if e.leaving() {
 			s.Leaving++
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -46,6 +46,10 @@
 	Deadline time.Duration
 	// Body is the size of the body in bytes.
 	Body int
+	// Content is a hash of the method, the host, the path with the query, and the
+	// body. Requests of one account with the same content are the same request, sent
+	// again.
+	Content uint32
 	// Need describes what the request needs from a model engine.
 	Need chooser.Need
 }
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -70,8 +70,8 @@
 		// The attempt may have begun before.
 		d.emit(CloseIdleConnections{Address: e.entry.Address})
 	}
-	if e != nil && req.usesEngine && f.Result == Broken && !f.Relayed {
-		d.isolator.RecordCutOff(now, req.Need.SharedParts, e.number)
+	if e != nil && f.Result == Broken {
+		d.recordCutOff(now, req, e, f)
 	}
 	if req.callerGone {
 		d.abandon(req, ReasonGone)
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -305,18 +304,6 @@
 	d.dispatch(now, req, e, holder)
 }
 
-// failIsolated ends a request if its prompt has a part that is isolated, and
-// reports whether it has.
-func (d *Director) failIsolated(now time.Time, req *request) bool {
-	part, isolated := d.isolator.Isolated(now, req.Need.SharedParts)
-	if isolated {
-		req.lastCause = "engines have crashed under prompts with part " + strconv.FormatUint(part, 16)
-		d.fail(now, req, ReasonHarmful)
-	}
-
-	return isolated
-}
-
 // choose returns the endpoint for a request, or nil, and the endpoint that
 // probably has the shared parts of its prompt in its cache, or nil.
 func (d *Director) choose(now time.Time, req *request) (chosen, holder *endpoint) {
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -106,7 +106,7 @@
 	c.conn.watch(func() { f.Post(director.CallerDisconnected{ID: c.id}) })
 	f.Post(director.Arrived{Request: director.Request{
 		ID: c.id, Name: metadata.AttemptID, Continues: metadata.Continues, Resumes: metadata.Resumes, Key: metadata.APIKey, Deadline: metadata.Deadline, Need: metadata.Need,
-		Body: len(body),
+		Body: len(body), Content: contentHash(&ctx.Request.Header, body),
 		Host: hostName(ctx.Request.Header.Host()), Path: rawPath(ctx.Request.Header.RequestURI()),
 	}})
 	if !c.run(ctx) {
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -68,8 +68,56 @@
 	parts map[uint64]*part
 	// endedAt holds the time at which an endpoint was found to have ended.
 	endedAt map[uint32]time.Time
+	// reported holds what Changes has reported as isolated. changed reports whether
+	// observations have come since, and checkedAt is the time of the last call that has
+	// looked at them.
+	reported  map[uint64]bool
+	changed   bool
+	checkedAt time.Time
 }
 
+// Change is the begin or the end of an isolation.
+type Change struct {
+	Part uint64
+	// Ends is the number of endpoints that have ended under requests with the part,
+	// or zero if it is no longer isolated.
+	Ends int
+}
+
+// checkInterval is how often Changes looks for isolations that have expired.
+const checkInterval = time.Second
+
+// Changes returns the isolations that have begun or ended since the last call.
+func (s *Isolator) Changes(now time.Time) []Change {
+	if !s.changed && (len(s.reported) == 0 || now.Sub(s.checkedAt) < checkInterval) {
+		return nil
+	}
+	s.changed, s.checkedAt = false, now
+	var list []Change
+	for id := range s.reported {
+		if !s.isolated(now, s.parts[id]) {
+			delete(s.reported, id)
+			list = append(list, Change{Part: id})
+		}
+	}
+	for id, p := range s.parts {
+		if !s.reported[id] && s.isolated(now, p) {
+			if s.reported == nil {
+				s.reported = map[uint64]bool{}
+			}
+			s.reported[id] = true
+			list = append(list, Change{Part: id, Ends: len(p.cutOffs)})
+		}
+	}
+	slices.SortFunc(list, func(a, b Change) int { return cmp.Compare(a.Part, b.Part) })
+
+	return list
+}
+
+// Counts returns the number of parts that are suspected and, of these, of those that are
+// isolated, as of the last call of Changes.
+func (s *Isolator) Counts() (suspected, isolated int) { return len(s.parts), len(s.reported) }
+
 // RecordCutOff records that an endpoint has cut off a request with the given
 // parts before its answer began.
 func (s *Isolator) RecordCutOff(now time.Time, parts []uint64, endpoint uint32) {
@@ -92,6 +140,7 @@
 		s.parts[id] = p
 	}
 	if _, known := p.cutOffs[endpoint]; !known && at.After(p.soundAt) {
+		s.changed = true
 		ended, found := s.endedAt[endpoint]
 		p.cutOffs[endpoint] = cutOff{at: at, ended: found && ended.Sub(at).Abs() < confirmationTime}
 	}
@@ -113,6 +162,7 @@
 	for _, p := range s.parts {
 		if c, known := p.cutOffs[endpoint]; known && at.Sub(c.at).Abs() < confirmationTime {
 			p.cutOffs[endpoint] = cutOff{at: c.at, ended: true}
+			s.changed = s.changed || !c.ended
 		}
 	}
 }
@@ -131,7 +181,7 @@
 	if p == nil || !at.After(p.soundAt) {
 		return
 	}
-	p.soundAt = at
+	p.soundAt, s.changed = at, true
 	for endpoint, c := range p.cutOffs {
 		if !c.at.After(at) {
 			delete(p.cutOffs, endpoint)
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -90,6 +90,9 @@
 	LimitIgnored       = 748
 	EndpointFailing    = 749
 	EndpointRecovered  = 750
+	AttemptCutOff      = 751
+	RequestsIsolated   = 752
+	IsolationEnded     = 753
 )
 
 // Definition describes a log event.
@@ -188,6 +191,9 @@
 	{LimitIgnored, hclog.Warn, "malformed limit of requests ignored", []string{"request", "endpoint", "value"}},
 	{EndpointFailing, hclog.Warn, "endpoint fails most requests", []string{"endpoint", "service", "share"}},
 	{EndpointRecovered, hclog.Info, "endpoint no longer fails most requests", []string{"endpoint", "service", "share"}},
+	{AttemptCutOff, hclog.Info, "attempt cut off by its endpoint", []string{"request", "content", "route", "service", "account", "endpoint", "took", "begun", "cause", "parts"}},
+	{RequestsIsolated, hclog.Warn, "requests under which endpoints end are refused", []string{"content", "part", "ends"}},
+	{IsolationEnded, hclog.Info, "requests are no longer refused for endpoints that ended under them", []string{"content", "part"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
