--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -24,6 +24,8 @@
 	Callers int           `arg:"--callers" default:"12" help:"number of callers"`
 	Limits  bool          `arg:"--limits" help:"press the limits that all nodes share, with more callers and further faults"`
 	Load    bool          `arg:"--load" help:"degrade servers and let accounts burst, with overload control enabled"`
+	Harmful bool          `arg:"--harmful" help:"send a request that crashes each server that runs it; its kind depends on the seed"`
+	Calm    bool          `arg:"--calm" help:"inject no faults but those that other flags name"`
 	Length  time.Duration `arg:"--length" default:"20s" help:"time during which faults are injected"`
 	Logs    string        `arg:"--logs" help:"directory for the logs of failed seeds, created if missing [default: that for temporary files]"`
 }
@@ -58,7 +60,7 @@
 func run(a arguments, seed uint64) (ok bool, err error) {
 	path, err := withLog(a.Logs, seed, func(log io.Writer) (bool, error) {
 		r, err := soaker.Run(soaker.Options{
-			Binary: a.Binary, Nodes: a.Nodes, Servers: a.Servers, Seed: seed, Length: a.Length, Callers: a.Callers, Limits: a.Limits, Load: a.Load, Output: log,
+			Binary: a.Binary, Nodes: a.Nodes, Servers: a.Servers, Seed: seed, Length: a.Length, Callers: a.Callers, Limits: a.Limits, Load: a.Load, Harmful: a.Harmful, Calm: a.Calm, Output: log,
 		})
 		if err != nil {
 			return false, err
@@ -71,6 +73,9 @@
 		if a.Load {
 			fmt.Printf("   %d requests met a reset and could be repeated, %d returns of servers and %d accounts beside a burst checked\n", r.LoadChecks.Resets, r.LoadChecks.Returns, r.LoadChecks.Accounts)
 		}
+		if a.Harmful {
+			fmt.Printf("   the harmful request crashed %d servers\n", r.Crashes)
+		}
 		for _, v := range r.Violations {
 			fmt.Println("  ", v)
 		}
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -44,6 +44,8 @@
 	minPause, maxPause int
 	backOff, penalty   time.Duration
 	sent               int
+	// harmful reports whether the requests crash the servers that run them.
+	harmful bool
 }
 
 // newCaller returns a caller that sends requests of all kinds.
@@ -171,7 +173,7 @@
 		standin.TakeUp(r, q.stream, q.after)
 	}
 	unsafe := strings.HasPrefix(q.path, "/unsafe/") || strings.HasPrefix(q.path, "/stream/")
-	o := outcome{unsafe: unsafe, takesUp: q.stream != "", withRevokedKey: a.withRevokedKey, account: q.key, sent: a.sent, node: q.node.index}
+	o := outcome{harmful: c.harmful, unsafe: unsafe, takesUp: q.stream != "", withRevokedKey: a.withRevokedKey, account: q.key, sent: a.sent, node: q.node.index}
 	// Record the request before it is sent, because an endpoint may report its
 	// run before the response arrives.
 	c.soaker.history.setOutcome(q.id, o)
@@ -233,6 +235,10 @@
 func (c *caller) checkResponse(q request, resp *http.Response) ([]standin.Event, error) {
 	body, err := readBody(resp.Body, q.breakAfter)
 	if resp.StatusCode != http.StatusOK {
+		if !c.harmful && bytes.Contains(body, []byte(`"harmful_`)) {
+			c.soaker.history.AddViolation("%s is sound, but was refused with %s", q.id, body)
+		}
+
 		return nil, err
 	}
 	if _, sealed := standin.SealedBy(resp, q.id); !sealed {
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -125,13 +125,25 @@
 	}
 }
 
-// randomServer returns a random one of the registered servers.
+// randomServer returns a random one of the registered servers. It waits for one if all
+// have crashed.
 func (s *Soaker) randomServer() *standin.Server {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	ids := slices.Sorted(maps.Keys(s.servers))
+	for {
+		s.mu.Lock()
+		ids := slices.Sorted(maps.Keys(s.servers))
+		s.mu.Unlock()
+		if len(ids) == 0 {
+			time.Sleep(minRestart / 10)
 
-	return s.servers[ids[s.rng.IntN(len(ids))]]
+			continue
+		}
+		s.mu.Lock()
+		server := s.servers[ids[s.rng.IntN(len(ids))]]
+		s.mu.Unlock()
+		if server != nil {
+			return server
+		}
+	}
 }
 
 // takeServer removes a random one of the registered servers from them, because it
--- a/internal/soaker/history.go
+++ b/internal/soaker/history.go
@@ -12,6 +12,8 @@
 // outcome is the result of an attempt as its caller observed it.
 type outcome struct {
 	unsafe bool
+	// harmful reports whether the request crashes the endpoints that run it.
+	harmful bool
 	// takesUp reports whether the attempt takes up a stream that has begun.
 	takesUp bool
 	// account is the key of the client account.
@@ -74,6 +76,8 @@
 	// is slow, and bursts those in which accounts burst.
 	degraded map[string][]degradation
 	bursts   []burst
+	// crashes holds the ends of endpoints under the harmful request.
+	crashes []crash
 	// end is the time from which callers send no more.
 	end time.Time
 	// peaks and loadChecks are set by Check.
@@ -209,6 +213,7 @@
 	violations = append(violations, h.checkRetries()...)
 	violations = append(violations, h.checkLimits()...)
 	violations = append(violations, h.checkLoad()...)
+	violations = append(violations, h.checkHarmful()...)
 
 	return append(violations, h.checkNotices()...)
 }
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -42,6 +42,11 @@
 	// Load adds faults that degrade servers and bursts of client accounts, and enables
 	// overload control in the nodes.
 	Load bool
+	// Harmful adds callers of a request that crashes each server that runs it. Its kind
+	// depends on the seed.
+	Harmful bool
+	// Calm injects no other faults.
+	Calm bool
 	// Output receives the logs of the nodes and the fault schedule; nil discards
 	// them.
 	Output io.Writer
@@ -58,7 +63,9 @@
 	TakeUps          TakeUps
 	Peaks            Peaks
 	LoadChecks       LoadChecks
-	Violations       []string
+	// Crashes is the number of servers that the harmful request has crashed.
+	Crashes    int
+	Violations []string
 }
 
 const (
@@ -285,6 +292,7 @@
 	if err != nil {
 		return err
 	}
+	server.OnCrash(func() { s.handleCrash(server) })
 	s.mu.Lock()
 	s.servers[id] = server
 	s.mu.Unlock()
@@ -391,13 +399,20 @@
 		}
 		releases.Go(func() { newReleaser(s).run(ended) })
 	}
+	var harmful conc.WaitGroup
+	if s.opts.Harmful {
+		s.sendHarmful(&harmful, ended)
+	}
 	end := time.Now().Add(s.opts.Length)
 	for time.Now().Before(end) {
-		inject()
+		if !s.opts.Calm {
+			inject()
+		}
 		time.Sleep(time.Duration(100+s.rng.IntN(900)) * time.Millisecond)
 	}
 	close(ended)
 	releases.Wait()
+	harmful.Wait()
 	s.clearFaults()
 	if load != nil {
 		load.callers.Wait()
@@ -412,6 +427,7 @@
 	r := Result{Faults: s.faultCount, TakeUps: s.history.TakeUps(), Violations: s.history.Check()}
 	s.history.mu.Lock()
 	r.Peaks, r.LoadChecks = s.history.peaks, s.history.loadChecks
+	r.Crashes = len(s.history.crashes)
 	r.Attempts, r.Runs = len(s.history.outcomes), len(s.history.runs)
 	s.history.mu.Unlock()
 	sent := 0
--- a/test.sh
+++ b/test.sh
@@ -40,6 +40,15 @@
   done
   # A fleet in which a node's share of a cold server is below one request a second.
   "$dir/soak" --binary "$dir/snipedyke" --seed 11 --length 8s --nodes 24 --limits || verdict=1
+  # A request that crashes each server that runs it, of a kind that may be repeated, one
+  # that runs at most once, and a stream.
+  for seed in 5 6 9; do
+    if grep -qsx "skip-soak: harmful $seed" KNOWN-RED.txt; then
+      echo "known red, not run: harmful seed $seed"
+    else
+      "$dir/soak" --binary "$dir/snipedyke" --harmful --calm --seed $seed --length 10s || verdict=1
+    fi
+  done
   rm -rf "$dir"
   return $verdict
 }
