Refuse a request under which endpoints have ended

What counts against a request was kept by its prompt parts alone, so requests without parts, all those of plain services, left no evidence and were passed on for ever; streams were held back only by a part that other requests share, and an answer to one of those cleared it. The class: evidence kept under another identity than that of its cause.

Evidence is now kept for the request, too: a hash of account, method, host, path, query and body. The account has half of the hash to itself, so that no account can make another one's request look harmful.

--- a/internal/director/address_test.go
+++ b/internal/director/address_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"snipedyke/internal/chooser"
+	"snipedyke/internal/isolator"
 	"snipedyke/internal/logger"
 	"snipedyke/internal/registrar"
 )
@@ -398,7 +399,7 @@
 		later.ID = entry("later", i).ID
 		n.post(EntryPut{later})
 	}
-	_, isolated := n.isolator.Isolated(n.now, []uint64{7})
+	_, isolated := n.isolator.Isolated(n.now, []isolator.Subject{{ID: 7}})
 	c.Check(isolated, qt.IsTrue)
 }
 
--- a/internal/director/crashing_test.go
+++ b/internal/director/crashing_test.go
@@ -203,6 +203,7 @@
 		{name: "safe", service: "desk", path: "/look/1", work: 15 * time.Millisecond},
 		{name: "unsafe", service: "desk", path: "/pay/1", work: 15 * time.Millisecond},
 		{name: "stream without parts", service: "model", path: "/chat/1", work: 300 * time.Millisecond},
+		{name: "stream that begins", service: "model", path: "/chat/1", work: 300 * time.Millisecond, begins: 100 * time.Millisecond, parts: []uint64{1, 2}},
 		{name: "stream with shared parts", service: "model", path: "/draft/1", work: 300 * time.Millisecond, parts: []uint64{1, 2}},
 	} {
 		for seed := range uint64(5) {
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -104,7 +104,7 @@
 	fleet fleet
 	// sharer divides the capacity between client accounts where it is short.
 	sharer *sharer.Sharer
-	// isolator finds the prompt parts that crash engines.
+	// isolator finds the requests and the prompt parts that crash endpoints.
 	isolator isolator.Isolator
 
 	// origins holds the versions at which streams have begun that callers may take
@@ -278,8 +278,8 @@
 	// Limited that of those that have named a limit of requests. Failing is the number of
 	// those that get only probe requests because they fail most requests.
 	Leaving, Paused, Displaced, Cold, Limited, Failing int
-	// Suspected is the number of prompt parts under which endpoints have cut off
-	// answers, and Isolated that of those whose requests are refused.
+	// Suspected is the number of requests and prompt parts under which endpoints have
+	// cut off attempts, and Isolated that of those that are refused.
 	Suspected, Isolated int
 	Ready               bool
 }
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -418,10 +418,13 @@
 	ReasonBroken       Reason = "endpoint_broken"
 	ReasonTimeout      Reason = "timeout"
 	ReasonGone         Reason = "caller_gone"
-	ReasonHarmful      Reason = "harmful_prompt"
-	ReasonPaused       Reason = "endpoints_paused"
-	ReasonLimited      Reason = "endpoints_limited"
-	ReasonLeaving      Reason = "leaving"
+	// ReasonHarmfulPrompt is that endpoints have ended under requests with a part of
+	// the prompt, and ReasonHarmfulRequest that they have under the same request.
+	ReasonHarmfulPrompt  Reason = "harmful_prompt"
+	ReasonHarmfulRequest Reason = "harmful_request"
+	ReasonPaused         Reason = "endpoints_paused"
+	ReasonLimited        Reason = "endpoints_limited"
+	ReasonLeaving        Reason = "leaving"
 	// ReasonVersionGone is that no endpoint of the version at which a stream began
 	// can go on with it.
 	ReasonVersionGone Reason = "version_gone"
@@ -437,7 +440,7 @@
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	ReasonNotReady, ReasonNoRoute, ReasonNoKey, ReasonStaleView, ReasonTooLarge, ReasonMalformed,
-	ReasonNoEndpoint, ReasonOverload, ReasonAccountShare, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmful,
+	ReasonNoEndpoint, ReasonOverload, ReasonAccountShare, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmfulPrompt, ReasonHarmfulRequest,
 	ReasonPaused, ReasonLimited, ReasonLeaving, ReasonVersionGone, ReasonVersionUnknown, ReasonMemory, ReasonInternal,
 }
 
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -122,7 +122,7 @@
 	return c
 }
 
-// Crashes returns what the other nodes need to know about prompt parts that
+// Crashes returns what the other nodes need to know about requests and prompt parts that
 // crash endpoints.
 func (d *Director) Crashes(now time.Time) []encoder.Crash { return d.isolator.Observations(now) }
 
--- a/internal/director/harmful.go
+++ b/internal/director/harmful.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"snipedyke/internal/isolator"
 	"snipedyke/internal/logger"
 )
 
@@ -20,8 +21,44 @@
 	return xxhash.Sum64String(r.account.Name)<<32 | uint64(r.Content)
 }
 
-// recordCutOff records that an endpoint has cut off an attempt.
-func (d *Director) recordCutOff(now time.Time, req *request, e *endpoint, f AttemptFinished) {
+// beginTime is how long after its answer has begun an attempt may be cut off and still
+// count against the request. Requests crash endpoints that begin to run them; a stream that
+// is cut off later ran beside another request that did.
+const beginTime = time.Second
+
+// subjects returns what an attempt may be evidence for or against: the request, if
+// withRequest is true, and its prompt parts, if withParts is.
+func (r *request) subjects(withRequest, withParts bool) []isolator.Subject {
+	var list []isolator.Subject
+	if withRequest && r.Content != 0 {
+		list = append(list, isolator.Subject{ID: r.fingerprint(), Request: true})
+	}
+	if withParts && r.usesEngine {
+		for _, part := range r.Need.SharedParts {
+			list = append(list, isolator.Subject{ID: part})
+		}
+	}
+
+	return list
+}
+
+// recordBegun records that the answer to a request has begun. Another request with the
+// same prompt parts may crash endpoints nevertheless.
+func (d *Director) recordBegun(now time.Time, req *request) {
+	if !d.isolator.Empty() {
+		d.isolator.RecordSound(now, req.subjects(false, true))
+	}
+}
+
+// recordEvidence records what the end of an attempt says for or against its request.
+func (d *Director) recordEvidence(now time.Time, req *request, e *endpoint, f AttemptFinished) {
+	ranOn := !req.beganAt.IsZero() && now.Sub(req.beganAt) >= beginTime
+	if !d.isolator.Empty() && (f.Result == Answered || ranOn) {
+		d.isolator.RecordSound(now, req.subjects(true, false))
+	}
+	if f.Result != Broken {
+		return
+	}
 	account := ""
 	if req.account != nil {
 		account = req.account.Name
@@ -29,30 +66,48 @@
 	d.log(logger.AttemptCutOff, "request", req.Name, "content", strconv.FormatUint(req.fingerprint(), 16), "route", req.route.Name,
 		"service", req.service.name, "account", account, "endpoint", e.entry.ID, "took", f.Took.String(), "begun", req.begun(),
 		"cause", f.Cause, "parts", formatParts(req.Need.SharedParts))
-	if req.usesEngine && !f.Relayed {
-		d.isolator.RecordCutOff(now, req.Need.SharedParts, e.number)
+	d.isolator.RecordCutOff(now, req.subjects(!ranOn, !f.Relayed), e.number)
+}
+
+// isolated returns the subject of a request that is isolated, and reports whether there is
+// one.
+func (d *Director) isolated(now time.Time, req *request) (isolator.Subject, bool) {
+	if d.isolator.Empty() {
+		return isolator.Subject{}, false
 	}
+
+	return d.isolator.Isolated(now, req.subjects(true, true))
 }
 
-// failIsolated ends a request if its prompt has a part that is isolated, and
-// reports whether it has.
+// failIsolated ends a request if it or a part of its prompt is isolated, and reports
+// whether it has.
 func (d *Director) failIsolated(now time.Time, req *request) bool {
-	part, isolated := d.isolator.Isolated(now, req.Need.SharedParts)
-	if isolated {
-		req.lastCause = "engines have crashed under prompts with part " + strconv.FormatUint(part, 16)
-		d.fail(now, req, ReasonHarmful)
+	subject, isolated := d.isolated(now, req)
+	if !isolated {
+		return false
+	}
+	if subject.Request {
+		req.lastCause = "endpoints have ended under this request"
+		d.fail(now, req, ReasonHarmfulRequest)
+	} else {
+		req.lastCause = "engines have crashed under prompts with part " + strconv.FormatUint(subject.ID, 16)
+		d.fail(now, req, ReasonHarmfulPrompt)
 	}
 
-	return isolated
+	return true
 }
 
 // logIsolations logs which requests are refused from now on, and which no longer.
 func (d *Director) logIsolations(now time.Time) {
 	for _, c := range d.isolator.Changes(now) {
+		content, part := "", strconv.FormatUint(c.Subject.ID, 16)
+		if c.Subject.Request {
+			content, part = part, ""
+		}
 		if c.Ends > 0 {
-			d.log(logger.RequestsIsolated, "content", "", "part", strconv.FormatUint(c.Part, 16), "ends", c.Ends)
+			d.log(logger.RequestsIsolated, "content", content, "part", part, "ends", c.Ends)
 		} else {
-			d.log(logger.IsolationEnded, "content", "", "part", strconv.FormatUint(c.Part, 16))
+			d.log(logger.IsolationEnded, "content", content, "part", part)
 		}
 	}
 }
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -29,7 +29,8 @@
 		d.markChanged(req.endpoint)
 	}
 	d.recordOrigin(now, req)
-	d.isolator.RecordSound(now, req.Need.SharedParts)
+	req.beganAt = now
+	d.recordBegun(now, req)
 	d.confirmAddress(now, req.endpoint)
 	req.endpoint.consecutiveFailures = 0
 	if now.Before(req.endpoint.suspendedUntil) {
@@ -70,8 +71,8 @@
 		// The attempt may have begun before.
 		d.emit(CloseIdleConnections{Address: e.entry.Address})
 	}
-	if e != nil && f.Result == Broken {
-		d.recordCutOff(now, req, e, f)
+	if e != nil {
+		d.recordEvidence(now, req, e, f)
 	}
 	if req.callerGone {
 		d.abandon(req, ReasonGone)
--- a/internal/director/refusal.go
+++ b/internal/director/refusal.go
@@ -17,8 +17,8 @@
 	// retryAfterSpread is the range over which their retries are spread.
 	minRetryAfter    = 150 * time.Millisecond
 	retryAfterSpread = 350 * time.Millisecond
-	// harmfulRetryAfter is the retry delay where a prompt has crashed engines. It
-	// is shorter than the isolation, which another node may end.
+	// harmfulRetryAfter is the retry delay of requests that are isolated. It is
+	// shorter than the isolation, which another node may end.
 	harmfulRetryAfter = 30 * time.Second
 )
 
@@ -63,7 +63,7 @@
 			if reason == ReasonOverload || reason == ReasonAccountShare {
 				retryAfter = max(retryAfter, d.timeUntilRoom(now, req))
 			}
-			if reason == ReasonHarmful {
+			if reason == ReasonHarmfulPrompt || reason == ReasonHarmfulRequest {
 				retryAfter = harmfulRetryAfter
 			}
 			if req.service != nil {
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -106,6 +106,8 @@
 	// started reports whether a streamed answer has begun, and relayed whether any
 	// byte of it has reached the caller.
 	started, relayed bool
+	// beganAt is when the answer of the attempt in progress began, or zero.
+	beganAt time.Time
 	// version is the software version at which the stream began, if pinned is true.
 	// Only endpoints of this version can go on with it.
 	version string
@@ -332,7 +334,7 @@
 func (d *Director) dispatch(now time.Time, req *request, e, holder *endpoint) {
 	e.pacer.Record(now)
 	d.admitDemand(now, req)
-	req.retryPending = false
+	req.retryPending, req.beganAt = false, time.Time{}
 	req.endpoint, req.sentLimited, req.replaced = e, e.limited(), false
 	if req.usesEngine && !req.relayed {
 		req.awaitingFirstByte, req.prefillTokensAhead = true, e.load.PrefillTokens()
--- a/internal/director/reservation.go
+++ b/internal/director/reservation.go
@@ -25,7 +25,7 @@
 	if !req.route.Repeatable() || req.attemptsUsed()+1 >= req.route.Attempts || d.deadline(req).Sub(now) < minAttemptTime {
 		return false
 	}
-	if _, isolated := d.isolator.Isolated(now, req.Need.SharedParts); isolated {
+	if _, isolated := d.isolated(now, req); isolated {
 		return false
 	}
 	cached := req.prefixCached
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -1,11 +1,11 @@
-// Package isolator finds the prompt parts that crash the endpoints that answer
-// them, so that requests with such a part are sent to no more endpoints.
+// Package isolator finds what crashes endpoints: a request that is sent again and
+// again, or a prompt part that requests share. Such requests are then sent to no more
+// endpoints.
 //
-// Any request may be cut off when an endpoint ends. A part is isolated if several
-// endpoints have ended one after the other under requests with the part whose
-// answers had not begun, and no answer to a request with the part has begun
-// since. Nodes exchange what they have observed, because the requests come at
-// any node.
+// Any request may be cut off when an endpoint ends. A subject, which is a request or a
+// part, is isolated if several endpoints have ended one after the other under it, and
+// it has been found sound by no answer since. Nodes exchange what they have observed,
+// because the requests come at any node.
 //
 // An Isolator has no clock and no connections: time and the observations of
 // other nodes are passed in.
@@ -20,9 +20,9 @@
 )
 
 const (
-	// isolationCrashes is the number of failures under requests with a part after
-	// which the part is isolated. A single request that is sent to two endpoints
-	// while hosts fail must not be enough.
+	// isolationCrashes is the number of failures under a subject after which it is
+	// isolated. A request that is sent to two endpoints while hosts fail must not be
+	// enough.
 	isolationCrashes = 3
 	// simultaneousTime is the time within which several endpoints that end count
 	// as one failure, such as that of a data centre.
@@ -32,55 +32,63 @@
 	// confirmationTime is the time within which an endpoint that has cut off a
 	// request must be found to have ended. Otherwise only its answer was lost.
 	confirmationTime = 6 * time.Second
-	// newsTime is how long an observation is sent to other nodes, unless its part
-	// is isolated.
+	// newsTime is how long an observation is sent to other nodes, unless its
+	// subject is isolated.
 	newsTime = 5 * time.Second
 	// hopTime is added to the age of an observation of another node. It is more
 	// than a message takes, so that an observation that comes back is not taken
 	// for a later one.
 	hopTime = 20 * time.Millisecond
-	// maxSent bounds the observations in a message. With 14 bytes each, five
-	// messages a second take 2.2 KB/s while endpoints crash.
+	// maxSent bounds the observations in a message. With 15 bytes each, five
+	// messages a second take 2.4 KB/s while endpoints crash.
 	maxSent = 32
-	// maxParts bounds the number of parts and of endpoints that are kept.
-	maxParts = 1024
+	// maxSubjects bounds the number of subjects and of endpoints that are kept.
+	maxSubjects = 1024
 )
 
-// cutOff is a request that was cut off before its answer began.
+// Subject is what endpoints may end under.
+type Subject struct {
+	// ID is the fingerprint of a request, or the hash of a prompt part.
+	ID uint64
+	// Request reports whether the subject is a request.
+	Request bool
+}
+
+// cutOff is an attempt that was cut off.
 type cutOff struct {
 	at time.Time
 	// ended reports whether the endpoint was found to have ended at that time.
 	ended bool
 }
 
-// part is what is known about a prompt part.
-type part struct {
-	// cutOffs holds the first request that each endpoint has cut off. All of them
+// evidence is what is known about a subject.
+type evidence struct {
+	// cutOffs holds the first attempt that each endpoint has cut off. All of them
 	// are after soundAt.
 	cutOffs map[uint32]cutOff
-	// soundAt is the last time at which an answer began.
+	// soundAt is the last time at which an answer showed that the subject is sound.
 	soundAt time.Time
 }
 
 // Isolator holds the observations of the fleet. It is not safe for concurrent
 // use. The zero value has no observations.
 type Isolator struct {
-	parts map[uint64]*part
+	subjects map[Subject]*evidence
 	// endedAt holds the time at which an endpoint was found to have ended.
 	endedAt map[uint32]time.Time
 	// reported holds what Changes has reported as isolated. changed reports whether
 	// observations have come since, and checkedAt is the time of the last call that has
 	// looked at them.
-	reported  map[uint64]bool
+	reported  map[Subject]bool
 	changed   bool
 	checkedAt time.Time
 }
 
 // Change is the begin or the end of an isolation.
 type Change struct {
-	Part uint64
-	// Ends is the number of endpoints that have ended under requests with the part,
-	// or zero if it is no longer isolated.
+	Subject Subject
+	// Ends is the number of endpoints that have ended under the subject, or zero if it
+	// is no longer isolated.
 	Ends int
 }
 
@@ -95,49 +103,52 @@
 	s.changed, s.checkedAt = false, now
 	var list []Change
 	for id := range s.reported {
-		if !s.isolated(now, s.parts[id]) {
+		if !s.isolated(now, s.subjects[id]) {
 			delete(s.reported, id)
-			list = append(list, Change{Part: id})
+			list = append(list, Change{Subject: id})
 		}
 	}
-	for id, p := range s.parts {
+	for id, p := range s.subjects {
 		if !s.reported[id] && s.isolated(now, p) {
 			if s.reported == nil {
-				s.reported = map[uint64]bool{}
+				s.reported = map[Subject]bool{}
 			}
 			s.reported[id] = true
-			list = append(list, Change{Part: id, Ends: len(p.cutOffs)})
+			list = append(list, Change{Subject: id, Ends: len(p.cutOffs)})
 		}
 	}
-	slices.SortFunc(list, func(a, b Change) int { return cmp.Compare(a.Part, b.Part) })
+	slices.SortFunc(list, func(a, b Change) int { return cmp.Compare(a.Subject.ID, b.Subject.ID) })
 
 	return list
 }
 
-// Counts returns the number of parts that are suspected and, of these, of those that are
-// isolated, as of the last call of Changes.
-func (s *Isolator) Counts() (suspected, isolated int) { return len(s.parts), len(s.reported) }
+// Counts returns the number of subjects that are suspected and, of these, of those that
+// are isolated, as of the last call of Changes.
+func (s *Isolator) Counts() (suspected, isolated int) { return len(s.subjects), len(s.reported) }
+
+// Empty reports whether there are no suspects, so that RecordSound and Isolated need not
+// be called.
+func (s *Isolator) Empty() bool { return len(s.subjects) == 0 }
 
-// RecordCutOff records that an endpoint has cut off a request with the given
-// parts before its answer began.
-func (s *Isolator) RecordCutOff(now time.Time, parts []uint64, endpoint uint32) {
-	for _, id := range parts {
+// RecordCutOff records that an endpoint has cut off an attempt with the given subjects.
+func (s *Isolator) RecordCutOff(now time.Time, subjects []Subject, endpoint uint32) {
+	for _, id := range subjects {
 		s.recordCutOff(now, now, id, endpoint)
 	}
 }
 
-func (s *Isolator) recordCutOff(now, at time.Time, id uint64, endpoint uint32) {
-	p := s.parts[id]
+func (s *Isolator) recordCutOff(now, at time.Time, id Subject, endpoint uint32) {
+	p := s.subjects[id]
 	if p == nil {
 		s.expire(now)
-		if len(s.parts) >= maxParts {
+		if len(s.subjects) >= maxSubjects {
 			return
 		}
-		if s.parts == nil {
-			s.parts = map[uint64]*part{}
+		if s.subjects == nil {
+			s.subjects = map[Subject]*evidence{}
 		}
-		p = &part{cutOffs: map[uint32]cutOff{}}
-		s.parts[id] = p
+		p = &evidence{cutOffs: map[uint32]cutOff{}}
+		s.subjects[id] = p
 	}
 	if _, known := p.cutOffs[endpoint]; !known && at.After(p.soundAt) {
 		s.changed = true
@@ -153,13 +164,13 @@
 	if s.endedAt == nil {
 		s.endedAt = map[uint32]time.Time{}
 	}
-	if len(s.endedAt) >= maxParts {
+	if len(s.endedAt) >= maxSubjects {
 		s.expire(now)
 	}
-	if at.After(s.endedAt[endpoint]) && len(s.endedAt) < maxParts {
+	if at.After(s.endedAt[endpoint]) && len(s.endedAt) < maxSubjects {
 		s.endedAt[endpoint] = at
 	}
-	for _, p := range s.parts {
+	for _, p := range s.subjects {
 		if c, known := p.cutOffs[endpoint]; known && at.Sub(c.at).Abs() < confirmationTime {
 			p.cutOffs[endpoint] = cutOff{at: c.at, ended: true}
 			s.changed = s.changed || !c.ended
@@ -167,17 +178,16 @@
 	}
 }
 
-// RecordSound records that an answer to a request with the given parts has
-// begun.
-func (s *Isolator) RecordSound(now time.Time, parts []uint64) {
-	for _, id := range parts {
+// RecordSound records that an answer has shown the given subjects to be sound.
+func (s *Isolator) RecordSound(now time.Time, subjects []Subject) {
+	for _, id := range subjects {
 		s.recordSound(now, id)
 	}
 }
 
-func (s *Isolator) recordSound(at time.Time, id uint64) {
-	// Parts without a request that was cut off need no record.
-	p := s.parts[id]
+func (s *Isolator) recordSound(at time.Time, id Subject) {
+	// Subjects under which no attempt was cut off need no record.
+	p := s.subjects[id]
 	if p == nil || !at.After(p.soundAt) {
 		return
 	}
@@ -189,19 +199,19 @@
 	}
 }
 
-// Isolated returns the first of the given parts that is isolated, and reports
-// whether there is one.
-func (s *Isolator) Isolated(now time.Time, parts []uint64) (uint64, bool) {
-	for _, id := range parts {
-		if s.isolated(now, s.parts[id]) {
+// Isolated returns the first of the given subjects that is isolated, and reports whether
+// there is one.
+func (s *Isolator) Isolated(now time.Time, subjects []Subject) (Subject, bool) {
+	for _, id := range subjects {
+		if s.isolated(now, s.subjects[id]) {
 			return id, true
 		}
 	}
 
-	return 0, false
+	return Subject{}, false
 }
 
-func (s *Isolator) isolated(now time.Time, p *part) bool {
+func (s *Isolator) isolated(now time.Time, p *evidence) bool {
 	if p == nil {
 		return false
 	}
@@ -228,17 +238,17 @@
 // Observations returns what other nodes need to know, the latest first.
 func (s *Isolator) Observations(now time.Time) []encoder.Crash {
 	var list []encoder.Crash
-	add := func(id uint64, endpoint uint32, at time.Time, keep bool) {
+	add := func(id Subject, endpoint uint32, at time.Time, keep bool) {
 		if age := now.Sub(at); keep || age < newsTime {
-			list = append(list, encoder.Crash{Part: id, Endpoint: endpoint, Age: uint32(age.Milliseconds())})
+			list = append(list, encoder.Crash{Subject: id.ID, Request: id.Request, Endpoint: endpoint, Age: uint32(age.Milliseconds())})
 		}
 	}
-	for id, p := range s.parts {
+	for id, p := range s.subjects {
 		isolated := s.isolated(now, p)
 		for endpoint, c := range p.cutOffs {
 			add(id, endpoint, c.at, isolated)
 			if c.ended && isolated {
-				add(0, endpoint, c.at, true)
+				add(Subject{}, endpoint, c.at, true)
 			}
 		}
 		if !p.soundAt.IsZero() {
@@ -246,10 +256,10 @@
 		}
 	}
 	for endpoint, at := range s.endedAt {
-		add(0, endpoint, at, false)
+		add(Subject{}, endpoint, at, false)
 	}
 	slices.SortFunc(list, func(a, b encoder.Crash) int {
-		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Part, b.Part), cmp.Compare(a.Endpoint, b.Endpoint))
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Subject, b.Subject), cmp.Compare(a.Endpoint, b.Endpoint))
 	})
 
 	return list[:min(len(list), maxSent)]
@@ -260,16 +270,16 @@
 	when := func(c encoder.Crash) time.Time { return now.Add(-time.Duration(c.Age)*time.Millisecond - hopTime) }
 	for _, c := range list {
 		switch at := when(c); {
-		case now.Sub(at) >= isolationTime || c.Part == 0:
+		case now.Sub(at) >= isolationTime || c.Subject == 0:
 		case c.Endpoint == 0:
-			s.recordSound(at, c.Part)
+			s.recordSound(at, Subject{c.Subject, c.Request})
 		default:
-			s.recordCutOff(now, at, c.Part, c.Endpoint)
+			s.recordCutOff(now, at, Subject{c.Subject, c.Request}, c.Endpoint)
 		}
 	}
-	// Ends confirm the requests that were cut off, so they come last.
+	// Ends confirm the attempts that were cut off, so they come last.
 	for _, c := range list {
-		if at := when(c); c.Part == 0 && now.Sub(at) < isolationTime {
+		if at := when(c); c.Subject == 0 && now.Sub(at) < isolationTime {
 			s.recordEnded(now, at, c.Endpoint)
 		}
 	}
@@ -277,14 +287,14 @@
 
 // expire removes observations that no longer count.
 func (s *Isolator) expire(now time.Time) {
-	for id, p := range s.parts {
+	for id, p := range s.subjects {
 		for endpoint, c := range p.cutOffs {
 			if now.Sub(c.at) >= isolationTime {
 				delete(p.cutOffs, endpoint)
 			}
 		}
 		if len(p.cutOffs) == 0 && now.Sub(p.soundAt) >= newsTime {
-			delete(s.parts, id)
+			delete(s.subjects, id)
 		}
 	}
 	for endpoint, at := range s.endedAt {
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -9,9 +9,19 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// subjects returns the prompt parts with the given hashes.
+func subjects(parts ...uint64) []Subject {
+	list := make([]Subject, 0, len(parts))
+	for _, part := range parts {
+		list = append(list, Subject{ID: part})
+	}
+
+	return list
+}
+
 // crash records that an endpoint cut off a request with the parts and ended.
 func (s *Isolator) crash(at time.Time, endpoint uint32, parts ...uint64) {
-	s.RecordCutOff(at, parts, endpoint)
+	s.RecordCutOff(at, subjects(parts...), endpoint)
 	s.RecordEnded(at.Add(100*time.Millisecond), endpoint)
 }
 
@@ -24,19 +34,19 @@
 	for i := range uint32(5) {
 		at := start.Add(time.Duration(i) * time.Second)
 		together.crash(start.Add(time.Duration(i)*10*time.Millisecond), i+1, 7)
-		lost.RecordCutOff(at, []uint64{7}, i+1)
+		lost.RecordCutOff(at, subjects(7), i+1)
 		answered.crash(at, i+1, 7, 8)
-		answered.RecordSound(at.Add(500*time.Millisecond), []uint64{7})
+		answered.RecordSound(at.Add(500*time.Millisecond), subjects(7))
 	}
 	now := start.Add(5 * time.Second)
 	for name, s := range map[string]*Isolator{"together": &together, "lost": &lost, "answered": &answered} {
-		_, isolated := s.Isolated(now, []uint64{7})
+		_, isolated := s.Isolated(now, subjects(7))
 		c.Check(isolated, qt.IsFalse, qt.Commentf(name))
 	}
-	part, isolated := answered.Isolated(now, []uint64{7, 8})
+	part, isolated := answered.Isolated(now, subjects(7, 8))
 	c.Check(isolated, qt.IsTrue)
-	c.Check(part, qt.Equals, uint64(8))
-	_, isolated = answered.Isolated(now.Add(isolationTime), []uint64{8})
+	c.Check(part, qt.Equals, Subject{ID: 8})
+	_, isolated = answered.Isolated(now.Add(isolationTime), subjects(8))
 	c.Check(isolated, qt.IsFalse)
 }
 
@@ -52,17 +62,17 @@
 	}
 	now = now.Add(300 * time.Millisecond)
 	b.Merge(now, a.Observations(now))
-	_, isolated := b.Isolated(now, []uint64{7})
+	_, isolated := b.Isolated(now, subjects(7))
 	c.Check(isolated, qt.IsTrue)
 	// A node that starts later learns of the part, too.
 	var late Isolator
 	now = now.Add(time.Minute)
 	late.Merge(now, b.Observations(now))
-	_, isolated = late.Isolated(now, []uint64{7})
+	_, isolated = late.Isolated(now, subjects(7))
 	c.Check(isolated, qt.IsTrue)
-	late.RecordSound(now, []uint64{7})
+	late.RecordSound(now, subjects(7))
 	b.Merge(now, late.Observations(now))
-	_, isolated = b.Isolated(now, []uint64{7})
+	_, isolated = b.Isolated(now, subjects(7))
 	c.Check(isolated, qt.IsFalse)
 }
 
@@ -74,7 +84,7 @@
 	a.crash(start, 1, 7)
 	b.crash(start, 2, 7)
 	now := start.Add(time.Second)
-	a.RecordSound(now, []uint64{7})
+	a.RecordSound(now, subjects(7))
 	for now.Sub(start) < 7*time.Second {
 		now = now.Add(40 * time.Millisecond)
 		b.Merge(now.Add(10*time.Millisecond), a.Observations(now))
@@ -92,8 +102,8 @@
 	for i := range uint32(5000) {
 		s.crash(start, i+1, uint64(i+1))
 	}
-	c.Check(len(s.parts) <= maxParts && len(s.endedAt) <= maxParts, qt.IsTrue)
+	c.Check(len(s.subjects) <= maxSubjects && len(s.endedAt) <= maxSubjects, qt.IsTrue)
 	c.Check(s.Observations(start), qt.HasLen, maxSent)
 	s.crash(start.Add(isolationTime), 9000, 9000)
-	c.Check(s.parts, qt.HasLen, 1)
+	c.Check(s.subjects, qt.HasLen, 1)
 }
--- a/pkg/encoder/load.go
+++ b/pkg/encoder/load.go
@@ -146,19 +146,21 @@
 	Changes []LoadChange `msg:"c"`
 }
 
-// Crash is an observation about a prompt part, an endpoint or both.
+// Crash is an observation about a subject, an endpoint or both.
 type Crash struct {
-	// Part is the hash of a prompt part, and Endpoint the number of an endpoint.
-	// With both, a request with the part was cut off before its answer began.
-	// Without a part, the endpoint has ended. Without an endpoint, an answer to a
-	// request with the part has begun.
-	Part     uint64 `msg:"p"`
+	// Subject is the fingerprint of a request if Request is true, and the hash of a
+	// prompt part otherwise. Endpoint is the number of an endpoint. With both, the
+	// endpoint has cut off an attempt with the subject. Without a subject, the endpoint
+	// has ended. Without an endpoint, an answer has shown that the subject is sound.
+	Subject  uint64 `msg:"p"`
+	Request  bool   `msg:"r"`
 	Endpoint uint32 `msg:"e"`
 	// Age is the time since the observation in milliseconds.
 	Age uint32 `msg:"a"`
 }
 
-// Crashes holds what the sender knows about prompt parts that crash endpoints.
+// Crashes holds what the sender knows about requests and prompt parts that crash
+// endpoints.
 type Crashes struct {
 	List []Crash `msg:"l"`
 }
--- a/pkg/encoder/load_gen.go
+++ b/pkg/encoder/load_gen.go
@@ -101,13 +101,18 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
-	z.Part, err = dc.ReadUint64()
+	z.Subject, err = dc.ReadUint64()
 	if err != nil {
-		err = msgp.WrapError(err, "Part")
+		err = msgp.WrapError(err, "Subject")
+		return
+	}
+	z.Request, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Request")
 		return
 	}
 	z.Endpoint, err = dc.ReadUint32()
@@ -124,15 +129,20 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Crash) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+func (z *Crash) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Part)
+	err = en.WriteUint64(z.Subject)
 	if err != nil {
-		err = msgp.WrapError(err, "Part")
+		err = msgp.WrapError(err, "Subject")
+		return
+	}
+	err = en.WriteBool(z.Request)
+	if err != nil {
+		err = msgp.WrapError(err, "Request")
 		return
 	}
 	err = en.WriteUint32(z.Endpoint)
@@ -149,11 +159,12 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Crash) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Crash) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
-	o = msgp.AppendUint64(o, z.Part)
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint64(o, z.Subject)
+	o = msgp.AppendBool(o, z.Request)
 	o = msgp.AppendUint32(o, z.Endpoint)
 	o = msgp.AppendUint32(o, z.Age)
 	return
@@ -167,13 +178,18 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
-	z.Part, bts, err = msgp.ReadUint64Bytes(bts)
+	z.Subject, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Part")
+		err = msgp.WrapError(err, "Subject")
+		return
+	}
+	z.Request, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Request")
 		return
 	}
 	z.Endpoint, bts, err = msgp.ReadUint32Bytes(bts)
@@ -191,8 +207,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Crash) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size
+func (z *Crash) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint32Size + msgp.Uint32Size
 	return
 }
 
@@ -220,31 +236,11 @@
 		z.List = make([]Crash, zb0002)
 	}
 	for za0001 := range z.List {
-		var zb0003 uint32
-		zb0003, err = dc.ReadArrayHeader()
+		err = z.List[za0001].DecodeMsg(dc)
 		if err != nil {
 			err = msgp.WrapError(err, "List", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.List[za0001].Part, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Part")
-			return
-		}
-		z.List[za0001].Endpoint, err = dc.ReadUint32()
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Endpoint")
-			return
-		}
-		z.List[za0001].Age, err = dc.ReadUint32()
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Age")
-			return
-		}
 	}
 	return
 }
@@ -262,24 +258,9 @@
 		return
 	}
 	for za0001 := range z.List {
-		// array header, size 3
-		err = en.Append(0x93)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.List[za0001].Part)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Part")
-			return
-		}
-		err = en.WriteUint32(z.List[za0001].Endpoint)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Endpoint")
-			return
-		}
-		err = en.WriteUint32(z.List[za0001].Age)
+		err = z.List[za0001].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Age")
+			err = msgp.WrapError(err, "List", za0001)
 			return
 		}
 	}
@@ -293,11 +274,11 @@
 	o = append(o, 0x91)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
 	for za0001 := range z.List {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendUint64(o, z.List[za0001].Part)
-		o = msgp.AppendUint32(o, z.List[za0001].Endpoint)
-		o = msgp.AppendUint32(o, z.List[za0001].Age)
+		o, err = z.List[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
 	}
 	return
 }
@@ -326,31 +307,11 @@
 		z.List = make([]Crash, zb0002)
 	}
 	for za0001 := range z.List {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.List[za0001].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "List", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.List[za0001].Part, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Part")
-			return
-		}
-		z.List[za0001].Endpoint, bts, err = msgp.ReadUint32Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Endpoint")
-			return
-		}
-		z.List[za0001].Age, bts, err = msgp.ReadUint32Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Age")
-			return
-		}
 	}
 	o = bts
 	return
@@ -358,7 +319,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Crashes) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize + (len(z.List) * (7 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size))
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.List {
+		s += z.List[za0001].Msgsize()
+	}
 	return
 }
 
