Count endpoints that end one after the other as separate failures

A request that may be repeated is sent to the next endpoint at once, so three or four crashes in a row counted once, and 12 to 18 endpoints were lost before three such groups were complete. An attempt that was sent after the former end is now a separate failure, however soon it follows; observations carry how long the attempt took. Ends of attempts that ran at the same time still count as one.

--- a/internal/director/harmful.go
+++ b/internal/director/harmful.go
@@ -66,7 +66,7 @@
 	d.log(logger.AttemptCutOff, "request", req.Name, "content", strconv.FormatUint(req.fingerprint(), 16), "route", req.route.Name,
 		"service", req.service.name, "account", account, "endpoint", e.entry.ID, "took", f.Took.String(), "begun", req.begun(),
 		"cause", f.Cause, "parts", formatParts(req.Need.SharedParts))
-	d.isolator.RecordCutOff(now, req.subjects(!ranOn, !f.Relayed), e.number)
+	d.isolator.RecordCutOff(now, now.Add(-f.Took), req.subjects(!ranOn, !f.Relayed), e.number)
 }
 
 // isolated returns the subject of a request that is isolated, and reports whether there is
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -24,9 +24,12 @@
 	// isolated. A request that is sent to two endpoints while hosts fail must not be
 	// enough.
 	isolationCrashes = 3
-	// simultaneousTime is the time within which several endpoints that end count
-	// as one failure, such as that of a data centre.
+	// simultaneousTime is the time within which several endpoints that end under
+	// attempts that ran at the same time count as one failure, such as that of a data
+	// centre.
 	simultaneousTime = 250 * time.Millisecond
+	// messageResolution is the resolution of times in messages.
+	messageResolution = time.Millisecond
 	// isolationTime is how long an observation counts.
 	isolationTime = 5 * time.Minute
 	// confirmationTime is the time within which an endpoint that has cut off a
@@ -39,8 +42,8 @@
 	// than a message takes, so that an observation that comes back is not taken
 	// for a later one.
 	hopTime = 20 * time.Millisecond
-	// maxSent bounds the observations in a message. With 15 bytes each, five
-	// messages a second take 2.4 KB/s while endpoints crash.
+	// maxSent bounds the observations in a message. With 20 bytes each, five
+	// messages a second take 3.2 KB/s while endpoints crash.
 	maxSent = 32
 	// maxSubjects bounds the number of subjects and of endpoints that are kept.
 	maxSubjects = 1024
@@ -57,6 +60,8 @@
 // cutOff is an attempt that was cut off.
 type cutOff struct {
 	at time.Time
+	// sentAt is when the attempt was sent.
+	sentAt time.Time
 	// ended reports whether the endpoint was found to have ended at that time.
 	ended bool
 }
@@ -130,14 +135,15 @@
 // be called.
 func (s *Isolator) Empty() bool { return len(s.subjects) == 0 }
 
-// RecordCutOff records that an endpoint has cut off an attempt with the given subjects.
-func (s *Isolator) RecordCutOff(now time.Time, subjects []Subject, endpoint uint32) {
+// RecordCutOff records that an endpoint has cut off an attempt with the given subjects,
+// which was sent at sentAt.
+func (s *Isolator) RecordCutOff(now, sentAt time.Time, subjects []Subject, endpoint uint32) {
 	for _, id := range subjects {
-		s.recordCutOff(now, now, id, endpoint)
+		s.recordCutOff(now, cutOff{at: now, sentAt: sentAt}, id, endpoint)
 	}
 }
 
-func (s *Isolator) recordCutOff(now, at time.Time, id Subject, endpoint uint32) {
+func (s *Isolator) recordCutOff(now time.Time, c cutOff, id Subject, endpoint uint32) {
 	p := s.subjects[id]
 	if p == nil {
 		s.expire(now)
@@ -150,10 +156,11 @@
 		p = &evidence{cutOffs: map[uint32]cutOff{}}
 		s.subjects[id] = p
 	}
-	if _, known := p.cutOffs[endpoint]; !known && at.After(p.soundAt) {
+	if _, known := p.cutOffs[endpoint]; !known && c.at.After(p.soundAt) {
 		s.changed = true
 		ended, found := s.endedAt[endpoint]
-		p.cutOffs[endpoint] = cutOff{at: at, ended: found && ended.Sub(at).Abs() < confirmationTime}
+		c.ended = found && ended.Sub(c.at).Abs() < confirmationTime
+		p.cutOffs[endpoint] = c
 	}
 }
 
@@ -172,8 +179,9 @@
 	}
 	for _, p := range s.subjects {
 		if c, known := p.cutOffs[endpoint]; known && at.Sub(c.at).Abs() < confirmationTime {
-			p.cutOffs[endpoint] = cutOff{at: c.at, ended: true}
 			s.changed = s.changed || !c.ended
+			c.ended = true
+			p.cutOffs[endpoint] = c
 		}
 	}
 }
@@ -215,48 +223,54 @@
 	if p == nil {
 		return false
 	}
-	var crashes []time.Time
+	return p.failures(now) >= isolationCrashes
+}
+
+// failures returns the number of failures under the subject. Endpoints that end one after
+// the other are separate failures, even in quick succession: a request that is repeated at
+// once reaches the next one when the former has ended.
+func (p *evidence) failures(now time.Time) int {
+	var crashes []cutOff
 	for _, c := range p.cutOffs {
 		if c.ended && now.Sub(c.at) < isolationTime {
-			crashes = append(crashes, c.at)
+			crashes = append(crashes, c)
 		}
 	}
-	if len(crashes) < isolationCrashes {
-		return false
-	}
-	slices.SortFunc(crashes, time.Time.Compare)
-	failures, begin := 0, time.Time{}
-	for _, at := range crashes {
-		if at.Sub(begin) >= simultaneousTime {
-			failures, begin = failures+1, at
+	slices.SortFunc(crashes, func(a, b cutOff) int { return a.at.Compare(b.at) })
+	failures, last := 0, time.Time{}
+	for _, c := range crashes {
+		if c.at.Sub(last) >= simultaneousTime || last.Sub(c.sentAt) <= messageResolution {
+			failures, last = failures+1, c.at
 		}
 	}
 
-	return failures >= isolationCrashes
+	return failures
 }
 
 // Observations returns what other nodes need to know, the latest first.
 func (s *Isolator) Observations(now time.Time) []encoder.Crash {
 	var list []encoder.Crash
-	add := func(id Subject, endpoint uint32, at time.Time, keep bool) {
+	add := func(id Subject, endpoint uint32, at time.Time, took time.Duration, keep bool) {
 		if age := now.Sub(at); keep || age < newsTime {
-			list = append(list, encoder.Crash{Subject: id.ID, Request: id.Request, Endpoint: endpoint, Age: uint32(age.Milliseconds())})
+			list = append(list, encoder.Crash{
+				Subject: id.ID, Request: id.Request, Endpoint: endpoint, Age: uint32(age.Milliseconds()), Took: uint32(took.Milliseconds()),
+			})
 		}
 	}
 	for id, p := range s.subjects {
 		isolated := s.isolated(now, p)
 		for endpoint, c := range p.cutOffs {
-			add(id, endpoint, c.at, isolated)
+			add(id, endpoint, c.at, c.at.Sub(c.sentAt), isolated)
 			if c.ended && isolated {
-				add(Subject{}, endpoint, c.at, true)
+				add(Subject{}, endpoint, c.at, 0, true)
 			}
 		}
 		if !p.soundAt.IsZero() {
-			add(id, 0, p.soundAt, false)
+			add(id, 0, p.soundAt, 0, false)
 		}
 	}
 	for endpoint, at := range s.endedAt {
-		add(Subject{}, endpoint, at, false)
+		add(Subject{}, endpoint, at, 0, false)
 	}
 	slices.SortFunc(list, func(a, b encoder.Crash) int {
 		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Subject, b.Subject), cmp.Compare(a.Endpoint, b.Endpoint))
@@ -274,7 +288,7 @@
 		case c.Endpoint == 0:
 			s.recordSound(at, Subject{c.Subject, c.Request})
 		default:
-			s.recordCutOff(now, at, Subject{c.Subject, c.Request}, c.Endpoint)
+			s.recordCutOff(now, cutOff{at: at, sentAt: at.Add(-time.Duration(c.Took) * time.Millisecond)}, Subject{c.Subject, c.Request}, c.Endpoint)
 		}
 	}
 	// Ends confirm the attempts that were cut off, so they come last.
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -7,6 +7,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// testRun is the time for which attempts run in tests.
+const testRun = 100 * time.Millisecond
+
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // subjects returns the prompt parts with the given hashes.
@@ -21,7 +24,7 @@
 
 // crash records that an endpoint cut off a request with the parts and ended.
 func (s *Isolator) crash(at time.Time, endpoint uint32, parts ...uint64) {
-	s.RecordCutOff(at, subjects(parts...), endpoint)
+	s.RecordCutOff(at, at.Add(-testRun), subjects(parts...), endpoint)
 	s.RecordEnded(at.Add(100*time.Millisecond), endpoint)
 }
 
@@ -34,7 +37,7 @@
 	for i := range uint32(5) {
 		at := start.Add(time.Duration(i) * time.Second)
 		together.crash(start.Add(time.Duration(i)*10*time.Millisecond), i+1, 7)
-		lost.RecordCutOff(at, subjects(7), i+1)
+		lost.RecordCutOff(at, at.Add(-testRun), subjects(7), i+1)
 		answered.crash(at, i+1, 7, 8)
 		answered.RecordSound(at.Add(500*time.Millisecond), subjects(7))
 	}
@@ -50,6 +53,28 @@
 	c.Check(isolated, qt.IsFalse)
 }
 
+// Guards against a request that is repeated at once and crashes endpoint after endpoint
+// within simultaneousTime, as if they had ended together.
+func TestEndsInQuickSuccessionAreSeparateFailures(t *testing.T) {
+	c := qt.New(t)
+	var s, other Isolator
+	now := start
+	for i := range uint32(isolationCrashes) {
+		_, isolated := s.Isolated(now, subjects(7))
+		c.Check(isolated, qt.IsFalse)
+		sentAt := now
+		now = now.Add(15 * time.Millisecond)
+		s.RecordCutOff(now, sentAt, subjects(7), i+1)
+		s.RecordEnded(now.Add(time.Millisecond), i+1)
+	}
+	_, isolated := s.Isolated(now, subjects(7))
+	c.Check(isolated, qt.IsTrue)
+	now = now.Add(170 * time.Millisecond)
+	other.Merge(now, s.Observations(now))
+	_, isolated = other.Isolated(now, subjects(7))
+	c.Check(isolated, qt.IsTrue)
+}
+
 // Guards against nodes that each lose endpoints of their own to the same part,
 // and against an isolation that outlasts an answer at another node.
 func TestNodesShareObservations(t *testing.T) {
--- a/pkg/encoder/load.go
+++ b/pkg/encoder/load.go
@@ -155,8 +155,11 @@
 	Subject  uint64 `msg:"p"`
 	Request  bool   `msg:"r"`
 	Endpoint uint32 `msg:"e"`
-	// Age is the time since the observation in milliseconds.
-	Age uint32 `msg:"a"`
+	// Age is the time since the observation in milliseconds. Took is the time from
+	// sending the attempt to the observation in milliseconds, or zero where there is no
+	// attempt.
+	Age  uint32 `msg:"a"`
+	Took uint32 `msg:"t"`
 }
 
 // Crashes holds what the sender knows about requests and prompt parts that crash
--- a/pkg/encoder/load_gen.go
+++ b/pkg/encoder/load_gen.go
@@ -101,8 +101,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Subject, err = dc.ReadUint64()
@@ -125,13 +125,18 @@
 		err = msgp.WrapError(err, "Age")
 		return
 	}
+	z.Took, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Took")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Crash) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -155,18 +160,24 @@
 		err = msgp.WrapError(err, "Age")
 		return
 	}
+	err = en.WriteUint32(z.Took)
+	if err != nil {
+		err = msgp.WrapError(err, "Took")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Crash) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendUint64(o, z.Subject)
 	o = msgp.AppendBool(o, z.Request)
 	o = msgp.AppendUint32(o, z.Endpoint)
 	o = msgp.AppendUint32(o, z.Age)
+	o = msgp.AppendUint32(o, z.Took)
 	return
 }
 
@@ -178,8 +189,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Subject, bts, err = msgp.ReadUint64Bytes(bts)
@@ -202,13 +213,18 @@
 		err = msgp.WrapError(err, "Age")
 		return
 	}
+	z.Took, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Took")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Crash) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint32Size + msgp.Uint32Size
+	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
 	return
 }
 
