Adopt the isolations of other nodes

A node to which separate ends looked simultaneous never isolated the request and went on sending it, alone. Observations now say whether the sender refuses the subject; nodes adopt that until the observation expires or an answer shows the subject to be sound.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -42,8 +42,8 @@
 	// than a message takes, so that an observation that comes back is not taken
 	// for a later one.
 	hopTime = 20 * time.Millisecond
-	// maxSent bounds the observations in a message. With 20 bytes each, five
-	// messages a second take 3.2 KB/s while endpoints crash.
+	// maxSent bounds the observations in a message. With 21 bytes each, five
+	// messages a second take 3.4 KB/s while endpoints crash.
 	maxSent = 32
 	// maxSubjects bounds the number of subjects and of endpoints that are kept.
 	maxSubjects = 1024
@@ -64,6 +64,8 @@
 	sentAt time.Time
 	// ended reports whether the endpoint was found to have ended at that time.
 	ended bool
+	// isolated reports whether another node has isolated the subject for it.
+	isolated bool
 }
 
 // evidence is what is known about a subject.
@@ -156,10 +158,15 @@
 		p = &evidence{cutOffs: map[uint32]cutOff{}}
 		s.subjects[id] = p
 	}
-	if _, known := p.cutOffs[endpoint]; !known && c.at.After(p.soundAt) {
+	known, found := p.cutOffs[endpoint]
+	switch {
+	case found && c.isolated && !known.isolated:
+		known.isolated, s.changed = true, true
+		p.cutOffs[endpoint] = known
+	case !found && c.at.After(p.soundAt):
 		s.changed = true
-		ended, found := s.endedAt[endpoint]
-		c.ended = found && ended.Sub(c.at).Abs() < confirmationTime
+		endedAt, ended := s.endedAt[endpoint]
+		c.ended = ended && endedAt.Sub(c.at).Abs() < confirmationTime
 		p.cutOffs[endpoint] = c
 	}
 }
@@ -223,7 +230,20 @@
 	if p == nil {
 		return false
 	}
-	return p.failures(now) >= isolationCrashes
+	return p.failures(now) >= isolationCrashes || p.isolatedElsewhere(now)
+}
+
+// isolatedElsewhere reports whether another node has isolated the subject. Nodes adopt
+// that, because the times of observations differ between them, so that a node may take
+// failures for simultaneous that others see one after the other.
+func (p *evidence) isolatedElsewhere(now time.Time) bool {
+	for _, c := range p.cutOffs {
+		if c.isolated && now.Sub(c.at) < isolationTime {
+			return true
+		}
+	}
+
+	return false
 }
 
 // failures returns the number of failures under the subject. Endpoints that end one after
@@ -250,10 +270,10 @@
 // Observations returns what other nodes need to know, the latest first.
 func (s *Isolator) Observations(now time.Time) []encoder.Crash {
 	var list []encoder.Crash
-	add := func(id Subject, endpoint uint32, at time.Time, took time.Duration, keep bool) {
-		if age := now.Sub(at); keep || age < newsTime {
+	add := func(id Subject, endpoint uint32, at time.Time, took time.Duration, isolated bool) {
+		if age := now.Sub(at); isolated || age < newsTime {
 			list = append(list, encoder.Crash{
-				Subject: id.ID, Request: id.Request, Endpoint: endpoint, Age: uint32(age.Milliseconds()), Took: uint32(took.Milliseconds()),
+				Subject: id.ID, Request: id.Request, Endpoint: endpoint, Isolated: isolated, Age: uint32(age.Milliseconds()), Took: uint32(took.Milliseconds()),
 			})
 		}
 	}
@@ -288,7 +308,7 @@
 		case c.Endpoint == 0:
 			s.recordSound(at, Subject{c.Subject, c.Request})
 		default:
-			s.recordCutOff(now, cutOff{at: at, sentAt: at.Add(-time.Duration(c.Took) * time.Millisecond)}, Subject{c.Subject, c.Request}, c.Endpoint)
+			s.recordCutOff(now, cutOff{at: at, sentAt: at.Add(-time.Duration(c.Took) * time.Millisecond), isolated: c.Isolated}, Subject{c.Subject, c.Request}, c.Endpoint)
 		}
 	}
 	// Ends confirm the attempts that were cut off, so they come last.
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -75,6 +75,33 @@
 	c.Check(isolated, qt.IsTrue)
 }
 
+// Guards against a node that goes on sending a request that others refuse, because delayed
+// messages make the ends look simultaneous to it, and against an isolation that nodes keep
+// alive among themselves after an answer.
+func TestNodesAdoptIsolations(t *testing.T) {
+	c := qt.New(t)
+	var a, b Isolator
+	now := start
+	for i := range uint32(isolationCrashes) {
+		b.Merge(start.Add(time.Second), a.Observations(now))
+		now = now.Add(300 * time.Millisecond)
+		a.crash(now, i+1, 7)
+	}
+	now = start.Add(1100 * time.Millisecond)
+	b.Merge(now, a.Observations(now))
+	_, isolated := b.Isolated(now, subjects(7))
+	c.Check(isolated, qt.IsTrue)
+	a.RecordSound(now, subjects(7))
+	now = now.Add(time.Second)
+	fromA, fromB := a.Observations(now), b.Observations(now)
+	a.Merge(now, fromB)
+	b.Merge(now, fromA)
+	for _, s := range []*Isolator{&a, &b} {
+		_, isolated = s.Isolated(now, subjects(7))
+		c.Check(isolated, qt.IsFalse)
+	}
+}
+
 // Guards against nodes that each lose endpoints of their own to the same part,
 // and against an isolation that outlasts an answer at another node.
 func TestNodesShareObservations(t *testing.T) {
--- a/pkg/encoder/load.go
+++ b/pkg/encoder/load.go
@@ -155,6 +155,8 @@
 	Subject  uint64 `msg:"p"`
 	Request  bool   `msg:"r"`
 	Endpoint uint32 `msg:"e"`
+	// Isolated reports whether the sender refuses requests with the subject.
+	Isolated bool `msg:"i"`
 	// Age is the time since the observation in milliseconds. Took is the time from
 	// sending the attempt to the observation in milliseconds, or zero where there is no
 	// attempt.
--- a/pkg/encoder/load_gen.go
+++ b/pkg/encoder/load_gen.go
@@ -101,8 +101,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Subject, err = dc.ReadUint64()
@@ -120,6 +120,11 @@
 		err = msgp.WrapError(err, "Endpoint")
 		return
 	}
+	z.Isolated, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Isolated")
+		return
+	}
 	z.Age, err = dc.ReadUint32()
 	if err != nil {
 		err = msgp.WrapError(err, "Age")
@@ -135,8 +140,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Crash) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 6
+	err = en.Append(0x96)
 	if err != nil {
 		return
 	}
@@ -155,6 +160,11 @@
 		err = msgp.WrapError(err, "Endpoint")
 		return
 	}
+	err = en.WriteBool(z.Isolated)
+	if err != nil {
+		err = msgp.WrapError(err, "Isolated")
+		return
+	}
 	err = en.WriteUint32(z.Age)
 	if err != nil {
 		err = msgp.WrapError(err, "Age")
@@ -171,11 +181,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Crash) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint64(o, z.Subject)
 	o = msgp.AppendBool(o, z.Request)
 	o = msgp.AppendUint32(o, z.Endpoint)
+	o = msgp.AppendBool(o, z.Isolated)
 	o = msgp.AppendUint32(o, z.Age)
 	o = msgp.AppendUint32(o, z.Took)
 	return
@@ -189,8 +200,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Subject, bts, err = msgp.ReadUint64Bytes(bts)
@@ -208,6 +219,11 @@
 		err = msgp.WrapError(err, "Endpoint")
 		return
 	}
+	z.Isolated, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Isolated")
+		return
+	}
 	z.Age, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Age")
@@ -224,7 +240,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Crash) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
+	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint32Size + msgp.BoolSize + msgp.Uint32Size + msgp.Uint32Size
 	return
 }
 
