Hold an end of an endpoint against the request that explains it

An isolated request now explains the ends of the endpoints that cut it off: they do not count against requests with fewer failures, and as one failure against parts, so that a part that is harmful in several requests is still found. Tests: TestSoundRequestsBesideAHarmfulOneAreNotIsolated, TestPartOfSeveralHarmfulRequestsIsIsolated.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -83,12 +83,12 @@
 	subjects map[Subject]*evidence
 	// endedAt holds the time at which an endpoint was found to have ended.
 	endedAt map[uint32]time.Time
-	// reported holds what Changes has reported as isolated. changed reports whether
-	// observations have come since, and checkedAt is the time of the last call that has
-	// looked at them.
-	reported  map[Subject]bool
-	changed   bool
-	checkedAt time.Time
+	// verdicts holds the subjects that are isolated, as of judgedAt, and reported those
+	// that Changes has reported as such. changed reports whether observations have come
+	// since judgedAt.
+	verdicts, reported map[Subject]bool
+	judgedAt           time.Time
+	changed            bool
 }
 
 // Change is the begin or the end of an isolation.
@@ -99,31 +99,24 @@
 	Ends int
 }
 
-// checkInterval is how often Changes looks for isolations that have expired.
-const checkInterval = time.Second
-
 // Changes returns the isolations that have begun or ended since the last call.
 func (s *Isolator) Changes(now time.Time) []Change {
-	if !s.changed && (len(s.reported) == 0 || now.Sub(s.checkedAt) < checkInterval) {
+	if s.Empty() && len(s.reported) == 0 {
 		return nil
 	}
-	s.changed, s.checkedAt = false, now
+	s.judge(now)
 	var list []Change
 	for id := range s.reported {
-		if !s.isolated(now, s.subjects[id]) {
-			delete(s.reported, id)
+		if !s.verdicts[id] {
 			list = append(list, Change{Subject: id})
 		}
 	}
-	for id, p := range s.subjects {
-		if !s.reported[id] && s.isolated(now, p) {
-			if s.reported == nil {
-				s.reported = map[Subject]bool{}
-			}
-			s.reported[id] = true
-			list = append(list, Change{Subject: id, Ends: len(p.cutOffs)})
+	for id := range s.verdicts {
+		if !s.reported[id] {
+			list = append(list, Change{Subject: id, Ends: len(s.subjects[id].cutOffs)})
 		}
 	}
+	s.reported = s.verdicts
 	slices.SortFunc(list, func(a, b Change) int { return cmp.Compare(a.Subject.ID, b.Subject.ID) })
 
 	return list
@@ -217,8 +210,9 @@
 // Isolated returns the first of the given subjects that is isolated, and reports whether
 // there is one.
 func (s *Isolator) Isolated(now time.Time, subjects []Subject) (Subject, bool) {
+	s.judge(now)
 	for _, id := range subjects {
-		if s.isolated(now, s.subjects[id]) {
+		if s.verdicts[id] {
 			return id, true
 		}
 	}
@@ -226,49 +220,9 @@
 	return Subject{}, false
 }
 
-func (s *Isolator) isolated(now time.Time, p *evidence) bool {
-	if p == nil {
-		return false
-	}
-	return p.failures(now) >= isolationCrashes || p.isolatedElsewhere(now)
-}
-
-// isolatedElsewhere reports whether another node has isolated the subject. Nodes adopt
-// that, because the times of observations differ between them, so that a node may take
-// failures for simultaneous that others see one after the other.
-func (p *evidence) isolatedElsewhere(now time.Time) bool {
-	for _, c := range p.cutOffs {
-		if c.isolated && now.Sub(c.at) < isolationTime {
-			return true
-		}
-	}
-
-	return false
-}
-
-// failures returns the number of failures under the subject. Endpoints that end one after
-// the other are separate failures, even in quick succession: a request that is repeated at
-// once reaches the next one when the former has ended.
-func (p *evidence) failures(now time.Time) int {
-	var crashes []cutOff
-	for _, c := range p.cutOffs {
-		if c.ended && now.Sub(c.at) < isolationTime {
-			crashes = append(crashes, c)
-		}
-	}
-	slices.SortFunc(crashes, func(a, b cutOff) int { return a.at.Compare(b.at) })
-	failures, last := 0, time.Time{}
-	for _, c := range crashes {
-		if c.at.Sub(last) >= simultaneousTime || last.Sub(c.sentAt) <= messageResolution {
-			failures, last = failures+1, c.at
-		}
-	}
-
-	return failures
-}
-
 // Observations returns what other nodes need to know, the latest first.
 func (s *Isolator) Observations(now time.Time) []encoder.Crash {
+	s.judge(now)
 	var list []encoder.Crash
 	add := func(id Subject, endpoint uint32, at time.Time, took time.Duration, isolated bool) {
 		if age := now.Sub(at); isolated || age < newsTime {
@@ -278,7 +232,7 @@
 		}
 	}
 	for id, p := range s.subjects {
-		isolated := s.isolated(now, p)
+		isolated := s.verdicts[id]
 		for endpoint, c := range p.cutOffs {
 			add(id, endpoint, c.at, c.at.Sub(c.sentAt), isolated)
 			if c.ended && isolated {
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -128,6 +128,57 @@
 	c.Check(isolated, qt.IsFalse)
 }
 
+// request returns the request with the given fingerprint.
+func request(id uint64) Subject { return Subject{ID: id, Request: true} }
+
+// endUnder records that endpoints end one after the other under attempts with the subjects,
+// and returns the time after that.
+func (s *Isolator) endUnder(now time.Time, subjects []Subject, endpoints ...uint32) time.Time {
+	for _, endpoint := range endpoints {
+		now = now.Add(time.Second)
+		s.RecordCutOff(now, now.Add(-testRun), subjects, endpoint)
+		s.RecordEnded(now, endpoint)
+	}
+
+	return now
+}
+
+// Guards against sound requests and prompt parts that are refused because they have run
+// beside a harmful request whenever it crashed an endpoint, also where other nodes isolated
+// them before they knew of that request.
+func TestSoundRequestsBesideAHarmfulOneAreNotIsolated(t *testing.T) {
+	c := qt.New(t)
+	var s, other Isolator
+	harmful, beside, part := request(1), request(2), Subject{ID: 3}
+	now := s.endUnder(start, []Subject{harmful}, 1)
+	now = s.endUnder(now, []Subject{harmful, beside, part}, 2, 3, 4)
+	other.endUnder(start.Add(time.Second), []Subject{beside, part}, 2, 3, 4)
+	_, isolated := other.Isolated(now, []Subject{beside})
+	c.Check(isolated, qt.IsTrue)
+	s.Merge(now, other.Observations(now))
+	other.Merge(now, s.Observations(now))
+	for _, s := range []*Isolator{&s, &other} {
+		id, isolated := s.Isolated(now, []Subject{beside, part, harmful})
+		c.Check(isolated, qt.IsTrue)
+		c.Check(id, qt.Equals, harmful)
+	}
+}
+
+// Guards against a harmful prompt part that is never found because each request with it is
+// isolated for itself.
+func TestPartOfSeveralHarmfulRequestsIsIsolated(t *testing.T) {
+	c := qt.New(t)
+	var s Isolator
+	part := Subject{ID: 9}
+	now := s.endUnder(start, []Subject{request(1), part}, 1, 2, 3)
+	now = s.endUnder(now, []Subject{request(2), part}, 4)
+	_, isolated := s.Isolated(now, []Subject{part})
+	c.Check(isolated, qt.IsFalse)
+	now = s.endUnder(now, []Subject{request(2), part}, 5)
+	_, isolated = s.Isolated(now, []Subject{part})
+	c.Check(isolated, qt.IsTrue)
+}
+
 // Guards against observations that never expire because nodes pass them back
 // and forth.
 func TestObservationsExpireBetweenNodes(t *testing.T) {
