--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -220,6 +220,8 @@
 		d.mergeObservations(now, e.List)
 	case CrashesObserved:
 		d.isolator.Merge(now, e.Crashes)
+	case EndpointChecked:
+		d.handleChecked(now, e)
 	case OriginsLearned:
 		d.learnOrigins(now, e.List, e.From)
 	case ViewRestored:
@@ -278,6 +280,9 @@
 	// Limited that of those that have named a limit of requests. Failing is the number of
 	// those that get only probe requests because they fail most requests.
 	Leaving, Paused, Displaced, Cold, Limited, Failing int
+	// Checking is the number of endpoints that are being checked for whether they have
+	// ended.
+	Checking int
 	// Suspected is the number of requests and prompt parts under which endpoints have
 	// cut off attempts, and Isolated that of those that are refused.
 	Suspected, Isolated int
@@ -292,6 +297,9 @@
 	}
 	s.Suspected, s.Isolated = d.isolator.Counts()
 	for _, e := range d.endpoints {
+		if e.checking {
+			s.Checking++
+		}
 		if e.leaving() {
 			s.Leaving++
 		}
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -30,6 +30,8 @@
 	// consecutiveFailures is the number of consecutive attempts that did not
 	// reach the endpoint.
 	consecutiveFailures int
+	// checking reports whether a CheckEndpoint is in progress.
+	checking bool
 	// suspendedUntil is the time until which it receives no new requests.
 	suspendedUntil time.Time
 	// pacing is shared by all entries of the incarnation.
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -92,6 +92,15 @@
 	InvalidLimit string
 }
 
+// EndpointChecked reports the result of CheckEndpoint.
+type EndpointChecked struct {
+	Endpoint string
+	Address  netip.AddrPort
+	// Refused reports whether the host has refused the connection, as none listens at
+	// the address.
+	Refused bool
+}
+
 // RequestLost reports that a request has ended because of an unexpected error.
 type RequestLost struct{ ID uint64 }
 
@@ -257,6 +266,7 @@
 func (CentresOut) event()           {}
 func (ViewConfirmed) event()        {}
 func (CrashesObserved) event()      {}
+func (EndpointChecked) event()      {}
 func (DemandsReceived) event()      {}
 func (ObservationsReceived) event() {}
 func (ViewReachable) event()        {}
@@ -334,6 +344,16 @@
 // takes over. It is only an effect of AttemptStalled.
 type GiveUp struct{ ID uint64 }
 
+// CheckEndpoint connects to an endpoint that has cut off an attempt, to find out whether it
+// has ended. It is followed by an EndpointChecked. A connection that is established is kept
+// as an idle one.
+type CheckEndpoint struct {
+	Endpoint string
+	Address  netip.AddrPort
+	// MaxIdle is the maximum number of idle connections to keep to the endpoint.
+	MaxIdle int
+}
+
 // CloseIdleConnections closes the idle connections to an endpoint.
 type CloseIdleConnections struct{ Address netip.AddrPort }
 
@@ -364,6 +384,7 @@
 func (Cancel) effect()               {}
 func (GiveUp) effect()               {}
 func (CloseIdleConnections) effect() {}
+func (CheckEndpoint) effect()        {}
 func (Log) effect()                  {}
 func (Count) effect()                {}
 func (Observe) effect()              {}
--- a/internal/director/harmful.go
+++ b/internal/director/harmful.go
@@ -69,6 +69,23 @@
 		"service", req.service.name, "account", account, "endpoint", e.entry.ID, "took", f.Took.String(), "begun", req.begun(),
 		"cause", f.Cause, "parts", formatParts(req.Need.SharedParts))
 	d.isolator.RecordCutOff(now, now.Add(-f.Took), req.subjects(!ranOn, !f.Relayed), e.number)
+	if d.current(e) && !e.checking {
+		// The next request may reach the endpoint only when it is back.
+		e.checking = true
+		d.emit(CheckEndpoint{Endpoint: e.entry.ID, Address: e.entry.Address, MaxIdle: d.idleLimit(now, req.service.name)})
+	}
+}
+
+// handleChecked records that an endpoint that was checked has ended.
+func (d *Director) handleChecked(now time.Time, c EndpointChecked) {
+	e := d.endpoints[c.Endpoint]
+	if e == nil || e.entry.Address != c.Address {
+		return
+	}
+	e.checking = false
+	if c.Refused {
+		d.isolator.RecordEnded(now, e.number)
+	}
 }
 
 // isolated returns the subject of a request that is isolated, and reports whether there is
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,11 +6,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -82,6 +84,9 @@
 	// are answered that were not answered until then. It is longer than dialTimeout,
 	// as an attempt that connects is not cancelled.
 	answerMargin = 300 * time.Millisecond
+	// checkDelay is the time after an attempt was cut off in which the host of an
+	// endpoint that has ended closes its listening socket, too.
+	checkDelay = 10 * time.Millisecond
 	// readTimeout limits the time to read a request, and idleTimeout the time
 	// between two requests on a connection.
 	readTimeout = 10 * time.Second
@@ -296,6 +301,8 @@
 		}
 	case director.CloseIdleConnections:
 		f.pool.closeIdle(e.Address)
+	case director.CheckEndpoint:
+		go f.checkEndpoint(e)
 	case director.AnnounceOrigins:
 		if f.opts.AnnounceOrigins != nil {
 			f.opts.AnnounceOrigins(e.List)
@@ -317,6 +324,21 @@
 	}
 }
 
+// checkEndpoint connects to an endpoint after checkDelay.
+func (f *Forwarder) checkEndpoint(check director.CheckEndpoint) {
+	refused := false
+	guarder.Run(f.opts.Logger, "check of an endpoint", func() {
+		time.Sleep(checkDelay)
+		conn, err := f.pool.connect(check.Address)
+		if err != nil {
+			refused = errors.Is(err, syscall.ECONNREFUSED)
+		} else {
+			f.pool.put(check.Address, conn, time.Now(), &fasthttp.ResponseHeader{}, check.MaxIdle)
+		}
+	})
+	f.Post(director.EndpointChecked{Endpoint: check.Endpoint, Address: check.Address, Refused: refused})
+}
+
 // deliver sends an effect to the goroutine of its request. There is at most one
 // outstanding effect per request.
 func (f *Forwarder) deliver(id uint64, e director.Effect) {
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -81,6 +81,7 @@
 // endpoint is a test server that handles requests with a handler. The handler
 // reports whether the connection stays open.
 type endpoint struct {
+	listener net.Listener
 	addr     netip.AddrPort
 	mu       sync.Mutex
 	received []*http.Request
@@ -109,7 +110,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = ln.Close() })
-	e := &endpoint{addr: ln.Addr().(*net.TCPAddr).AddrPort()}
+	e := &endpoint{listener: ln, addr: ln.Addr().(*net.TCPAddr).AddrPort()}
 	go func() {
 		for {
 			conn, err := ln.Accept()
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -147,11 +147,16 @@
 		}
 		_ = c.Close()
 	}
+
+	return p.connect(address)
+}
+
+// connect returns a new connection.
+func (p *pool) connect(address netip.AddrPort) (*endpointConn, error) {
 	conn, err := p.dial(address)
 	if err != nil {
 		return nil, err
 	}
-
 	c := &endpointConn{Conn: conn, address: address}
 	c.br = bufio.NewReaderSize(c, readBufferBytes)
 
