Count an endpoint that starts again under its ID as another one

Services with one or two such endpoints never had three ends. Observations now name the incarnation. The simulation carries out the checks of endpoints, too.

--- a/internal/director/address.go
+++ b/internal/director/address.go
@@ -72,7 +72,7 @@
 	}
 	d.emit(CloseIdleConnections{Address: e.entry.Address})
 	if d.current(former) {
-		d.isolator.RecordEnded(now, former.number)
+		d.isolator.RecordEnded(now, former.boot)
 		d.logDisplaced(former)
 	}
 }
--- a/internal/director/crashing_test.go
+++ b/internal/director/crashing_test.go
@@ -29,6 +29,8 @@
 	begins time.Duration
 	// parts are the shared parts of all prompts, or nil.
 	parts []uint64
+	// endpoints is the number of endpoints.
+	endpoints int
 }
 
 // requestFleet simulates nodes and endpoints. One request crashes each endpoint that runs
@@ -59,6 +61,10 @@
 		switch e := effect.(type) {
 		case Dispatch:
 			f.dispatch(n, e)
+		case CheckEndpoint:
+			f.after(10*time.Millisecond, func() {
+				f.post(n, EndpointChecked{Endpoint: e.Endpoint, Address: e.Address, Refused: f.now.Before(f.backAt[e.Endpoint])})
+			})
 		case Refuse:
 			if !f.harmful[e.ID] && strings.HasPrefix(string(e.Reason), "harmful") {
 				f.refused++
@@ -132,13 +138,13 @@
 }
 
 // newRequestFleet returns a fleet with the settings that are shipped.
-func newRequestFleet(kind crashCase, nodes, endpoints int) *requestFleet {
+func newRequestFleet(kind crashCase, nodes int) *requestFleet {
 	f := &requestFleet{
 		now: start.Add(discoveryPeriod), kind: kind,
 		backAt: map[string]time.Time{}, running: map[string]map[uint64]*node{}, harmful: map[uint64]bool{},
 	}
-	entries := make([]registrar.Entry, 0, endpoints)
-	for i := range endpoints {
+	entries := make([]registrar.Entry, 0, kind.endpoints)
+	for i := range kind.endpoints {
 		entries = append(entries, f.entry(fmt.Sprint(kind.service, "-", i)))
 	}
 	for range nodes {
@@ -200,16 +206,17 @@
 // bound is three requests, sent later than 3 s after the third crash.
 func TestRequestThatCrashesEndpointsIsIsolated(t *testing.T) {
 	for _, kind := range []crashCase{
-		{name: "safe", service: "desk", path: "/look/1", work: 15 * time.Millisecond},
-		{name: "unsafe", service: "desk", path: "/pay/1", work: 15 * time.Millisecond},
-		{name: "stream without parts", service: "model", path: "/chat/1", work: 300 * time.Millisecond},
-		{name: "stream that begins", service: "model", path: "/chat/1", work: 300 * time.Millisecond, begins: 100 * time.Millisecond, parts: []uint64{1, 2}},
-		{name: "stream with shared parts", service: "model", path: "/draft/1", work: 300 * time.Millisecond, parts: []uint64{1, 2}},
+		{name: "safe", service: "desk", path: "/look/1", work: 15 * time.Millisecond, endpoints: 6},
+		{name: "safe, few endpoints", service: "desk", path: "/look/1", work: 15 * time.Millisecond, endpoints: 2},
+		{name: "unsafe", service: "desk", path: "/pay/1", work: 15 * time.Millisecond, endpoints: 6},
+		{name: "stream without parts", service: "model", path: "/chat/1", work: 300 * time.Millisecond, endpoints: 6},
+		{name: "stream that begins", service: "model", path: "/chat/1", work: 300 * time.Millisecond, begins: 100 * time.Millisecond, parts: []uint64{1, 2}, endpoints: 6},
+		{name: "stream with shared parts", service: "model", path: "/draft/1", work: 300 * time.Millisecond, parts: []uint64{1, 2}, endpoints: 6},
 	} {
 		for seed := range uint64(5) {
 			t.Run(fmt.Sprint(kind.name, "/seed ", seed), func(t *testing.T) {
 				c := qt.New(t)
-				f := newRequestFleet(kind, 6, 6)
+				f := newRequestFleet(kind, 6)
 				f.run(rand.New(rand.NewPCG(seed, 48)), f.now.Add(25*time.Second), 10, 1.5)
 				c.Assert(len(f.crashes) >= 3, qt.IsTrue)
 				late := 0
@@ -232,7 +239,7 @@
 	c := qt.New(t)
 	crashes := 0
 	for seed := range uint64(10) {
-		f := newRequestFleet(crashCase{service: "model", path: "/chat/1", work: 300 * time.Millisecond, parts: []uint64{1, 2}}, 12, 24)
+		f := newRequestFleet(crashCase{service: "model", path: "/chat/1", work: 300 * time.Millisecond, parts: []uint64{1, 2}, endpoints: 24}, 12)
 		f.run(rand.New(rand.NewPCG(seed, 49)), f.now.Add(10*time.Second), 40, 5)
 		crashes += len(f.crashes)
 	}
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -20,9 +20,10 @@
 // endpoint is the state of one incarnation of an endpoint.
 type endpoint struct {
 	entry registrar.Entry
-	// number identifies the endpoint in messages between nodes.
-	number uint32
-	load   *chooser.Engine
+	// number identifies the endpoint in messages between nodes, and boot the incarnation
+	// in those about crashes.
+	number, boot uint32
+	load         *chooser.Engine
 	// reported is the part of the own load that was reported to the other nodes,
 	// and changed reports whether the own load has changed since.
 	reported chooser.Load
@@ -65,6 +66,7 @@
 		load:   chooser.NewEngine(entry.ID, entry.DataCentre == d.opts.DataCentre),
 		pacing: d.pacingOf(entry),
 	}
+	e.boot = e.incarnation().number()
 	d.recallNotice(e)
 	d.endpoints[entry.ID], d.endpointsByNumber[e.number] = e, e
 	s := d.ensureService(entry.Service)
@@ -106,7 +108,7 @@
 	d.markChanged(e)
 	d.retainNotice(now, e)
 	d.retainPacing(now, e)
-	d.isolator.RecordEnded(now, e.number)
+	d.isolator.RecordEnded(now, e.boot)
 	s := d.ensureService(entry.Service)
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(other *endpoint) bool { return other == e })
 	s.versions.Remove(now, e.entry.Version)
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -1,7 +1,9 @@
 package director
 
 import (
+	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -228,6 +230,14 @@
 	}
 }
 
+// number returns the number that identifies an incarnation in messages about crashes. An
+// endpoint that has started again under its ID can crash again.
+func (i incarnation) number() uint32 {
+	h := xxhash.Sum64String(i.id + " " + strconv.FormatInt(i.born, 10) + " " + i.address.String())
+
+	return uint32(h%math.MaxUint32) + 1
+}
+
 // endpointNumber returns the number that identifies an endpoint in messages
 // between nodes.
 func endpointNumber(id string) uint32 { return uint32(xxhash.Sum64String(id) % encoder.EndpointLimit) }
--- a/internal/director/harmful.go
+++ b/internal/director/harmful.go
@@ -68,7 +68,7 @@
 	d.log(logger.AttemptCutOff, "request", req.Name, "content", strconv.FormatUint(req.fingerprint(), 16), "route", req.route.Name,
 		"service", req.service.name, "account", account, "endpoint", e.entry.ID, "took", f.Took.String(), "begun", req.begun(),
 		"cause", f.Cause, "parts", formatParts(req.Need.SharedParts))
-	d.isolator.RecordCutOff(now, now.Add(-f.Took), req.subjects(!ranOn, !f.Relayed), e.number)
+	d.isolator.RecordCutOff(now, now.Add(-f.Took), req.subjects(!ranOn, !f.Relayed), e.boot)
 	if d.current(e) && !e.checking {
 		// The next request may reach the endpoint only when it is back.
 		e.checking = true
@@ -84,7 +84,7 @@
 	}
 	e.checking = false
 	if c.Refused {
-		d.isolator.RecordEnded(now, e.number)
+		d.isolator.RecordEnded(now, e.boot)
 	}
 }
 
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -163,7 +163,7 @@
 			d.recordOutcome(now, e, true)
 		}
 		d.suspend(now, e, f.Result)
-		d.isolator.RecordEnded(now, e.number)
+		d.isolator.RecordEnded(now, e.boot)
 	case Broken:
 		d.recordOutcome(now, e, true)
 	case TimedOut:
--- a/pkg/encoder/load.go
+++ b/pkg/encoder/load.go
@@ -149,9 +149,10 @@
 // Crash is an observation about a subject, an endpoint or both.
 type Crash struct {
 	// Subject is the fingerprint of a request if Request is true, and the hash of a
-	// prompt part otherwise. Endpoint is the number of an endpoint. With both, the
-	// endpoint has cut off an attempt with the subject. Without a subject, the endpoint
-	// has ended. Without an endpoint, an answer has shown that the subject is sound.
+	// prompt part otherwise. Endpoint is the number of an endpoint's incarnation. With
+	// both, the endpoint has cut off an attempt with the subject. Without a subject, the
+	// endpoint has ended. Without an endpoint, an answer has shown that the subject is
+	// sound.
 	Subject  uint64 `msg:"p"`
 	Request  bool   `msg:"r"`
 	Endpoint uint32 `msg:"e"`
