Take an answer for evidence when it is complete or has gone on

A part that crashes engines just after they have begun to answer was never isolated. Requests and parts now share one rule: an answer is evidence for them when it is complete or was cut off a second or more after it had begun, and against them when it was cut off before.

--- a/internal/director/harmful.go
+++ b/internal/director/harmful.go
@@ -28,14 +28,14 @@
 // is cut off later ran beside another request that did.
 const beginTime = time.Second
 
-// subjects returns what an attempt may be evidence for or against: the request, if
-// withRequest is true, and its prompt parts, if withParts is.
-func (r *request) subjects(withRequest, withParts bool) []isolator.Subject {
+// subjects returns what an attempt is evidence for or against: the request and its prompt
+// parts.
+func (r *request) subjects() []isolator.Subject {
 	var list []isolator.Subject
-	if withRequest && r.Content != 0 {
+	if r.Content != 0 {
 		list = append(list, isolator.Subject{ID: r.fingerprint(), Request: true})
 	}
-	if withParts && r.usesEngine {
+	if r.usesEngine {
 		for _, part := range r.Need.SharedParts {
 			list = append(list, isolator.Subject{ID: part})
 		}
@@ -44,19 +44,11 @@
 	return list
 }
 
-// recordBegun records that the answer to a request has begun. Another request with the
-// same prompt parts may crash endpoints nevertheless.
-func (d *Director) recordBegun(now time.Time, req *request) {
-	if !d.isolator.Empty() {
-		d.isolator.RecordSound(now, req.subjects(false, true))
-	}
-}
-
 // recordEvidence records what the end of an attempt says for or against its request.
 func (d *Director) recordEvidence(now time.Time, req *request, e *endpoint, f AttemptFinished) {
 	ranOn := !req.beganAt.IsZero() && now.Sub(req.beganAt) >= beginTime
 	if !d.isolator.Empty() && (f.Result == Answered || ranOn) {
-		d.isolator.RecordSound(now, req.subjects(true, false))
+		d.isolator.RecordSound(now, req.subjects())
 	}
 	if f.Result != Broken {
 		return
@@ -68,7 +60,9 @@
 	d.log(logger.AttemptCutOff, "request", req.Name, "content", strconv.FormatUint(req.fingerprint(), 16), "route", req.route.Name,
 		"service", req.service.name, "account", account, "endpoint", e.entry.ID, "took", f.Took.String(), "begun", req.begun(),
 		"cause", f.Cause, "parts", formatParts(req.Need.SharedParts))
-	d.isolator.RecordCutOff(now, now.Add(-f.Took), req.subjects(!ranOn, !f.Relayed), e.boot)
+	if !ranOn {
+		d.isolator.RecordCutOff(now, now.Add(-f.Took), req.subjects(), e.boot)
+	}
 	if d.current(e) && !e.checking {
 		// The next request may reach the endpoint only when it is back.
 		e.checking = true
@@ -95,7 +89,7 @@
 		return isolator.Subject{}, false
 	}
 
-	return d.isolator.Isolated(now, req.subjects(true, true))
+	return d.isolator.Isolated(now, req.subjects())
 }
 
 // suspected reports whether endpoints have cut off the request, and none has answered it
--- a/internal/director/harmful_test.go
+++ b/internal/director/harmful_test.go
@@ -46,6 +46,9 @@
 	backAt  map[string]time.Time
 	running map[string]map[uint64]*node
 	harmful map[uint64]bool
+	// begins reports whether engines begin the answers to harmful requests, 100 ms
+	// before they crash.
+	begins bool
 	// crashes and harmfulRuns hold the times of crashes and of dispatches with
 	// the harmful part. begun counts the answers to sound requests.
 	crashes, harmfulRuns []time.Time
@@ -78,6 +81,13 @@
 	if f.harmful[d.ID] {
 		f.harmfulRuns = append(f.harmfulRuns, f.now)
 	}
+	if f.begins && f.harmful[d.ID] {
+		f.after(200*time.Millisecond, func() {
+			if f.running[d.Endpoint][d.ID] == n {
+				f.post(n, ResponseStarted{ID: d.ID, Wait: 200 * time.Millisecond})
+			}
+		})
+	}
 	f.after(300*time.Millisecond, func() {
 		switch {
 		case f.running[d.Endpoint][d.ID] != n:
@@ -103,7 +113,7 @@
 	for _, id := range ids {
 		n := f.running[endpoint][id]
 		delete(f.running[endpoint], id)
-		f.post(n, AttemptFinished{ID: id, Result: Broken, Cause: "EOF"})
+		f.post(n, AttemptFinished{ID: id, Result: Broken, Relayed: f.begins && f.harmful[id], Cause: "EOF"})
 	}
 }
 
@@ -111,12 +121,14 @@
 // remembers it, or each node only its own crashes (day "tainted"). The users'
 // bound is three requests, sent later than 3 s after the fifth crash.
 func TestRequestsWithHarmfulPartReachFewEngines(t *testing.T) {
-	for seed := range uint64(10) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+	for seed := range uint64(20) {
+		begins := seed >= 10
+		t.Run(fmt.Sprint("seed ", seed%10, " begins ", begins), func(t *testing.T) {
 			c := qt.New(t)
-			rng := rand.New(rand.NewPCG(seed, 1))
+			rng := rand.New(rand.NewPCG(seed%10, 1))
 			f := &crashingFleet{
-				now: start.Add(discoveryPeriod), backAt: map[string]time.Time{},
+				begins: begins,
+				now:    start.Add(discoveryPeriod), backAt: map[string]time.Time{},
 				running: map[string]map[uint64]*node{}, harmful: map[uint64]bool{},
 			}
 			entries := make([]registrar.Entry, 0, 9)
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -30,7 +30,6 @@
 	}
 	d.recordOrigin(now, req)
 	req.beganAt = now
-	d.recordBegun(now, req)
 	d.confirmAddress(now, req.endpoint)
 	req.endpoint.consecutiveFailures = 0
 	if now.Before(req.endpoint.suspendedUntil) {
