--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -172,10 +172,9 @@
 	var s Isolator
 	part := Subject{ID: 9}
 	now := s.endUnder(start, []Subject{request(1), part}, 1, 2, 3)
-	now = s.endUnder(now, []Subject{request(2), part}, 4)
 	_, isolated := s.Isolated(now, []Subject{part})
 	c.Check(isolated, qt.IsFalse)
-	now = s.endUnder(now, []Subject{request(2), part}, 5)
+	now = s.endUnder(now, []Subject{request(2), part}, 4)
 	_, isolated = s.Isolated(now, []Subject{part})
 	c.Check(isolated, qt.IsTrue)
 }
--- a/internal/isolator/judge.go
+++ b/internal/isolator/judge.go
@@ -14,8 +14,9 @@
 // An endpoint that ends cuts off all that it runs, so that a sound request or part has as
 // much against it as the harmful request beside which it ran each time. An isolated request
 // explains the ends of the endpoints that have cut it off: they do not count against
-// requests with fewer failures, and count as one failure against prompt parts, which may
-// be harmful themselves in several requests.
+// requests with fewer failures, nor against prompt parts under which all ends are
+// explained. An end under a part that no isolated request explains makes the part harmful
+// itself, in several requests.
 func (s *Isolator) judge(now time.Time) {
 	if !s.changed && now.Sub(s.judgedAt) < judgeInterval {
 		return
@@ -24,7 +25,7 @@
 	// Copies of the Isolator share the former verdicts.
 	former := s.verdicts
 	s.verdicts = map[Subject]bool{}
-	none := func(uint32) bool { return false }
+	none := explains(nil)
 	type suspect struct {
 		id       Subject
 		failures int
@@ -100,22 +101,9 @@
 
 // harmfulPart reports whether a prompt part is isolated, where the given requests are.
 func (p *evidence) harmfulPart(now time.Time, isolated []*evidence) bool {
-	if p.harmful(now, explains(isolated)) {
-		return true
-	}
-	failures := p.failures(now, explains(isolated))
-	for i, r := range isolated {
-		earlier := explains(isolated[:i])
-		for endpoint := range p.cutOffs {
-			if _, known := r.cutOffs[endpoint]; known && !earlier(endpoint) {
-				failures++
-
-				break
-			}
-		}
-	}
+	unexplained := p.failures(now, explains(isolated))
 
-	return failures >= isolationCrashes
+	return p.harmful(now, explains(isolated)) || unexplained > 0 && p.failures(now, explains(nil)) >= isolationCrashes
 }
 
 // failures returns the number of failures under the subject that are not explained
