--- a/internal/director/harmful.go
+++ b/internal/director/harmful.go
@@ -64,7 +64,7 @@
 		d.isolator.RecordCutOff(now, now.Add(-f.Took), req.subjects(), e.boot)
 	}
 	if d.current(e) && !e.checking {
-		// The next request may reach the endpoint only when it is back.
+		// The next request may come only when the endpoint is back.
 		e.checking = true
 		d.emit(CheckEndpoint{Endpoint: e.entry.ID, Address: e.entry.Address, MaxIdle: d.idleLimit(now, req.service.name)})
 	}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -56,12 +56,11 @@
 	SetRelayedView func(aggregator.RelayedView)
 	CompareTable   func(aggregator.TableState)
 	SetSpeaker     func(bool)
-	// Crashes returns what the node knows about prompt parts that crash endpoints,
-	// and MergeCrashes is called with what other nodes know.
-	// CrashNews returns what of that no node was told yet.
-	Crashes      func() []encoder.Crash
-	CrashNews    func() []encoder.Crash
-	MergeCrashes func([]encoder.Crash)
+	// Crashes returns what the node knows about requests and prompt parts that crash
+	// endpoints, and CrashNews what of that no node was told yet. MergeCrashes is called
+	// with what other nodes know.
+	Crashes, CrashNews func() []encoder.Crash
+	MergeCrashes       func([]encoder.Crash)
 	// StoreContact returns the last period in which the node could read the store, or
 	// zero times, and NoteContact is called with that of another node. Both are on the
 	// clock of this node.
--- a/internal/forwarder/content.go
+++ b/internal/forwarder/content.go
@@ -6,8 +6,8 @@
 )
 
 // contentHash returns a hash of what a request asks for: its method, its host, its path
-// with the query, and its body. Header fields are left out, as they differ between the
-// attempts of a caller.
+// with the query, and its body. Other header fields are left out, as they differ between
+// the attempts of a caller.
 func contentHash(h *fasthttp.RequestHeader, body []byte) uint32 {
 	var digest xxhash.Digest
 	digest.Reset()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -302,7 +302,7 @@
 	case director.CloseIdleConnections:
 		f.pool.closeIdle(e.Address)
 	case director.CheckEndpoint:
-		go f.checkEndpoint(e)
+		time.AfterFunc(checkDelay, func() { f.checkEndpoint(e) })
 	case director.AnnounceOrigins:
 		if f.opts.AnnounceOrigins != nil {
 			f.opts.AnnounceOrigins(e.List)
@@ -324,11 +324,10 @@
 	}
 }
 
-// checkEndpoint connects to an endpoint after checkDelay.
+// checkEndpoint connects to an endpoint and reports the result to the director.
 func (f *Forwarder) checkEndpoint(check director.CheckEndpoint) {
 	refused := false
 	guarder.Run(f.opts.Logger, "check of an endpoint", func() {
-		time.Sleep(checkDelay)
 		conn, err := f.pool.connect(check.Address)
 		if err != nil {
 			refused = errors.Is(err, syscall.ECONNREFUSED)
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -289,8 +289,9 @@
 // take marks the first observations of a list as sent, as many as fit into a message, and
 // returns them.
 func take(list []observation) []encoder.Crash {
-	var crashes []encoder.Crash
-	for _, o := range list[:min(len(list), maxSent)] {
+	list = list[:min(len(list), maxSent)]
+	crashes := make([]encoder.Crash, 0, len(list))
+	for _, o := range list {
 		*o.sent++
 		crashes = append(crashes, o.Crash)
 	}
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -208,10 +208,11 @@
 	now := start
 	for endpoint := range uint32(isolationCrashes) {
 		now = now.Add(time.Second)
-		list := []Subject{request(math.MaxUint64)}
+		list := make([]Subject, 0, 21)
 		for i := range uint64(20) {
 			list = append(list, request(1e6*uint64(endpoint+1)+i))
 		}
+		list = append(list, request(math.MaxUint64))
 		s.RecordCutOff(now, now.Add(-testRun), list, 1e6+endpoint)
 		s.RecordEnded(now, 1e6+endpoint)
 	}
