Hold nothing against a request within a second after an answer to it

Nodes now remember which requests they answered last (2,048 of them) and tell each other when one of these is cut off; ends within a second after an answer do not count. TestPopularRequestIsNotIsolated.

--- a/internal/director/harmful.go
+++ b/internal/director/harmful.go
@@ -47,8 +47,8 @@
 // recordEvidence records what the end of an attempt says for or against its request.
 func (d *Director) recordEvidence(now time.Time, req *request, e *endpoint, f AttemptFinished) {
 	ranOn := !req.beganAt.IsZero() && now.Sub(req.beganAt) >= beginTime
-	if !d.isolator.Empty() && (f.Result == Answered || ranOn) {
-		d.isolator.RecordSound(now, req.subjects())
+	if f.Result == Answered || ranOn {
+		d.recordSound(now, req)
 	}
 	if f.Result != Broken {
 		return
@@ -70,6 +70,16 @@
 	}
 }
 
+// recordSound records that an answer has shown a request and its prompt parts to be sound.
+func (d *Director) recordSound(now time.Time, req *request) {
+	if req.Content != 0 {
+		d.isolator.RecordAnswer(now, req.fingerprint())
+	}
+	if !d.isolator.Empty() {
+		d.isolator.RecordSound(now, req.subjects())
+	}
+}
+
 // handleChecked records that an endpoint that was checked has ended.
 func (d *Director) handleChecked(now time.Time, c EndpointChecked) {
 	e := d.endpoints[c.Endpoint]
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -49,6 +49,12 @@
 	// started since, at most maxStanding of them every standingInterval.
 	maxStanding      = 8
 	standingInterval = time.Second
+	// soundTime is how long after an answer to a request nothing counts against it:
+	// where many send the same sound request, several are cut off before the next
+	// answer.
+	soundTime = time.Second
+	// recentAnswers bounds the number of answered requests that are remembered.
+	recentAnswers = 2048
 	// maxSubjects bounds the number of subjects and of endpoints that are kept.
 	maxSubjects = 1024
 )
@@ -81,10 +87,16 @@
 	sent int
 }
 
+// answer is an answer to a request.
+type answer struct {
+	request uint64
+	at      time.Time
+}
+
 // evidence is what is known about a subject.
 type evidence struct {
 	// cutOffs holds the first attempt that each endpoint has cut off. All of them
-	// are after soundAt.
+	// are after soundAt and the subject's grace.
 	cutOffs map[uint32]*cutOff
 	// soundAt is the last time at which an answer showed that the subject is sound, and
 	// soundSent is how often that was sent to other nodes.
@@ -96,6 +108,9 @@
 // use. The zero value has no observations.
 type Isolator struct {
 	subjects map[Subject]*evidence
+	// answers holds the last answers to requests, by their fingerprints modulo its
+	// length. It is nil before the first one.
+	answers []answer
 	// endings holds when endpoints were found to have ended.
 	endings map[uint32]*ending
 	// unsent reports whether there may be observations that were never sent to other
@@ -167,14 +182,15 @@
 		if s.subjects == nil {
 			s.subjects = map[Subject]*evidence{}
 		}
-		p = &evidence{cutOffs: map[uint32]*cutOff{}}
+		p = &evidence{cutOffs: map[uint32]*cutOff{}, soundAt: s.lastAnswer(id)}
 		s.subjects[id] = p
+		s.unsent = s.unsent || !p.soundAt.IsZero()
 	}
 	known, found := p.cutOffs[endpoint]
 	switch {
 	case found && c.isolated && !known.isolated:
 		known.isolated, s.changed = true, true
-	case !found && c.at.After(p.soundAt):
+	case !found && c.at.Sub(p.soundAt) > id.grace():
 		s.changed, s.unsent = true, true
 		end, ended := s.endings[endpoint]
 		c.ended = ended && end.at.Sub(c.at).Abs() < confirmationTime
@@ -206,6 +222,36 @@
 	}
 }
 
+// grace returns how long after an answer nothing counts against the subject.
+func (id Subject) grace() time.Duration {
+	if id.Request {
+		return soundTime
+	}
+
+	return 0
+}
+
+// lastAnswer returns when the request was last answered, or zero if that is not known.
+func (s *Isolator) lastAnswer(id Subject) time.Time {
+	if !id.Request || s.answers == nil {
+		return time.Time{}
+	}
+	if a := s.answers[id.ID%recentAnswers]; a.request == id.ID {
+		return a.at
+	}
+
+	return time.Time{}
+}
+
+// RecordAnswer records that a request was answered, so that nothing counts against it for a
+// time. Unlike RecordSound, it must be called also while there are no suspects.
+func (s *Isolator) RecordAnswer(now time.Time, request uint64) {
+	if s.answers == nil {
+		s.answers = make([]answer, recentAnswers)
+	}
+	s.answers[request%recentAnswers] = answer{request, now}
+}
+
 // RecordSound records that an answer has shown the given subjects to be sound.
 func (s *Isolator) RecordSound(now time.Time, subjects []Subject) {
 	for _, id := range subjects {
@@ -221,7 +267,7 @@
 	}
 	p.soundAt, p.soundSent, s.changed, s.unsent = at, 0, true, true
 	for endpoint, c := range p.cutOffs {
-		if !c.at.After(at) {
+		if c.at.Sub(at) <= id.grace() {
 			delete(p.cutOffs, endpoint)
 		}
 	}
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -165,6 +165,35 @@
 	}
 }
 
+// Guards against a sound request that many send at the same time, and that is refused, or
+// even taken for the cause, because it ran at all endpoints that a harmful one has crashed
+// before its next answer.
+func TestPopularRequestIsNotIsolated(t *testing.T) {
+	c := qt.New(t)
+	var s, other Isolator
+	harmful, popular := request(1), request(2)
+	now := start
+	other.RecordAnswer(now, popular.ID)
+	for endpoint := range uint32(4) {
+		list := []Subject{popular, harmful}[:min(1+endpoint, 2)]
+		s.RecordCutOff(now.Add(15*time.Millisecond), now, list, endpoint+1)
+		now = now.Add(15 * time.Millisecond)
+		s.RecordEnded(now, endpoint+1)
+	}
+	other.Merge(now, s.News(now))
+	now = now.Add(20 * time.Millisecond)
+	s.Merge(now, other.News(now))
+	for _, s := range []*Isolator{&s, &other} {
+		id, isolated := s.Isolated(now, []Subject{popular, harmful})
+		c.Check(isolated, qt.IsTrue)
+		c.Check(id, qt.Equals, harmful)
+	}
+	// Without answers, it is isolated like any other.
+	now = s.endUnder(now.Add(soundTime), []Subject{popular}, 11, 12, 13)
+	_, isolated := s.Isolated(now, []Subject{popular})
+	c.Check(isolated, qt.IsTrue)
+}
+
 // Guards against a harmful prompt part that is never found because each request with it is
 // isolated for itself.
 func TestPartOfSeveralHarmfulRequestsIsIsolated(t *testing.T) {
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -393,7 +393,7 @@
 		wg.Go(func() { create(s, i).run(stop) })
 	}
 	var releases conc.WaitGroup
-	if s.releases() {
+	if s.releases() && !s.opts.Calm {
 		for i := range streamCallers {
 			wg.Go(func() { newStreamCaller(s, i).run(stop) })
 		}
