Forget suspects once they are answered

Found on reading the change: expired observations were removed only when a new subject came, so that after one crash each request was looked up, and the gauge suspects stayed above zero, until the next one. They are removed once a second while there are any. TestAnsweredSuspectsAreForgotten.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -117,6 +117,8 @@
 	// nodes, and standingAt is when those that are no news were last sent.
 	unsent     bool
 	standingAt time.Time
+	// expiredAt is when expired observations were last removed.
+	expiredAt time.Time
 	// verdicts holds the subjects that are isolated, as of judgedAt, and reported those
 	// that Changes has reported as such. changed reports whether observations have come
 	// since judgedAt.
@@ -138,6 +140,9 @@
 	if s.Empty() && len(s.reported) == 0 {
 		return nil
 	}
+	if now.Sub(s.expiredAt) >= judgeInterval {
+		s.expire(now)
+	}
 	s.judge(now)
 	var list []Change
 	for id := range s.reported {
@@ -175,7 +180,9 @@
 func (s *Isolator) recordCutOff(now time.Time, c *cutOff, id Subject, endpoint uint32) {
 	p := s.subjects[id]
 	if p == nil {
-		s.expire(now)
+		if len(s.subjects) >= maxSubjects {
+			s.expire(now)
+		}
 		if len(s.subjects) >= maxSubjects {
 			s.evict()
 		}
@@ -399,6 +406,7 @@
 
 // expire removes observations that no longer count.
 func (s *Isolator) expire(now time.Time) {
+	s.expiredAt, s.changed = now, true
 	for id, p := range s.subjects {
 		for endpoint, c := range p.cutOffs {
 			if now.Sub(c.at) >= isolationTime {
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -270,6 +270,20 @@
 	c.Check(s.News(start.Add(time.Second)), qt.HasLen, 0)
 }
 
+// Guards against a node that looks each request up, and shows suspects in its metrics, long
+// after the last of them was answered.
+func TestAnsweredSuspectsAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	var s Isolator
+	now := s.endUnder(start, []Subject{request(1), {ID: 2}}, 1)
+	s.Changes(now)
+	c.Check(s.Empty(), qt.IsFalse)
+	now = now.Add(2 * soundTime)
+	s.RecordSound(now, []Subject{request(1), {ID: 2}})
+	s.Changes(now.Add(newsTime))
+	c.Check(s.Empty(), qt.IsTrue)
+}
+
 // Guards against memory and messages that grow with the parts that callers
 // send.
 func TestObservationsAreBounded(t *testing.T) {
