--- a/internal/forwarder/notice_test.go
+++ b/internal/forwarder/notice_test.go
@@ -109,7 +109,7 @@
 			call.send("POST", "/unsafe/x", "r1", "")
 			_, _, err := call.receive()
 			c.Assert(err, qt.IsNil)
-			c.Check(s.director.Status(s.opts.Clock()).Leaving, qt.Equals, 0)
+			c.Check(s.Status().Leaving, qt.Equals, 0)
 		})
 	}
 }
