--- a/internal/soaker/load.go
+++ b/internal/soaker/load.go
@@ -229,7 +229,7 @@
 		}
 		sent, answered := map[string]int{}, map[string]int{}
 		for _, o := range h.outcomes {
-			if o.account == b.account || o.withRevokedKey || o.sent.Before(b.from) || o.ended.After(b.to) || !h.undisturbed(o.node, o.sent, o.ended) {
+			if o.account == b.account || o.withRevokedKey || o.harmful || o.sent.Before(b.from) || o.ended.After(b.to) || !h.undisturbed(o.node, o.sent, o.ended) {
 				continue
 			}
 			sent[o.account]++
--- a/internal/soaker/load_test.go
+++ b/internal/soaker/load_test.go
@@ -74,10 +74,17 @@
 		"reset, one endpoint is left":  {func(h *limitHistory) { reset(h, 502); h.MarkUnusable("i-2", 3*s) }, ""},
 		"reset, burst":                 {func(h *limitHistory) { reset(h, 502); h.bursts[0].from = h.now }, ""},
 
-		"starved":                 {func(h *limitHistory) { h.ask("b", 10, 503, 21*s, s/10) }, "STARVED: none of 10 requests of account b"},
-		"one answer":              {func(h *limitHistory) { h.ask("b", 10, 503, 21*s, s/10); h.ask("b", 1, 200, 22*s, 0) }, ""},
-		"an answer before":        {func(h *limitHistory) { h.ask("b", 10, 503, 21*s, s/10); h.ask("b", 1, 200, 19*s, 0) }, "STARVED"},
-		"few requests":            {func(h *limitHistory) { h.ask("b", 9, 503, 21*s, s/10) }, ""},
+		"starved":          {func(h *limitHistory) { h.ask("b", 10, 503, 21*s, s/10) }, "STARVED: none of 10 requests of account b"},
+		"one answer":       {func(h *limitHistory) { h.ask("b", 10, 503, 21*s, s/10); h.ask("b", 1, 200, 22*s, 0) }, ""},
+		"an answer before": {func(h *limitHistory) { h.ask("b", 10, 503, 21*s, s/10); h.ask("b", 1, 200, 19*s, 0) }, "STARVED"},
+		"few requests":     {func(h *limitHistory) { h.ask("b", 9, 503, 21*s, s/10) }, ""},
+		"harmful requests are refused": {func(h *limitHistory) {
+			h.ask("b", 10, 503, 21*s, s/10)
+			for id, o := range h.outcomes {
+				o.harmful = true
+				h.outcomes[id] = o
+			}
+		}, ""},
 		"the account that bursts": {func(h *limitHistory) { h.ask("a", 10, 503, 21*s, s/10) }, ""},
 		"starved, disturbed node": {func(h *limitHistory) { h.ask("b", 10, 503, 21*s, s/10); h.MarkStoreFault(0, h.now.Add(30*s)) }, ""},
 		"starved, no endpoints": {func(h *limitHistory) {
