Test what the last look found untested in the isolation of requests

Fourteen mechanisms were taken out one at a time on a scratch copy; three left all tests green: a verdict that is news, the body in the content of a request, and the account's half of the fingerprint. TestVerdictIsNews, TestContentNamesWhatARequestAsksFor and TestRequestOfAnotherAccountIsNotRefused fail without them. No change to the nodes.

--- a/internal/director/crashing_test.go
+++ b/internal/director/crashing_test.go
@@ -14,6 +14,7 @@
 
 	"snipedyke/internal/chooser"
 	"snipedyke/internal/registrar"
+	"snipedyke/internal/router"
 )
 
 // harmfulContent is the content of the request that crashes the endpoints of a
@@ -245,3 +246,17 @@
 	}
 	c.Check(crashes <= 8*10, qt.IsTrue, qt.Commentf("%d endpoints in 10 runs", crashes))
 }
+
+// Guards against an account that makes nodes refuse the requests of another one.
+func TestRequestOfAnotherAccountIsNotRefused(t *testing.T) {
+	c := qt.New(t)
+	own, other := &router.Account{Name: "own"}, &router.Account{Name: "other"}
+	fingerprint := func(a *router.Account, content uint32) uint64 {
+		return (&request{Request: Request{Content: content}, account: a}).fingerprint()
+	}
+	c.Check(fingerprint(own, 1), qt.Equals, fingerprint(own, 1))
+	c.Check(fingerprint(own, 1), qt.Not(qt.Equals), fingerprint(own, 2))
+	// No content of one account leads to a fingerprint of the other one.
+	c.Check(fingerprint(own, 1)>>32, qt.Equals, fingerprint(own, 2)>>32)
+	c.Check(fingerprint(own, 1)>>32, qt.Not(qt.Equals), fingerprint(other, 1)>>32)
+}
--- a/internal/forwarder/harmful_test.go
+++ b/internal/forwarder/harmful_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
 )
 
 // newFragileEndpoint returns an endpoint that ends when it receives a request for /unsafe/crash.
@@ -58,6 +59,29 @@
 	c.Check(body, qt.Equals, "answer to other")
 }
 
+// Guards against requests that are refused for others with the same path, and against one
+// that is not recognized because its header differs.
+func TestContentNamesWhatARequestAsksFor(t *testing.T) {
+	c := qt.New(t)
+	hash := func(method, host, target, name, body string) uint32 {
+		var h fasthttp.RequestHeader
+		h.SetMethod(method)
+		h.SetHost(host)
+		h.SetRequestURI(target)
+		h.Set("Name", name)
+
+		return contentHash(&h, []byte(body))
+	}
+	first := hash("POST", "h", "/a?b=1", "r1", "body")
+	c.Check(hash("POST", "h", "/a?b=1", "r2", "body"), qt.Equals, first)
+	for _, other := range []uint32{
+		hash("PUT", "h", "/a?b=1", "r1", "body"), hash("POST", "i", "/a?b=1", "r1", "body"), hash("POST", "h", "/c?b=1", "r1", "body"),
+		hash("POST", "h", "/a?b=2", "r1", "body"), hash("POST", "h", "/a?b=1", "r1", "other"),
+	} {
+		c.Check(other, qt.Not(qt.Equals), first)
+	}
+}
+
 // awaitChecks waits until all ends of endpoints so far are known.
 func awaitChecks(c *qt.C, s *system) {
 	for end := time.Now().Add(longWait); s.Status().Checking > 0; {
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -194,6 +194,29 @@
 	c.Check(isolated, qt.IsTrue)
 }
 
+// Guards against nodes that learn of an isolation only with the next tick, because what it
+// rests on was sent before.
+func TestVerdictIsNews(t *testing.T) {
+	c := qt.New(t)
+	var s Isolator
+	now := start
+	for endpoint := range uint32(isolationCrashes) {
+		now = now.Add(time.Second)
+		s.RecordCutOff(now, now.Add(-testRun), []Subject{request(1)}, endpoint+1)
+		s.News(now)
+	}
+	for endpoint := range uint32(isolationCrashes) {
+		s.RecordEnded(now, endpoint+1)
+	}
+	verdicts := 0
+	for _, o := range s.News(now) {
+		if o.Subject == 1 && o.Isolated {
+			verdicts++
+		}
+	}
+	c.Check(verdicts, qt.Equals, isolationCrashes)
+}
+
 // Guards against a harmful prompt part that is never found because each request with it is
 // isolated for itself.
 func TestPartOfSeveralHarmfulRequestsIsIsolated(t *testing.T) {
