--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -29,6 +29,7 @@
 // cases holds the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(*run) (broken bool, err error){
 	"frozen-reset": frozenReset,
+	"smuggled":     smuggled,
 }
 
 // maxRun is the time after which a case is given up.
