--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -30,7 +30,7 @@
 }
 
 func (r request) bytes() string {
-	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nSnipedyke-Attempt-Id: %s\r\nSnipedyke-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n%s",
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n"+fieldAttempt+": %s\r\nSnipedyke-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n%s",
 		r.method, r.path, host, r.id, r.limit.Milliseconds(), key, r.extra)
 	if r.method != "GET" {
 		text += fmt.Sprintf("Content-Length: %d\r\n", len(r.body))
--- a/review/harness/frozenreset.go
+++ b/review/harness/frozenreset.go
@@ -22,7 +22,7 @@
 // way, while the machine that awaits them stands still. Every success that a client
 // gets must have the server's whole body.
 func frozenReset(r *run) (bool, error) {
-	r.store.put("op/config", manifest(7, key))
+	r.store.put(manifestKey, manifest(7, key))
 	var servers []*server
 	for i, zone := range zones[:2] {
 		s, err := newServer(fmt.Sprintf("i-7f3a91c%d", i), "booking", zone, r.store, r.rec)
@@ -54,7 +54,7 @@
 		id := faulty.ran(q)
 		time.Sleep(20 * time.Millisecond)
 		whole := wholeBody(id)
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nSnipedyke-Attempt-Id: %s\r\nSnipedyke-Server-Seal: %s.%s\r\n\r\n", id, faulty.id, id)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n"+fieldAttempt+": %s\r\n"+fieldSeal+": %s.%s\r\n\r\n", id, faulty.id, id)
 		if !r.trouble {
 			_, _ = io.WriteString(conn, whole)
 			r.rec.log("server %s has sent the whole answer to %s without a length, %d bytes, and closes the connection", faulty.id, id, len(whole))
@@ -82,7 +82,7 @@
 		if a.status/100 == 2 && a.complete && !whole {
 			broken++
 			r.rec.log("BROKEN: client gets for %s a complete answer of %d bytes, the server's body has %d: status %d, seal %q, Content-Length %q",
-				q.id, len(a.body), len(wholeBody(q.id)), a.status, a.header.Get("Snipedyke-Server-Seal"), a.header.Get("Content-Length"))
+				q.id, len(a.body), len(wholeBody(q.id)), a.status, a.header.Get(fieldSeal), a.header.Get("Content-Length"))
 
 			return
 		}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(*run) (broken bool, err error){
 	"frozen-reset": frozenReset,
 	"smuggled":     smuggled,
+	"gone":         gone,
 }
 
 // maxRun is the time after which a case is given up.
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -118,9 +118,9 @@
 	q := r.URL.Query()
 	w.Header().Set("Content-Type", "application/json")
 	switch r.URL.Path {
-	case "/kv-range":
+	case rangePath:
 		s.serveRange(w, q.Get("prefix"), q.Get("after"))
-	case "/kv-watch":
+	case watchPath:
 		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(q.Get("waitMs"))
 		s.serveWatch(w, r, q.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -105,12 +105,12 @@
 		if err != nil {
 			return
 		}
-		id := r.Header.Get("Snipedyke-Attempt-Id")
+		id := r.Header.Get(fieldAttempt)
 		s.mu.Lock()
 		s.arrivals[id]++
 		s.mu.Unlock()
-		if want := r.Header.Get("Snipedyke-Expect-Instance"); want != "" && want != s.id {
-			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nSnipedyke-Instance-Id: %s\r\nSnipedyke-Attempt-Id: %s\r\nSnipedyke-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", s.id, id)
+		if want := r.Header.Get(fieldExpected); want != "" && want != s.id {
+			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nSnipedyke-Instance-Id: %s\r\n"+fieldAttempt+": %s\r\n"+fieldNotExecuted+": 1\r\nContent-Length: 0\r\n\r\n", s.id, id)
 
 			continue
 		}
@@ -122,7 +122,7 @@
 
 // ran records that the server began to work on a request.
 func (s *server) ran(r *http.Request) string {
-	id := r.Header.Get("Snipedyke-Attempt-Id")
+	id := r.Header.Get(fieldAttempt)
 	s.mu.Lock()
 	s.runs[id]++
 	s.mu.Unlock()
@@ -136,7 +136,7 @@
 	id := s.ran(r)
 	time.Sleep(20 * time.Millisecond)
 	body := wholeBody(id)
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nSnipedyke-Attempt-Id: %s\r\nSnipedyke-Server-Seal: %s.%s\r\nContent-Length: %d\r\nKeep-Alive: timeout=5\r\n\r\n%s", id, s.id, id, len(body), body)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n"+fieldAttempt+": %s\r\n"+fieldSeal+": %s.%s\r\nContent-Length: %d\r\nKeep-Alive: timeout=5\r\n\r\n%s", id, s.id, id, len(body), body)
 
 	return true
 }
--- a/review/harness/smuggled.go
+++ b/review/harness/smuggled.go
@@ -23,7 +23,7 @@
 func smuggled(r *run) (bool, error) {
 	m := manifest(7, key)
 	m["limits"].(map[string]any)["maxBodyBytes"] = largeLimit
-	r.store.put("op/config", m)
+	r.store.put(manifestKey, m)
 	s, err := newServer("i-7f3a91c0", "booking", zones[0], r.store, r.rec)
 	if err != nil {
 		return false, err
@@ -42,7 +42,7 @@
 		body := request{method: "POST", path: "/confirm/2f", id: inner, body: "slot", limit: 1500 * time.Millisecond}.bytes()
 		body += strings.Repeat("x", largeBody-len(body))
 		outer := fmt.Sprintf("9c41d0%010x", i)
-		head := fmt.Sprintf("POST /confirm/2f HTTP/1.1\r\nHost: %s\r\nSnipedyke-Attempt-Id: %s\r\nSnipedyke-Deadline-Ms: %s\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
+		head := fmt.Sprintf("POST /confirm/2f HTTP/1.1\r\nHost: %s\r\n"+fieldAttempt+": %s\r\nSnipedyke-Deadline-Ms: %s\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
 			host, outer, limit, key, len(body))
 		r.rec.log("client sends %s to %s: one request with a body of %d bytes, whose text begins like a request with the id %s; Snipedyke-Deadline-Ms: %s", outer, n.name, len(body), inner, limit)
 		if err := sendRaw(r, n.front(), outer, head+body); err != nil {
@@ -87,6 +87,6 @@
 			return nil
 		}
 		r.rec.log("answer on the connection of %s: status %d, id %q, seal %q, %.60q", id, resp.StatusCode,
-			resp.Header.Get("Snipedyke-Attempt-Id"), resp.Header.Get("Snipedyke-Server-Seal"), body)
+			resp.Header.Get(fieldAttempt), resp.Header.Get(fieldSeal), body)
 	}
 }
