--- a/review/harness/gone.go
+++ b/review/harness/gone.go
@@ -14,7 +14,7 @@
 	// leaveShare is the share of clients that leave, in tenths, and uploadBytes the
 	// size of the body that they have sent by then.
 	leaveShare  = 3
-	uploadBytes = 2 << 20
+	uploadBytes = 4_000_000
 	// workTime is how long a server works on a request before its first event.
 	workTime = 1500 * time.Millisecond
 	// goneTime is the time after which no server should work for a client that left.
