--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -12,6 +12,7 @@
 	"snipedyke/internal/budgeter"
 	"snipedyke/internal/director"
 	"snipedyke/internal/dispatcher"
+	"snipedyke/internal/inspector"
 	"snipedyke/internal/router"
 )
 
@@ -315,16 +316,14 @@
 func (a *attempt) readHeader() error {
 	h := &a.resp.Header
 	for range maxInterimResponses + 1 {
-		head, err := peekHead(a.conn.br)
-		if err == nil {
-			a.persistence, err = checkHead(head)
-		}
-		if err == nil {
-			err = h.Read(a.conn.br)
-		}
+		head, err := inspector.PeekHead(a.conn.br)
 		if err != nil {
 			return err
 		}
+		a.persistence = parsePersistence(head)
+		if err := h.Read(a.conn.br); err != nil {
+			return err
+		}
 		switch {
 		case h.StatusCode() >= http.StatusOK:
 			return nil
--- /dev/null
+++ b/internal/inspector/inspector.go
@@ -0,0 +1,133 @@
+// Package inspector checks the heads of HTTP responses before a parser reads them.
+// Parsers repair or ignore parts of a damaged head, and then report another response
+// than the server has sent.
+package inspector
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// The error kinds.
+const (
+	KindStatus Kind = "invalid status line"
+	KindBareLF Kind = "line that does not end with CRLF"
+	KindCoded  Kind = "transfer coding before HTTP/1.1"
+	KindCut    Kind = "incomplete"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	// Err is the cause, or nil.
+	Err error
+}
+
+// Error returns the operation, the kind and the cause as text.
+func (e *Error) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("inspector: %s: %s: %v", e.Op, e.Kind, e.Err)
+	}
+
+	return fmt.Sprintf("inspector: %s: %s", e.Op, e.Kind)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// opCheck is the operation of the errors of checks.
+const opCheck = "check response head"
+
+var crlf = []byte("\r\n")
+
+// ParseStatus returns the status of a response whose head begins with the given
+// bytes, or zero if they are too few. The status line must consist of HTTP/1.0 or
+// HTTP/1.1, a space, a status from 100 to 599, and a space or the end of the line.
+// Otherwise it returns an *Error. fasthttp accepts any three digits and reports the
+// status 000 as 200.
+func ParseStatus(head []byte) (int, error) {
+	// The last byte follows the status.
+	const length = len("HTTP/1.1 200 ")
+	const version = "HTTP/1."
+	for i, b := range head[:min(len(head), length)] {
+		var valid bool
+		switch {
+		case i < len(version):
+			valid = b == version[i]
+		case i == len(version):
+			valid = b == '0' || b == '1'
+		case i == len(version)+1:
+			valid = b == ' '
+		case i == len(version)+2:
+			valid = b >= '1' && b <= '5'
+		case i < length-1:
+			valid = b >= '0' && b <= '9'
+		default:
+			valid = b == ' ' || b == '\r' || b == '\n'
+		}
+		if !valid {
+			return 0, &Error{Op: opCheck, Kind: KindStatus}
+		}
+	}
+	if len(head) < length {
+		return 0, nil
+	}
+	digits := head[length-4:]
+
+	return 100*int(digits[0]-'0') + 10*int(digits[1]-'0') + int(digits[2]-'0'), nil
+}
+
+// CheckHead checks the lines of a response head of which the given bytes have arrived,
+// and returns the length of the head in bytes, or zero if it is incomplete. It returns
+// an *Error if the status line is not as ParseStatus requires, if a line does not end
+// with CRLF, so that the head may end early, or if a response before HTTP/1.1 has a
+// transfer coding, which fasthttp ignores.
+func CheckHead(head []byte) (int, error) {
+	if _, err := ParseStatus(head); err != nil {
+		return 0, err
+	}
+	current := bytes.HasPrefix(head, []byte("HTTP/1.1 "))
+	for start := 0; ; {
+		length := bytes.IndexByte(head[start:], '\n') + 1
+		if length == 0 {
+			return 0, nil
+		}
+		line := head[start : start+length]
+		if !bytes.HasSuffix(line, crlf) {
+			return 0, &Error{Op: opCheck, Kind: KindBareLF}
+		}
+		if len(line) == len(crlf) {
+			return start + length, nil
+		}
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		if !current && bytes.EqualFold(bytes.TrimSpace(name), []byte("transfer-encoding")) {
+			return 0, &Error{Op: opCheck, Kind: KindCoded}
+		}
+		start += length
+	}
+}
+
+// PeekHead waits for the next response head and returns it without consuming it. It
+// skips the empty lines before it, as the parser does. It returns an *Error if CheckHead
+// does, or if the head does not end within the buffer or the input.
+func PeekHead(br *bufio.Reader) ([]byte, error) {
+	for n := 1; ; n = br.Buffered() + 1 {
+		_, err := br.Peek(n)
+		buffered, _ := br.Peek(br.Buffered())
+		head := bytes.TrimLeft(buffered, "\r\n")
+		length, invalid := CheckHead(head)
+		switch {
+		case invalid != nil:
+			return nil, invalid
+		case length > 0:
+			return head[:length], nil
+		case err != nil:
+			return nil, &Error{Op: fmt.Sprintf("read response head after %d bytes", len(buffered)), Kind: KindCut, Err: err}
+		}
+	}
+}
