--- a/internal/forwarder/responsehead.go
+++ b/internal/forwarder/responsehead.go
@@ -28,7 +28,7 @@
 	}
 	for line := range bytes.SplitSeq(head, []byte("\r\n")) {
 		name, value, _ := bytes.Cut(line, []byte{':'})
-		switch name = bytes.TrimSpace(name); {
+		switch {
 		case bytes.EqualFold(name, []byte("keep-alive")):
 			conn = persistent
 		case bytes.EqualFold(name, []byte("connection")):
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -16,6 +16,7 @@
 const (
 	KindStatus Kind = "invalid status line"
 	KindBareLF Kind = "line that does not end with CRLF"
+	KindName   Kind = "field name that is not a token"
 	KindCoded  Kind = "transfer coding before HTTP/1.1"
 	KindCut    Kind = "incomplete"
 )
@@ -85,8 +86,11 @@
 // CheckHead checks the lines of a response head of which the given bytes have arrived,
 // and returns the length of the head in bytes, or zero if it is incomplete. It returns
 // an *Error if the status line is not as ParseStatus requires, if a line does not end
-// with CRLF, so that the head may end early, or if a response before HTTP/1.1 has a
-// transfer coding, which fasthttp ignores.
+// with CRLF, so that the head may end early, if a line does not begin with a token and a
+// colon, or if a response before HTTP/1.1 has a transfer coding, which fasthttp ignores.
+// Parsers accept names that hold blanks, and so miss a length or a transfer coding whose
+// name is damaged. Folded lines are refused, too: RFC 9112, section 5.2, allows that, and
+// they look like a line whose name begins with a blank.
 func CheckHead(head []byte) (int, error) {
 	if _, err := ParseStatus(head); err != nil {
 		return 0, err
@@ -104,14 +108,44 @@
 		if len(line) == len(crlf) {
 			return start + length, nil
 		}
-		name, _, _ := bytes.Cut(line, []byte{':'})
-		if !current && bytes.EqualFold(bytes.TrimSpace(name), []byte("transfer-encoding")) {
-			return 0, &Error{Op: opCheck, Kind: KindCoded}
+		if start > 0 {
+			name := fieldName(line)
+			if len(name) == 0 {
+				return 0, &Error{Op: opCheck, Kind: KindName}
+			}
+			if !current && bytes.EqualFold(name, []byte("transfer-encoding")) {
+				return 0, &Error{Op: opCheck, Kind: KindCoded}
+			}
 		}
 		start += length
 	}
 }
 
+// tokenBytes holds the bytes of a token (RFC 9110, section 5.6.2).
+var tokenBytes = func() (set [256]bool) {
+	for _, b := range []byte("!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz") {
+		set[b] = true
+	}
+
+	return set
+}()
+
+// fieldName returns the name of the field in a line, or nil if no token stands before
+// its first colon.
+func fieldName(line []byte) []byte {
+	for i, b := range line {
+		if !tokenBytes[b] {
+			if b == ':' {
+				return line[:i]
+			}
+
+			break
+		}
+	}
+
+	return nil
+}
+
 // PeekHead waits for the next response head and returns it without consuming it. It
 // skips the empty lines before it, as the parser does. It returns an *Error if CheckHead
 // does, or if the head does not end within the buffer or the input.
