--- a/internal/administrator/client.go
+++ b/internal/administrator/client.go
@@ -12,6 +12,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"snipedyke/internal/inspector"
 )
 
 const (
@@ -37,7 +39,7 @@
 			Timeout: callTimeout,
 			// The transport retries calls on its own only on reused connections,
 			// so none are reused.
-			Transport:     &http.Transport{DisableKeepAlives: true},
+			Transport:     &http.Transport{DialContext: inspector.DialContext, DisableKeepAlives: true},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/internal/watcher/client.go
+++ b/internal/watcher/client.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"snipedyke/internal/inspector"
 	"snipedyke/pkg/cataloguer"
 )
 
@@ -35,7 +36,7 @@
 		// Without reused connections the transport never retries a call on its
 		// own, so that each call is counted.
 		client: &http.Client{
-			Transport:     &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: 16 << 10},
+			Transport:     &http.Transport{DialContext: inspector.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: 16 << 10},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
