--- a/internal/forwarder/fieldname_test.go
+++ b/internal/forwarder/fieldname_test.go
@@ -132,3 +132,26 @@
 	c.Check(body, qt.Equals, "body")
 	c.Check(resp.Header.Values(name), qt.DeepEquals, []string{"y z"})
 }
+
+// Guards against a trailer that is passed on, or that ends a whole response: no part of
+// the response that callers get depends on it.
+func TestTrailerIsNotPassedOn(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/stream/x"} {
+		c := qt.New(t)
+		call := start(t, newEndpoint(t, func(conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, sealedHead+"Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n"+
+				strings.TrimSuffix(responseFields["chunks"].body, "\r\n")+"X Note: y\r\nX-Sum : 1\r\n z\r\n\r\n")
+
+			return false
+		})).dial(c)
+		call.send("POST", path, "r", "")
+		resp, body, err := call.receive()
+		c.Assert(err, qt.IsNil)
+		c.Check(resp.StatusCode, qt.Equals, 200)
+		c.Check(body, qt.Equals, events(1, 2))
+		c.Check(resp.Trailer, qt.HasLen, 0)
+		for name := range resp.Header {
+			c.Check(strings.HasPrefix(name, "X"), qt.IsFalse, qt.Commentf("%q", name))
+		}
+	}
+}
--- a/internal/forwarder/resume_test.go
+++ b/internal/forwarder/resume_test.go
@@ -27,6 +27,7 @@
 		"next event":            {200, plain, chunked(events(5, 6)) + ended, events(5, 6), true},
 		"comment first":         {200, plain, chunked(": hello\n\n") + chunked(events(5, 6)) + ended, ": hello\n\n" + events(5, 6), true},
 		"parameter":             {200, "Content-Type: Text/Event-Stream; charset=utf-8\r\n", chunked(events(5, 6)) + ended, events(5, 6), true},
+		"name with a blank":     {200, plain + "X Note: y\r\n", chunked(events(5, 6)) + ended, "", false},
 		"status":                {500, plain, chunked(events(5, 6)) + ended, "", false},
 		"error":                 {200, "Content-Type: application/json\r\n", chunked(problem) + ended, "", false},
 		"events of error type":  {200, "Content-Type: application/json\r\n", chunked(events(5, 6)) + ended, "", false},
