--- a/internal/forwarder/status_test.go
+++ b/internal/forwarder/status_test.go
@@ -19,6 +19,7 @@
 var invalidStatusLines = []string{
 	"HTTP/1.1 000 X", "HTTP/1.1 099 X", "HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/1.0 000 X", "HTTP/1.1 000",
 	"HTTP/1.1 099", "HTTP/1.1  200 X", "HTTP/2.0 200 X", "HTTP/1.1 200\tX", "HTTP/1.1 20 X", "HTTP/1.1 2000 X",
+	"HTTP/1.1 200 O\x00K", "HTTP/1.1 200 \x01", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 OK\x7f", "HTTP/1.0 200 O\x1bK",
 	"HTTP/1.1 101 X", "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 000 X",
 }
 
@@ -27,8 +28,8 @@
 	return fmt.Sprintf("%s\r\nName: r\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", statusLine, len(body), body)
 }
 
-// Guards against a response with an invalid status that reaches the caller: the parser
-// reports the status 000 as 200, and passes 600 and 999 on.
+// Guards against a response with an invalid status line that reaches the caller: the parser
+// reports the status 000 as 200, and passes 600, 999 and control bytes on.
 func TestInvalidStatusIsRefused(t *testing.T) {
 	c := qt.New(t)
 	var line string
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -44,8 +44,6 @@
 // opCheck is the operation of the errors of checks.
 const opCheck = "check response head"
 
-var crlf = []byte("\r\n")
-
 // ParseStatus returns the status of a response whose head begins with the given
 // bytes, or zero if they are too few. The status line must consist of HTTP/1.0 or
 // HTTP/1.1, a space, a status from 100 to 599, and a space or the end of the line.
@@ -83,44 +81,50 @@
 	return 100*int(digits[0]-'0') + 10*int(digits[1]-'0') + int(digits[2]-'0'), nil
 }
 
-// CheckHead checks the lines of a response head of which the given bytes have arrived,
-// and returns the length of the head in bytes, or zero if it is incomplete. It returns
-// an *Error if the status line is not as ParseStatus requires, if a line does not end
-// with CRLF, so that the head may end early, if a line does not begin with a token and a
-// colon, or if a response before HTTP/1.1 has a transfer coding, which fasthttp ignores.
-// Parsers accept names that hold blanks, and so miss a length or a transfer coding whose
-// name is damaged. Folded lines are refused, too: RFC 9112, section 5.2, allows that, and
-// they look like a line whose name begins with a blank.
+// CheckHead checks those lines of a response head that have arrived, and returns the
+// length of the head in bytes, or zero if it is incomplete. It returns an *Error if
+//   - the status line is not as ParseStatus requires, or holds a control byte other than a
+//     tab, which fasthttp passes on;
+//   - a line does not end with CRLF, so that parsers may end the head there;
+//   - a line does not begin with a token and a colon. Parsers accept names with blanks, and
+//     so miss a length or a transfer coding. Folded lines look like a name that begins with
+//     a blank; RFC 9112, section 5.2, allows to refuse them;
+//   - a response before HTTP/1.1 has a transfer coding, which fasthttp ignores.
 func CheckHead(head []byte) (int, error) {
 	if _, err := ParseStatus(head); err != nil {
 		return 0, err
 	}
 	current := bytes.HasPrefix(head, []byte("HTTP/1.1 "))
 	for start := 0; ; {
-		length := bytes.IndexByte(head[start:], '\n') + 1
-		if length == 0 {
+		end := start + bytes.IndexByte(head[start:], '\n') + 1
+		if end == start {
 			return 0, nil
 		}
-		line := head[start : start+length]
-		if !bytes.HasSuffix(line, crlf) {
+		line, ended := bytes.CutSuffix(head[start:end], []byte("\r\n"))
+		if !ended {
 			return 0, &Error{Op: opCheck, Kind: KindBareLF}
 		}
-		if len(line) == len(crlf) {
-			return start + length, nil
+		if len(line) == 0 {
+			return end, nil
 		}
-		if start > 0 {
-			name := fieldName(line)
-			if len(name) == 0 {
-				return 0, &Error{Op: opCheck, Kind: KindName}
-			}
-			if !current && bytes.EqualFold(name, []byte("transfer-encoding")) {
-				return 0, &Error{Op: opCheck, Kind: KindCoded}
+		name := fieldName(line)
+		switch {
+		case start == 0:
+			if bytes.ContainsFunc(line, isControl) {
+				return 0, &Error{Op: opCheck, Kind: KindStatus}
 			}
+		case len(name) == 0:
+			return 0, &Error{Op: opCheck, Kind: KindName}
+		case !current && bytes.EqualFold(name, []byte("transfer-encoding")):
+			return 0, &Error{Op: opCheck, Kind: KindCoded}
 		}
-		start += length
+		start = end
 	}
 }
 
+// isControl reports whether a character must not occur in a status line.
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
 // tokenBytes holds the bytes of a token (RFC 9110, section 5.6.2).
 var tokenBytes = func() (set [256]bool) {
 	for _, b := range []byte("!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz") {
