Log how answers end and how many events their callers got

The logs could not tell a response whose end is that of its connection from one that ends with a chunk, nor how many events a caller got, so the hypotheses of docs/incidents/issue-57-order.md could not be distinguished.

Event 717 has the fields framing and events, 711 has framing.

--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -116,8 +116,13 @@
 	Relayed bool
 	// Took is the time since the request was sent.
 	Took time.Duration
-	// LongestPause is the longest pause between two events of a stream.
+	// LongestPause is the longest pause between two events of a stream, and Events is their
+	// number.
 	LongestPause time.Duration
+	Events       int
+	// Framing is how the end of the answer is marked, for the log. It is empty if there
+	// was no answer.
+	Framing Framing
 	// Cause describes why the attempt failed, for the log.
 	Cause string
 	// Cold, if not zero, is the remaining cold time that the endpoint has
@@ -130,6 +135,19 @@
 	OtherLeaving bool
 }
 
+// Framing is how the end of an answer is marked.
+type Framing string
+
+// The framings.
+const (
+	// FramedByLength is a length in the head, or a head without a body.
+	FramedByLength Framing = "length"
+	// FramedByChunks is the last chunk.
+	FramedByChunks Framing = "chunks"
+	// FramedByConnection is the end of the connection.
+	FramedByConnection Framing = "connection"
+)
+
 // Result is the outcome of an attempt.
 type Result uint8
 
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -237,7 +237,7 @@
 	}
 	late := first > req.route.LatencyTarget || req.route.MaxPause > 0 && req.longestPause > req.route.MaxPause
 	d.log(logger.RequestAnswered, "request", req.Name, "route", req.route.Name, "endpoint", e.entry.ID, "version", e.entry.Version, "status", f.Status,
-		"took", took.String(), "first", first.String(), "pause", req.longestPause.String(), "attempts", len(req.tried)+1,
+		"took", took.String(), "first", first.String(), "pause", req.longestPause.String(), "events", f.Events, "framing", string(f.Framing), "attempts", len(req.tried)+1,
 		"late", late, "engines", req.service.splitter.LongEngines())
 }
 
@@ -309,7 +309,7 @@
 	}
 	d.emit(Count{Counter: CounterRetries, Label: label})
 	d.log(logger.RequestRetried, "request", req.Name, "route", req.route.Name, "endpoint", req.tried[len(req.tried)-1], "version", version,
-		"result", f.Result.String(), "cause", f.Cause, "took", f.Took.String(), "parts", formatParts(req.Need.SharedParts), "relayed", req.relayed)
+		"result", f.Result.String(), "cause", f.Cause, "took", f.Took.String(), "framing", string(f.Framing), "parts", formatParts(req.Need.SharedParts), "relayed", req.relayed)
 	if reserved != nil && d.current(reserved.endpoint) && d.takes(now, req, reserved.endpoint) {
 		req.prefixCached = reserved.prefixCached
 		if reserved.holder != nil && !d.current(reserved.holder) {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -43,8 +43,11 @@
 )
 
 // identityLength is the ContentLength of a response whose body ends with its
-// connection.
-const identityLength = -2
+// connection, and chunkedLength that of one that ends with its last chunk.
+const (
+	chunkedLength  = -1
+	identityLength = -2
+)
 
 // The reasons for which a response is not accepted.
 var (
@@ -342,7 +345,7 @@
 	if !a.identifies(m) {
 		return a.failureResult(errRequestMismatch)
 	}
-	a.finished.Cold, a.finished.Status = m.ColdRemaining, h.StatusCode()
+	a.finished.Cold, a.finished.Status, a.finished.Framing = m.ColdRemaining, h.StatusCode(), a.framing()
 	a.noteEndpoint(m)
 	switch {
 	case h.StatusCode() == http.StatusMisdirectedRequest:
@@ -403,6 +406,18 @@
 	return a.resp.Header.ContentLength() == identityLength && !a.withoutBody() && !a.call.req.Header.IsHead()
 }
 
+// framing returns how the end of the response is marked.
+func (a *attempt) framing() director.Framing {
+	switch {
+	case a.endsWithConn():
+		return director.FramedByConnection
+	case a.resp.Header.ContentLength() == chunkedLength:
+		return director.FramedByChunks
+	default:
+		return director.FramedByLength
+	}
+}
+
 // noteEndpoint reports what the response says about the endpoint. A response to
 // another request, or of another endpoint at the address, says nothing about it.
 func (a *attempt) noteEndpoint(m ResponseMetadata) {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -96,7 +96,7 @@
 		a.finished.Result = a.failureResult(err)
 	}
 	a.close()
-	a.finished.Relayed = true
+	a.finished.Relayed, a.finished.Events = true, a.stream.order.count
 	b.call.f.Post(a.finished)
 	b.nextAttempt()
 }
