Keep the error of a connection when its state is checked

Cause: after a read that has passed its time limit, endpointConn.Read looks at the socket with recv and MSG_PEEK. The kernel reports a pending error once, to whoever asks first, so the look took the reset off the socket, and the next read returned the plain end. It needs a reset in the time between the limit and the look: a process that stands still or has little processor time.

PeekSocket asks for the number of unread bytes and polls; neither takes the error. That covers all its callers.

--- a/internal/dispatcher/socket.go
+++ b/internal/dispatcher/socket.go
@@ -6,6 +6,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux, which package
@@ -76,16 +78,17 @@
 	SocketClosed
 )
 
-// PeekSocket returns the state of a socket without consuming data.
+// PeekSocket returns the state of a socket without consuming data or its pending error.
+// The kernel reports a reset once: after a recv, even with MSG_PEEK, or getsockopt with
+// SO_ERROR, a read returns the plain end.
 func PeekSocket(fd uintptr) SocketState {
-	var b [1]byte
-	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	switch {
-	case errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR):
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+	if n, err := unix.Poll(fds, 0); err != nil || n == 0 {
 		return SocketIdle
-	case err != nil || n == 0:
-		return SocketClosed
-	default:
+	}
+	if unread, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil && unread > 0 {
 		return SocketReadable
 	}
+
+	return SocketClosed
 }
