Do not take the end of a crashed endpoint for that of its response

After a response that ends with its connection, the node connects to the endpoint. If the host refuses that, the attempt counts as broken: the stream is resumed elsewhere or cut off, and a request that may run twice goes to another endpoint. A process that is killed loses its listening socket with its connections. Endpoints that shut down may refuse connections while they complete their answers, so their responses count as before. Other framings need no check. The connection takes the place of the one that has ended.

--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -123,6 +123,9 @@
 	// Framing is how the end of the answer is marked, for the log. It is empty if there
 	// was no answer.
 	Framing Framing
+	// HostRefused reports whether the host has refused a connection just after an answer
+	// ended with its connection. If the endpoint has crashed, the answer may lack a part.
+	HostRefused bool
 	// Cause describes why the attempt failed, for the log.
 	Cause string
 	// Cold, if not zero, is the remaining cold time that the endpoint has
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -61,6 +61,9 @@
 		return
 	}
 	e, reserved := d.release(req), d.releaseReservation(req)
+	if f.HostRefused && f.Result == Answered && d.crashed(e) {
+		f.Result, f.Cause = Broken, "endpoint has ended with a response without a length"
+	}
 	req.relayed = req.relayed || f.Relayed
 	req.longestPause = max(req.longestPause, f.LongestPause)
 	req.lastCause = f.Cause
@@ -128,6 +131,12 @@
 	d.retryWaiting(now)
 }
 
+// crashed reports whether an endpoint whose host refuses connections has crashed, as far
+// as is known. One that shuts down may refuse connections while it completes its answers.
+func (d *Director) crashed(e *endpoint) bool {
+	return e != nil && d.current(e) && !e.entry.Draining && !e.leaving()
+}
+
 func failureReason(r Result) Reason {
 	if r == TimedOut {
 		return ReasonTimeout
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -386,6 +386,7 @@
 		return a.failureResult(errNoFrame)
 	}
 	a.releaseConn()
+	a.checkHost()
 	a.call.setResponse(a.resp, a.holding)
 	a.resp, a.holding = nil, nil
 
@@ -406,6 +407,16 @@
 	return a.resp.Header.ContentLength() == identityLength && !a.withoutBody() && !a.call.req.Header.IsHead()
 }
 
+// checkHost connects to the endpoint of a response that has ended with its connection. The
+// kernel ends the connections of a process that has crashed as if it had closed them.
+func (a *attempt) checkHost() {
+	if a.finished.Framing != director.FramedByConnection {
+		return
+	}
+	time.Sleep(checkDelay)
+	a.finished.HostRefused = a.call.f.refused(a.dispatch.Address, a.dispatch.MaxIdle)
+}
+
 // framing returns how the end of the response is marked.
 func (a *attempt) framing() director.Framing {
 	switch {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -327,17 +327,22 @@
 // checkEndpoint connects to an endpoint and reports the result to the director.
 func (f *Forwarder) checkEndpoint(check director.CheckEndpoint) {
 	refused := false
-	guarder.Run(f.opts.Logger, "check of an endpoint", func() {
-		conn, err := f.pool.connect(check.Address)
-		if err != nil {
-			refused = errors.Is(err, syscall.ECONNREFUSED)
-		} else {
-			f.pool.put(check.Address, conn, time.Now(), &fasthttp.ResponseHeader{}, check.MaxIdle)
-		}
-	})
+	guarder.Run(f.opts.Logger, "check of an endpoint", func() { refused = f.refused(check.Address, check.MaxIdle) })
 	f.Post(director.EndpointChecked{Endpoint: check.Endpoint, Address: check.Address, Refused: refused})
 }
 
+// refused connects to an address and reports whether the host refuses the connection. A
+// connection that is established is kept as an idle one.
+func (f *Forwarder) refused(address netip.AddrPort, maxIdle int) bool {
+	conn, err := f.pool.connect(address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	f.pool.put(address, conn, time.Now(), &fasthttp.ResponseHeader{}, maxIdle)
+
+	return false
+}
+
 // deliver sends an effect to the goroutine of its request. There is at most one
 // outstanding effect per request.
 func (f *Forwarder) deliver(id uint64, e director.Effect) {
