Do not take an endpoint that refuses connections for a crashed one

Callers got 502, or a cut stream, in place of complete responses that end with their connection if the endpoint was alive but accepted no more connections (a limit, a full backlog, a listener that is closed early). Each such end was also evidence that the request is harmful, and three could isolate a sound request.

The check took a refused connection for proof that the endpoint has crashed. Now the pool knows the open connections by address, idle or in use. As long as the endpoint has not ended one of them, there is no verdict. PeekSocket cannot say that, as it does not see the end behind unread data; SocketEnded does. An end that rests on a refused connection is no longer evidence against the request. An interrupted poll of a socket is repeated.

Each with the change undone: TestLiveEndpointMayRefuseConnections failed (502, cut off), TestRefusedConnectionsAreNoEvidenceAgainstARequest failed (refused as harmful), and without the condition on the result TestRefusedConnectionChangesAnswersOnly.

--- a/internal/director/crashing_test.go
+++ b/internal/director/crashing_test.go
@@ -260,3 +260,49 @@
 	c.Check(fingerprint(own, 1)>>32, qt.Equals, fingerprint(own, 2)>>32)
 	c.Check(fingerprint(own, 1)>>32, qt.Not(qt.Equals), fingerprint(other, 1)>>32)
 }
+
+// Guards against a sound request that is refused as harmful because endpoints refuse new
+// connections after they have answered it.
+func TestRefusedConnectionsAreNoEvidenceAgainstARequest(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	put := func(id string, draining bool) {
+		entry := n.endpoints[id].entry
+		entry.Draining = draining
+		n.post(EntryPut{Entry: entry})
+	}
+	endpoints := make([]string, 0, 3)
+	send := func(id uint64) (Dispatch, bool) {
+		n.advance(time.Second)
+
+		return find[Dispatch](n.post(Arrived{Request{ID: id, Host: "h", Path: "/pay/1", Key: "key", Deadline: time.Second, Content: 7}}))
+	}
+	for id := range uint64(3) {
+		d, sent := send(id)
+		c.Assert(sent, qt.IsTrue)
+		effects := n.post(AttemptFinished{ID: id, Result: Answered, Status: 200, Took: 50 * time.Millisecond, HostRefused: true})
+		if check, ok := find[CheckEndpoint](effects); ok {
+			n.post(EndpointChecked{Endpoint: check.Endpoint, Address: check.Address, Refused: true})
+		}
+		// The next request goes to another endpoint.
+		put(d.Endpoint, true)
+		endpoints = append(endpoints, d.Endpoint)
+	}
+	for _, id := range endpoints {
+		put(id, false)
+	}
+	_, sent := send(3)
+	c.Check(sent, qt.IsTrue)
+}
+
+// Guards against an attempt whose result is replaced because its host refuses connections:
+// only an answer may lack a part.
+func TestRefusedConnectionChangesAnswersOnly(t *testing.T) {
+	c := qt.New(t)
+	for result, want := range map[Result]Reason{Answered: ReasonBroken, TimedOut: ReasonTimeout, Cancelled: ReasonLeaving} {
+		n := newNode()
+		n.arrive(1, "/pay/1")
+		refuse, _ := find[Refuse](n.post(AttemptFinished{ID: 1, Result: result, Status: 200, HostRefused: true}))
+		c.Check(refuse.Reason, qt.Equals, want)
+	}
+}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -97,7 +97,7 @@
 	Endpoint string
 	Address  netip.AddrPort
 	// Refused reports whether the host has refused the connection, as none listens at
-	// the address.
+	// the address, and no other connection to the endpoint is open.
 	Refused bool
 }
 
@@ -124,7 +124,8 @@
 	// was no answer.
 	Framing Framing
 	// HostRefused reports whether the host has refused a connection just after an answer
-	// ended with its connection. If the endpoint has crashed, the answer may lack a part.
+	// ended with its connection, and no other connection to the endpoint is open. If the
+	// endpoint has crashed, the answer may lack a part.
 	HostRefused bool
 	// Cause describes why the attempt failed, for the log.
 	Cause string
--- a/internal/director/harmful.go
+++ b/internal/director/harmful.go
@@ -60,6 +60,10 @@
 	d.log(logger.AttemptCutOff, "request", req.Name, "content", strconv.FormatUint(req.fingerprint(), 16), "route", req.route.Name,
 		"service", req.service.name, "account", account, "endpoint", e.entry.ID, "took", f.Took.String(), "begun", req.begun(),
 		"cause", f.Cause, "parts", formatParts(req.Need.SharedParts))
+	if f.HostRefused {
+		// The answer may be complete, and the endpoint sound.
+		return
+	}
 	if !ranOn {
 		d.isolator.RecordCutOff(now, now.Add(-f.Took), req.subjects(), e.boot)
 	}
--- a/internal/dispatcher/socket.go
+++ b/internal/dispatcher/socket.go
@@ -82,8 +82,7 @@
 // The kernel reports a reset once: after a recv, even with MSG_PEEK, or getsockopt with
 // SO_ERROR, a read returns the plain end.
 func PeekSocket(fd uintptr) SocketState {
-	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
-	if n, err := unix.Poll(fds, 0); err != nil || n == 0 {
+	if !pollSocket(fd, unix.POLLIN|unix.POLLRDHUP) {
 		return SocketIdle
 	}
 	if unread, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil && unread > 0 {
@@ -92,3 +91,18 @@
 
 	return SocketClosed
 }
+
+// SocketEnded reports whether the peer has ended a connection, even if there is unread data.
+// It does not consume the pending error.
+func SocketEnded(fd uintptr) bool { return pollSocket(fd, unix.POLLRDHUP) }
+
+// pollSocket reports whether any of the events, an error or a hang-up is pending on a socket.
+func pollSocket(fd uintptr, events int16) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	for {
+		n, err := unix.Poll(fds, 0)
+		if err != unix.EINTR {
+			return err == nil && n == 1
+		}
+	}
+}
--- a/internal/dispatcher/socket_test.go
+++ b/internal/dispatcher/socket_test.go
@@ -35,6 +35,14 @@
 	return state
 }
 
+// ended reports whether the peer has ended a connection.
+func ended(c *qt.C, conn *net.TCPConn) bool {
+	ended := false
+	c.Assert(RawConn(conn).Control(func(fd uintptr) { ended = SocketEnded(fd) }), qt.IsNil)
+
+	return ended
+}
+
 // awaitState peeks at a connection until it has a state.
 func awaitState(c *qt.C, conn *net.TCPConn, want SocketState) {
 	for end := time.Now().Add(peekTimeout); peek(c, conn) != want; {
@@ -58,6 +66,7 @@
 	c.Assert(remote.SetLinger(0), qt.IsNil)
 	c.Assert(remote.Close(), qt.IsNil)
 	awaitState(c, local, SocketClosed)
+	c.Check(ended(c, local), qt.IsTrue)
 	c.Check(ConnState(local), qt.Equals, SocketClosed)
 	_, err = local.Read(b[:])
 	c.Check(err, qt.ErrorIs, syscall.ECONNRESET)
@@ -70,7 +79,11 @@
 	_, err := remote.Write([]byte("a"))
 	c.Assert(err, qt.IsNil)
 	c.Assert(remote.CloseWrite(), qt.IsNil)
+	for end := time.Now().Add(peekTimeout); !ended(c, local); {
+		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("end never seen"))
+	}
 	awaitState(c, local, SocketReadable)
+	c.Check(ended(c, remote), qt.IsFalse)
 	var b [1]byte
 	_, err = local.Read(b[:])
 	c.Assert(err, qt.IsNil)
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -48,7 +48,7 @@
 					default:
 						return reply(conn, r, 200, "body")
 					}
-					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nName: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s", r.Header.Get("Name"), test.part)
+					unframed(conn, r, test.part)
 					if test.drains {
 						s.Post(director.EntryPut{Entry: registrar.Entry{ID: r.Header.Get("Instance"), Service: "s", Address: endpoints[i].addr, Draining: true}})
 					}
@@ -73,3 +73,54 @@
 		})
 	}
 }
+
+// Guards against a sound answer that is withheld or cut off because its endpoint accepts no
+// more connections.
+func TestLiveEndpointMayRefuseConnections(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/stream/x"} {
+		for _, idle := range []bool{false, true} {
+			t.Run(fmt.Sprint(path, " idle=", idle), func(t *testing.T) {
+				c := qt.New(t)
+				var e *endpoint
+				arrived, refuse, finish := make(chan bool), make(chan bool), make(chan bool)
+				e = newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+					if r.Header.Get("Name") == "other" {
+						arrived <- true
+						if !idle {
+							<-finish
+						}
+
+						return reply(conn, r, 200, "")
+					}
+					arrived <- true
+					<-refuse
+					_ = e.listener.Close()
+					unframed(conn, r, events(1, 2))
+
+					return false
+				})
+				s := start(t, e)
+				call, other := s.dial(c), s.dial(c)
+				call.send("POST", path, "r1", "")
+				<-arrived
+				other.send("GET", "/safe/x", "other", "")
+				<-arrived
+				if idle {
+					_, _, err := other.receive()
+					c.Assert(err, qt.IsNil)
+				}
+				close(refuse)
+				resp, body, err := call.receive()
+				c.Assert(err, qt.IsNil)
+				c.Check(resp.StatusCode, qt.Equals, 200)
+				c.Check(body, qt.Equals, events(1, 2))
+				close(finish)
+			})
+		}
+	}
+}
+
+// unframed writes a response that ends with its connection.
+func unframed(conn net.Conn, r *http.Request, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nName: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s", r.Header.Get("Name"), body)
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -331,12 +331,13 @@
 	f.Post(director.EndpointChecked{Endpoint: check.Endpoint, Address: check.Address, Refused: refused})
 }
 
-// refused connects to an address and reports whether the host refuses the connection. A
+// refused connects to an address and reports whether the host refuses the connection and has
+// ended all others, too. An endpoint may refuse new connections without having ended. A
 // connection that is established is kept as an idle one.
 func (f *Forwarder) refused(address netip.AddrPort, maxIdle int) bool {
 	conn, err := f.pool.connect(address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return errors.Is(err, syscall.ECONNREFUSED) && !f.pool.connected(address)
 	}
 	f.pool.put(address, conn, time.Now(), &fasthttp.ResponseHeader{}, maxIdle)
 
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -45,6 +45,8 @@
 // endpointConn is a connection to an endpoint.
 type endpointConn struct {
 	net.Conn
+	// pool is the pool that has opened the connection.
+	pool    *pool
 	address netip.AddrPort
 	br      *bufio.Reader
 	// onTimeout reports whether a read or write that has exceeded its deadline
@@ -86,6 +88,17 @@
 	}
 }
 
+// Close implements net.Conn.
+func (c *endpointConn) Close() error {
+	if c.pool != nil {
+		c.pool.mu.Lock()
+		c.pool.removeOpen(c)
+		c.pool.mu.Unlock()
+	}
+
+	return c.Conn.Close()
+}
+
 func (c *endpointConn) goesOn(arrived bool) bool {
 	return c.onTimeout != nil && c.onTimeout(arrived)
 }
@@ -103,7 +116,19 @@
 	return state
 }
 
-// pool holds idle connections to endpoints.
+// connEnded reports whether the peer has ended a connection, or it has been closed.
+func connEnded(conn net.Conn) bool {
+	raw := dispatcher.RawConn(conn)
+	if raw == nil {
+		return false
+	}
+	ended := true
+	_ = raw.Control(func(fd uintptr) { ended = dispatcher.SocketEnded(fd) })
+
+	return ended
+}
+
+// pool opens connections to endpoints and holds the idle ones.
 type pool struct {
 	dialer net.Dialer
 	// maxTotal is the maximum number of idle connections to all addresses. It is
@@ -115,12 +140,16 @@
 	// all of them; both have those that have been idle longest first.
 	idle  map[netip.AddrPort][]*endpointConn
 	byAge list.List
+	// open holds the connections by address that have not been closed, idle or in use. It
+	// has no empty sets.
+	open map[netip.AddrPort]map[*endpointConn]struct{}
 }
 
 func newPool(maxTotal int) *pool {
 	return &pool{
 		maxTotal: max(maxTotal, 1),
 		idle:     map[netip.AddrPort][]*endpointConn{},
+		open:     map[netip.AddrPort]map[*endpointConn]struct{}{},
 		dialer: net.Dialer{
 			Timeout: dialTimeout,
 			Control: dispatcher.SetTCPUserTimeout(unackedTimeout),
@@ -157,12 +186,41 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &endpointConn{Conn: conn, address: address}
+	c := &endpointConn{Conn: conn, pool: p, address: address}
 	c.br = bufio.NewReaderSize(c, readBufferBytes)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[address] == nil {
+		p.open[address] = map[*endpointConn]struct{}{}
+	}
+	p.open[address][c] = struct{}{}
 
 	return c, nil
 }
 
+// removeOpen removes a connection from open. p.mu must be held.
+func (p *pool) removeOpen(c *endpointConn) {
+	conns := p.open[c.address]
+	delete(conns, c)
+	if len(conns) == 0 {
+		delete(p.open, c.address)
+	}
+}
+
+// connected reports whether any connection to an address is open at both ends, as far as is
+// known.
+func (p *pool) connected(address netip.AddrPort) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.open[address] {
+		if !connEnded(c.Conn) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // dial connects to an address. It repeats a dial that ends much later than its
 // timeout: the process did not run for a while, and the dialer reports a timeout
 // even if the connection was established meanwhile.
@@ -223,7 +281,8 @@
 func (p *pool) closeOldest(address netip.AddrPort) {
 	conns := p.idle[address]
 	p.byAge.Remove(conns[0].element)
-	_ = conns[0].Close()
+	p.removeOpen(conns[0])
+	_ = conns[0].Conn.Close()
 	p.idle[address] = conns[1:]
 }
 
--- a/internal/forwarder/pool_test.go
+++ b/internal/forwarder/pool_test.go
@@ -35,3 +35,23 @@
 	}
 	c.Check(p.byAge.Len(), qt.Equals, 0)
 }
+
+// Guards against sets of open connections that are kept for addresses that are no longer used.
+func TestClosedConnectionsAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = ln.Close() }()
+	address := ln.Addr().(*net.TCPAddr).AddrPort()
+	p := newPool(1)
+	for range 3 {
+		conn, err := p.connect(address)
+		c.Assert(err, qt.IsNil)
+		c.Check(p.connected(address), qt.IsTrue)
+		p.put(address, conn, time.Now(), &fasthttp.ResponseHeader{}, 8)
+	}
+	c.Check(p.open[address], qt.HasLen, 1)
+	p.closeIdle(address)
+	c.Check(p.connected(address), qt.IsFalse)
+	c.Check(p.open, qt.HasLen, 0)
+}
--- a/internal/forwarder/reset_test.go
+++ b/internal/forwarder/reset_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"testing"
@@ -33,10 +34,15 @@
 	c.Assert(conn.SetDeadline(expiredDeadline), qt.IsNil)
 	c.Assert(remote.(*net.TCPConn).SetLinger(0), qt.IsNil)
 	c.Assert(remote.Close(), qt.IsNil)
+	var n int
 	c.Assert(dispatcher.RawConn(conn).Control(func(fd uintptr) {
-		_, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, int(longWait.Milliseconds()))
+		err = unix.EINTR
+		for errors.Is(err, unix.EINTR) {
+			n, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, int(longWait.Milliseconds()))
+		}
 	}), qt.IsNil)
 	c.Assert(err, qt.IsNil)
+	c.Assert(n, qt.Equals, 1)
 	_, err = ec.Read(make([]byte, 1))
 	c.Check(err, qt.ErrorIs, syscall.ECONNRESET)
 	c.Check(arrived, qt.IsTrue)
