Await the end of an endpoint that closes its listening socket last

Callers could get truncated responses that end with their connection as complete if the killed endpoint had many connections: the kernel closes the sockets of a process one after another, and the listening socket may come later than the connection of the response and the 10 ms after which the node connects to the endpoint.

The node now watches the connection of the check, for 30 ms after a body and 100 ms after a stream, whose events have been passed on by then. If the host ends it without data, or resets it while it is established, that counts like a refusal. In the same time it awaits the ends of the other connections. The check is not repeated, ends with the attempt or its cancellation, and is left out for endpoints that have said that they shut down, as their refusals do not count. The time of the attempt no longer includes it. The check after an attempt that was cut off works the same way.

--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -96,8 +96,8 @@
 type EndpointChecked struct {
 	Endpoint string
 	Address  netip.AddrPort
-	// Refused reports whether the host has refused the connection, as none listens at
-	// the address, and no other connection to the endpoint is open.
+	// Refused reports whether the host has refused or ended the connection, as none listens
+	// at the address, and no other connection to the endpoint is open.
 	Refused bool
 }
 
@@ -123,8 +123,8 @@
 	// Framing is how the end of the answer is marked, for the log. It is empty if there
 	// was no answer.
 	Framing Framing
-	// HostRefused reports whether the host has refused a connection just after an answer
-	// ended with its connection, and no other connection to the endpoint is open. If the
+	// HostRefused reports whether the host has refused or ended a connection just after an
+	// answer ended with its connection, and no other connection to the endpoint is open. If the
 	// endpoint has crashed, the answer may lack a part.
 	HostRefused bool
 	// Cause describes why the attempt failed, for the log.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -117,7 +117,9 @@
 // close finishes the attempt. It closes the connection unless it was returned to
 // the pool.
 func (a *attempt) close() {
-	a.finished.Took = time.Since(a.start)
+	if a.finished.Took == 0 {
+		a.finished.Took = time.Since(a.start)
+	}
 	if a.conn != nil {
 		a.call.setEndpointConn(nil)
 		_ = a.conn.Close()
@@ -386,7 +388,7 @@
 		return a.failureResult(errNoFrame)
 	}
 	a.releaseConn()
-	a.checkHost()
+	a.checkHost(a.call.f.bodyEndTime)
 	a.call.setResponse(a.resp, a.holding)
 	a.resp, a.holding = nil, nil
 
@@ -407,16 +409,6 @@
 	return a.resp.Header.ContentLength() == identityLength && !a.withoutBody() && !a.call.req.Header.IsHead()
 }
 
-// checkHost connects to the endpoint of a response that has ended with its connection. The
-// kernel ends the connections of a process that has crashed as if it had closed them.
-func (a *attempt) checkHost() {
-	if a.finished.Framing != director.FramedByConnection {
-		return
-	}
-	time.Sleep(checkDelay)
-	a.finished.HostRefused = a.call.f.refused(a.dispatch.Address, a.dispatch.MaxIdle)
-}
-
 // framing returns how the end of the response is marked.
 func (a *attempt) framing() director.Framing {
 	switch {
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -45,8 +46,8 @@
 	requestHolding, attemptHolding *budgeter.Holding
 
 	mu sync.Mutex
-	// endpointConn is the connection that cancel closes, or nil.
-	endpointConn *endpointConn
+	// endpointConn is what cancel closes to end the attempt, or nil.
+	endpointConn io.Closer
 	cancelled    bool
 	// givenUp reports whether the attempt in progress has been given up.
 	givenUp bool
@@ -299,7 +300,7 @@
 	return false
 }
 
-// cancel cancels the attempt in progress by closing its connection.
+// cancel cancels the attempt in progress by closing its connection, or that of its check.
 func (c *call) cancel() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -328,9 +329,9 @@
 	return givenUp
 }
 
-// setEndpointConn sets the connection that cancel closes. It reports whether the
+// setEndpointConn sets what cancel closes. It reports whether the
 // attempt may proceed, which is false if cancel has already been called.
-func (c *call) setEndpointConn(conn *endpointConn) bool {
+func (c *call) setEndpointConn(conn io.Closer) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endpointConn = conn
--- /dev/null
+++ b/internal/forwarder/check_test.go
@@ -0,0 +1,187 @@
+package forwarder
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"snipedyke/internal/logger"
+)
+
+// newCheckedEndpoint returns an endpoint that ends its first connection with a response
+// without a length, and passes the connection of the check to onCheck.
+func newCheckedEndpoint(c *qt.C, part string, onCheck func(ln net.Listener, check net.Conn)) *endpoint {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = ln.Close() })
+	e := &endpoint{listener: ln, addr: ln.Addr().(*net.TCPAddr).AddrPort()}
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		e.serve(conn, func(conn net.Conn, r *http.Request) bool {
+			unframed(conn, r, part)
+
+			return false
+		})
+		if check, err := ln.Accept(); err == nil {
+			onCheck(ln, check)
+		}
+	}()
+
+	return e
+}
+
+// withEndTimes lets the checks of endpoints take a given time.
+func withEndTimes(d time.Duration) func(*Forwarder) {
+	return func(f *Forwarder) { f.bodyEndTime, f.streamEndTime = d, d }
+}
+
+// tookSink is a Logger that reports how long attempts that were cut off took.
+type tookSink chan string
+
+func (s tookSink) Event(number int, args ...any) {
+	for i := 0; number == logger.AttemptCutOff && i < len(args); i += 2 {
+		if args[i] == "took" {
+			s <- args[i+1].(string)
+		}
+	}
+}
+
+// Guards against a truncated response that passes as complete because the kernel closes the
+// listening socket of a crashed endpoint after its connections, and against a check that
+// counts as time of the attempt.
+func TestCrashedEndpointMayAcceptConnectionsUntilItsEnd(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/stream/x"} {
+		for _, resets := range []bool{false, true} {
+			t.Run(fmt.Sprint(path, " resets=", resets), func(t *testing.T) {
+				c := qt.New(t)
+				sent, checked := time.Now(), make(chan time.Time, 1)
+				e := newCheckedEndpoint(c, events(1, 4), func(ln net.Listener, check net.Conn) {
+					now := time.Now()
+					checked <- now
+					// The check takes longer than the request to arrive.
+					<-time.After(now.Sub(sent))
+					if resets {
+						_ = check.(*net.TCPConn).SetLinger(0)
+					}
+					_, _ = ln.Close(), check.Close()
+				})
+				took := make(tookSink, 8)
+				s := startWith(t, func(f *Forwarder) {
+					withEndTimes(longWait)(f)
+					f.opts.Logger = took
+				}, e)
+				call := s.dial(c)
+				call.send("POST", path, "r1", "")
+				resp, _, err := call.receive()
+				c.Assert(resp, qt.IsNotNil, qt.Commentf("%v", err))
+				c.Assert(resp.StatusCode != 200 || err != nil, qt.IsTrue, qt.Commentf("complete"))
+				c.Assert(<-checked, qt.Satisfies, func(at time.Time) bool {
+					d, err := time.ParseDuration(<-took)
+
+					return err == nil && d <= at.Sub(sent)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a truncated response that passes as complete because the kernel closes
+// another connection of a crashed endpoint later.
+func TestCrashedEndpointMayKeepConnectionsUntilItsEnd(t *testing.T) {
+	c := qt.New(t)
+	var e *endpoint
+	arrived, ended := make(chan bool), make(chan bool)
+	e = newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+		if r.Header.Get("Name") == "other" {
+			arrived <- true
+			<-ended
+			<-time.After(3 * checkDelay)
+
+			return false
+		}
+		_ = e.listener.Close()
+		unframed(conn, r, "bo")
+		close(ended)
+
+		return false
+	})
+	s := startWith(t, withEndTimes(longWait), e)
+	call, other := s.dial(c), s.dial(c)
+	other.send("POST", "/unsafe/x", "other", "")
+	<-arrived
+	call.send("POST", "/unsafe/x", "r1", "")
+	resp, _, err := call.receive()
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.StatusCode, qt.Equals, http.StatusBadGateway)
+}
+
+// Guards against responses that wait for a check that cannot say whether they are complete.
+func TestOnlyResponsesThatEndWithTheirConnectionAreChecked(t *testing.T) {
+	for name, response := range map[string]string{
+		"length":  "Content-Length: 4\r\n\r\nbody",
+		"chunks":  "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"leaving": "Leaving: 1\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var accepted atomic.Int32
+			e := listen(t, net.ListenConfig{}, func() { accepted.Add(1) }, func(conn net.Conn, r *http.Request) bool {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nName: %s\r\nSeal: s\r\nConnection: close\r\n%s", r.Header.Get("Name"), response)
+
+				return false
+			})
+			call := startWith(t, withEndTimes(longWait), e).dial(c)
+			call.send("POST", "/unsafe/x", "r1", "")
+			_, body, err := call.receive()
+			c.Assert(err, qt.IsNil)
+			c.Check(body, qt.Equals, "body")
+			// The endpoint has accepted any check before this connection.
+			conn, err := net.Dial("tcp", e.addr.String())
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			c.Assert(err, qt.IsNil)
+			_, err = io.ReadAll(conn)
+			c.Assert(err, qt.IsNil)
+			c.Check(accepted.Load(), qt.Equals, int32(2))
+		})
+	}
+}
+
+// Guards against a check that goes on after its caller has left.
+func TestCheckEndsWithItsCaller(t *testing.T) {
+	c := qt.New(t)
+	for _, path := range []string{"/safe/x", "/stream/x"} {
+		checks := make(chan net.Conn, 1)
+		e := newCheckedEndpoint(c, events(1, 1), func(_ net.Listener, check net.Conn) { checks <- check })
+		call := startWith(t, withEndTimes(4*longWait), e).dial(c)
+		call.send("POST", path, "r1", "")
+		check := <-checks
+		c.Assert(call.Close(), qt.IsNil)
+		c.Assert(check.SetReadDeadline(time.Now().Add(longWait)), qt.IsNil)
+		_, err := check.Read(make([]byte, 1))
+		c.Check(err, qt.IsNotNil)
+		c.Check(isTimeout(err), qt.IsFalse)
+	}
+}
+
+// Guards against a check that goes on after the time limit of its attempt.
+func TestCheckEndsWithItsAttempt(t *testing.T) {
+	c := qt.New(t)
+	var checked atomic.Bool
+	e := newCheckedEndpoint(c, "body", func(net.Listener, net.Conn) { checked.Store(true) })
+	call := startWith(t, withEndTimes(4*longWait), e).dial(c)
+	call.send("POST", "/brief/x", "r1", "")
+	_, _, err := call.receive()
+	c.Assert(err, qt.IsNil)
+	c.Check(checked.Load(), qt.IsTrue)
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,13 +6,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -84,9 +82,6 @@
 	// are answered that were not answered until then. It is longer than dialTimeout,
 	// as an attempt that connects is not cancelled.
 	answerMargin = 300 * time.Millisecond
-	// checkDelay is the time after an attempt was cut off in which the host of an
-	// endpoint that has ended closes its listening socket, too.
-	checkDelay = 10 * time.Millisecond
 	// readTimeout limits the time to read a request, and idleTimeout the time
 	// between two requests on a connection.
 	readTimeout = 10 * time.Second
@@ -106,8 +101,8 @@
 	budget       *budgeter.Budget
 	lastID       atomic.Uint64
 	shuttingDown atomic.Bool
-	// streamIdleTimeout is the constant of that name, or shorter in tests.
-	streamIdleTimeout time.Duration
+	// These are the constants of the same names, or other times in tests.
+	streamIdleTimeout, bodyEndTime, streamEndTime time.Duration
 
 	mu       sync.Mutex
 	director *director.Director
@@ -123,7 +118,8 @@
 		return nil, &Error{Op: "listen for callers", Kind: KindListen, Err: err}
 	}
 	f := &Forwarder{
-		opts: opts, pool: newPool(opts.MaxIdleConnections), director: director.New(opts.Director), calls: map[uint64]*call{}, streamIdleTimeout: streamIdleTimeout,
+		opts: opts, pool: newPool(opts.MaxIdleConnections), director: director.New(opts.Director), calls: map[uint64]*call{},
+		streamIdleTimeout: streamIdleTimeout, bodyEndTime: bodyEndTime, streamEndTime: streamEndTime,
 		listener: &listener{Listener: acceptor.New(ln, "callers", opts.Logger), conns: map[*callerConn]struct{}{}},
 	}
 	f.budget = budgeter.New(budgeter.Options{Limit: opts.MemoryBudget, Clock: opts.Clock, OnCut: f.noteCut})
@@ -324,26 +320,6 @@
 	}
 }
 
-// checkEndpoint connects to an endpoint and reports the result to the director.
-func (f *Forwarder) checkEndpoint(check director.CheckEndpoint) {
-	refused := false
-	guarder.Run(f.opts.Logger, "check of an endpoint", func() { refused = f.refused(check.Address, check.MaxIdle) })
-	f.Post(director.EndpointChecked{Endpoint: check.Endpoint, Address: check.Address, Refused: refused})
-}
-
-// refused connects to an address and reports whether the host refuses the connection and has
-// ended all others, too. An endpoint may refuse new connections without having ended. A
-// connection that is established is kept as an idle one.
-func (f *Forwarder) refused(address netip.AddrPort, maxIdle int) bool {
-	conn, err := f.pool.connect(address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED) && !f.pool.connected(address)
-	}
-	f.pool.put(address, conn, time.Now(), &fasthttp.ResponseHeader{}, maxIdle)
-
-	return false
-}
-
 // deliver sends an effect to the goroutine of its request. There is at most one
 // outstanding effect per request.
 func (f *Forwarder) deliver(id uint64, e director.Effect) {
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"container/list"
+	"context"
 	"errors"
 	"net"
 	"net/netip"
@@ -186,6 +187,22 @@
 	if err != nil {
 		return nil, err
 	}
+
+	return p.add(conn, address), nil
+}
+
+// connectOnce is like connect, but ends with ctx and does not repeat a late dial.
+func (p *pool) connectOnce(ctx context.Context, address netip.AddrPort) (*endpointConn, error) {
+	conn, err := p.dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+
+	return p.add(conn, address), nil
+}
+
+// add adds a new connection.
+func (p *pool) add(conn net.Conn, address netip.AddrPort) *endpointConn {
 	c := &endpointConn{Conn: conn, pool: p, address: address}
 	c.br = bufio.NewReaderSize(c, readBufferBytes)
 	p.mu.Lock()
@@ -195,7 +212,7 @@
 	}
 	p.open[address][c] = struct{}{}
 
-	return c, nil
+	return c
 }
 
 // removeOpen removes a connection from open. p.mu must be held.
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -92,7 +92,7 @@
 		a.finished.Result = director.Answered
 		_ = a.resp.CloseBodyStream()
 		a.releaseConn()
-		a.checkHost()
+		a.checkHost(b.call.f.streamEndTime)
 	} else {
 		a.finished.Result = a.failureResult(err)
 	}
