Do not count connections that no request has used as reused

A refusal without an ID that came first on a connection opened by the check of an endpoint counted as the response to an earlier request: callers of unsafe requests got 502 in place of another attempt, and the endpoint a failure. The pool took every connection that it held for one that had carried a request. Now the attempt marks the connection when it returns it after a response, so that connections of checks, and those of attempts that came too late to be sent, are new.

TestConnectionOfACheckHasCarriedNoRequest: 502 before, 503 now.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -473,6 +473,7 @@
 	if a.partlySent || a.resp.Header.ConnectionClose() || a.leaving {
 		_ = a.conn.Close()
 	} else {
+		a.conn.reused = true
 		a.call.f.pool.put(a.dispatch.Address, a.conn, time.Now(), &a.resp.Header, a.dispatch.MaxIdle)
 	}
 	a.conn = nil
--- a/internal/forwarder/check_test.go
+++ b/internal/forwarder/check_test.go
@@ -185,3 +185,26 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(checked.Load(), qt.IsTrue)
 }
+
+// Guards against a refusal without an ID that counts as the response to another request,
+// although the connection has carried none before.
+func TestConnectionOfACheckHasCarriedNoRequest(t *testing.T) {
+	c := qt.New(t)
+	var e *endpoint
+	e = newCheckedEndpoint(c, "body", func(_ net.Listener, check net.Conn) {
+		e.serve(check, func(conn net.Conn, _ *http.Request) bool {
+			_, err := io.WriteString(conn, "HTTP/1.1 503 X\r\nDeclined: 1\r\nContent-Length: 0\r\n\r\n")
+
+			return err == nil
+		})
+	})
+	call := start(t, e).dial(c)
+	call.send("POST", "/unsafe/x", "r1", "")
+	_, body, err := call.receive()
+	c.Assert(err, qt.IsNil)
+	c.Check(body, qt.Equals, "body")
+	call.send("GET", "/safe/x", "r2", "")
+	resp, _, err := call.receive()
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+}
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -58,7 +58,8 @@
 	// time that the connection may be kept idle.
 	lastUsed    time.Time
 	idleTimeout time.Duration
-	// reused reports whether the connection has carried a request before.
+	// reused reports whether the connection has carried a request before the present
+	// attempt. One that was opened for a check has not.
 	reused bool
 	// element is the connection's element in pool.byAge while it is idle.
 	element *list.Element
@@ -171,8 +172,6 @@
 		}
 		// Unread bytes would be read as the next response.
 		if now.Sub(c.lastUsed) < min(maxIdle, c.idleTimeout) && dispatcher.ConnState(c.Conn) == dispatcher.SocketIdle {
-			c.reused = true
-
 			return c, nil
 		}
 		_ = c.Close()
