Do not take a restarted endpoint for the one that was responding

The check asked only whether the address accepts connections, and connections that other requests had opened to the new process counted as a sign of life.

While such a response is being read, the node now keeps a second connection to the endpoint open. It ends with the process, whoever has the address afterwards. If it outlasts the response, that is complete; if it ends with the response, and so do all connections that were opened before, the response is broken. If the endpoint has ended it well before, or the response had arrived whole before it could be opened, the check is the same as before. The connection takes the place of that of the check.

In the tests, an endpoint that crashes now ends all its connections, as the kernel does. TestEndpointThatIsBackAtItsAddressHasCrashed.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -88,6 +88,8 @@
 	persistence persistence
 	// leaving reports whether the endpoint has said that it shuts down.
 	leaving bool
+	// witness is open beside a response that ends with its connection, or nil.
+	witness *witness
 
 	// stream reads the events of a streamed response, or is nil.
 	stream *eventReader
@@ -125,6 +127,7 @@
 		_ = a.conn.Close()
 		a.conn = nil
 	}
+	a.closeWitness()
 	a.holding.Release()
 	if a.resp != nil {
 		_ = a.resp.CloseBodyStream()
@@ -368,6 +371,7 @@
 	case a.endsWithConn() && a.persistence == persistent:
 		return a.failureResult(errNoFrame)
 	}
+	a.openWitness()
 	if a.dispatch.Route.Kind == router.Stream && h.StatusCode() == http.StatusOK {
 		return a.beginStream()
 	}
--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -25,8 +25,81 @@
 	streamEndTime = 100 * time.Millisecond
 	// endPollInterval is the time between two looks at connections that may end.
 	endPollInterval = 5 * time.Millisecond
+	// witnessDialTimeout limits the time in which a witness is connected, as the response
+	// waits for it. witnessMargin is how long before the end of the response the endpoint
+	// must have ended its witness for that to say nothing.
+	witnessDialTimeout = 20 * time.Millisecond
+	witnessMargin      = 50 * time.Millisecond
 )
 
+// witness is a connection that is open beside a response that ends with its connection. It
+// outlasts the response unless the process of the endpoint has ended, even if another
+// process has taken its address by then.
+type witness struct {
+	conn *endpointConn
+	// done is closed when the connection is no longer watched. endedAt is then the time at
+	// which the peer has ended it, or zero.
+	done    chan struct{}
+	endedAt time.Time
+}
+
+// openWitness connects to the endpoint of a response that ends with its connection. There is
+// no witness if the response has arrived whole.
+func (a *attempt) openWitness() {
+	if !a.endsWithConn() || a.leaving || connEnded(a.conn.Conn) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), witnessDialTimeout)
+	defer cancel()
+	conn, err := a.call.f.pool.connectOnce(ctx, a.dispatch.Address)
+	if err != nil {
+		return
+	}
+	w := &witness{conn: conn, done: make(chan struct{})}
+	a.witness = w
+	go func() {
+		defer close(w.done)
+		guarder.Run(a.call.f.opts.Logger, "check of an endpoint", func() {
+			if conn.endsBy(time.Time{}) {
+				w.endedAt = time.Now()
+			}
+		})
+	}()
+}
+
+// closeWitness ends the watch of the witness if there is one.
+func (a *attempt) closeWitness() {
+	if a.witness != nil {
+		_ = a.witness.conn.Close()
+		a.witness = nil
+	}
+}
+
+// outlasts reports whether the witness is open for endTime after the end of the response at
+// the given time, and whether that is known. It keeps an open one as an idle connection.
+func (a *attempt) outlasts(ctx context.Context, end time.Time, endTime time.Duration) (outlasts, known bool) {
+	w := a.witness
+	if w == nil {
+		return false, false
+	}
+	a.witness = nil
+	select {
+	case <-w.done:
+	case <-ctx.Done():
+	case <-time.After(endTime):
+	}
+	_ = w.conn.SetReadDeadline(expiredDeadline)
+	<-w.done
+	if ctx.Err() != nil || !w.endedAt.IsZero() {
+		_ = w.conn.Close()
+
+		return false, ctx.Err() == nil && end.Sub(w.endedAt) < witnessMargin
+	}
+	a.call.f.pool.put(a.dispatch.Address, w.conn, time.Now(), &fasthttp.ResponseHeader{}, a.dispatch.MaxIdle)
+
+	return true, true
+}
+
 // closerFunc is a function that implements io.Closer.
 type closerFunc func()
 
@@ -41,7 +114,9 @@
 // has ended, too. The kernel ends the connections of a process that has crashed as if it had
 // closed them.
 func (a *attempt) checkHost(endTime time.Duration) {
-	a.finished.Took = time.Since(a.start)
+	now := time.Now()
+	a.finished.Took = now.Sub(a.start)
+	defer a.closeWitness()
 	if a.finished.Framing != director.FramedByConnection || a.leaving {
 		return
 	}
@@ -55,10 +130,15 @@
 		return
 	}
 	defer a.call.setEndpointConn(nil)
+	if outlasts, known := a.outlasts(ctx, now, endTime); known {
+		a.finished.HostRefused = !outlasts && a.call.f.pool.disconnectedBy(ctx, a.dispatch.Address, now, now.Add(endTime))
+
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(checkDelay):
-		a.finished.HostRefused = a.call.f.refused(ctx, a.dispatch.Address, a.dispatch.MaxIdle, endTime)
+		a.finished.HostRefused = a.call.f.refused(ctx, a.dispatch.Address, a.dispatch.MaxIdle, now, endTime)
 	}
 }
 
@@ -66,16 +146,16 @@
 func (f *Forwarder) checkEndpoint(check director.CheckEndpoint) {
 	refused := false
 	guarder.Run(f.opts.Logger, "check of an endpoint", func() {
-		refused = f.refused(context.Background(), check.Address, check.MaxIdle, f.streamEndTime)
+		refused = f.refused(context.Background(), check.Address, check.MaxIdle, time.Now(), f.streamEndTime)
 	})
 	f.Post(director.EndpointChecked{Endpoint: check.Endpoint, Address: check.Address, Refused: refused})
 }
 
 // refused connects to an address and reports whether the host refuses the connection, or ends
-// it within endTime, and has ended all others by then. An endpoint may refuse new connections
-// without having ended. A connection that remains established is kept as an idle one. There is
+// it within endTime, and has ended all others by then that were opened before the given time.
+// An endpoint may refuse new connections without having ended. A connection that remains established is kept as an idle one. There is
 // no verdict if ctx is done before.
-func (f *Forwarder) refused(ctx context.Context, address netip.AddrPort, maxIdle int, endTime time.Duration) bool {
+func (f *Forwarder) refused(ctx context.Context, address netip.AddrPort, maxIdle int, opened time.Time, endTime time.Duration) bool {
 	conn, err := f.pool.connectOnce(ctx, address)
 	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
 		return false
@@ -95,11 +175,11 @@
 		_ = conn.Close()
 	}
 
-	return f.pool.disconnectedBy(ctx, address, until)
+	return f.pool.disconnectedBy(ctx, address, opened, until)
 }
 
-// endsBy reports whether the peer ends an idle connection by the given time. One that sends
-// data is alive.
+// endsBy reports whether the peer ends an idle connection by the given time, or at all if that
+// is zero. One that sends data is alive.
 func (c *endpointConn) endsBy(until time.Time) bool {
 	raw := dispatcher.RawConn(c.Conn)
 	if raw == nil || c.SetReadDeadline(until) != nil {
@@ -110,10 +190,10 @@
 	return socketState(c.Conn) == dispatcher.SocketClosed
 }
 
-// disconnectedBy reports whether no connection to an address is open at the given time or
-// before.
-func (p *pool) disconnectedBy(ctx context.Context, address netip.AddrPort, until time.Time) bool {
-	for p.connected(address) {
+// disconnectedBy reports whether all connections to an address that were opened before a
+// given time have ended by the time until.
+func (p *pool) disconnectedBy(ctx context.Context, address netip.AddrPort, opened, until time.Time) bool {
+	for p.connected(address, opened) {
 		if !time.Now().Before(until) {
 			return false
 		}
--- a/internal/forwarder/check_test.go
+++ b/internal/forwarder/check_test.go
@@ -208,3 +208,36 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 }
+
+// Guards against a truncated response that passes as complete because the crashed endpoint is
+// back at its address before the node looks.
+func TestEndpointThatIsBackAtItsAddressHasCrashed(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			c := qt.New(t)
+			var e *endpoint
+			witnessed, back := make(chan bool, 2), make(chan net.Listener, 1)
+			e = listen(t, net.ListenConfig{}, func() { witnessed <- true }, func(conn net.Conn, r *http.Request) bool {
+				unframed(conn, r, events(1, 2))
+				for range 2 {
+					select {
+					case <-witnessed:
+					case <-time.After(longWait):
+					}
+				}
+				e.crash()
+				ln, err := net.Listen("tcp", e.addr.String())
+				c.Check(err, qt.IsNil)
+				back <- ln
+
+				return false
+			})
+			call := start(t, e).dial(c)
+			call.send("POST", path, "r1", "")
+			resp, _, err := call.receive()
+			c.Assert(resp, qt.IsNotNil, qt.Commentf("%v", err))
+			c.Check(resp.StatusCode != 200 || err != nil, qt.IsTrue, qt.Commentf("complete"))
+			c.Check((<-back).Close(), qt.IsNil)
+		})
+	}
+}
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -53,7 +53,7 @@
 						s.Post(director.EntryPut{Entry: registrar.Entry{ID: r.Header.Get("Instance"), Service: "s", Address: endpoints[i].addr, Draining: true}})
 					}
 					if test.crashes {
-						_ = endpoints[i].listener.Close()
+						endpoints[i].crash()
 					}
 
 					return false
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -84,6 +84,7 @@
 	listener net.Listener
 	addr     netip.AddrPort
 	mu       sync.Mutex
+	conns    []net.Conn
 	received []*http.Request
 	body     []string
 }
@@ -117,6 +118,9 @@
 			if err != nil {
 				return
 			}
+			e.mu.Lock()
+			e.conns = append(e.conns, conn)
+			e.mu.Unlock()
 			go func() {
 				wait()
 				e.serve(conn, h)
@@ -149,6 +153,16 @@
 	}
 }
 
+// crash closes the sockets of the endpoint as the kernel does when its process is killed.
+func (e *endpoint) crash() {
+	_ = e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, conn := range e.conns {
+		_ = conn.Close()
+	}
+}
+
 func (e *endpoint) requests() []*http.Request {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -46,10 +46,11 @@
 // endpointConn is a connection to an endpoint.
 type endpointConn struct {
 	net.Conn
-	// pool is the pool that has opened the connection.
-	pool    *pool
-	address netip.AddrPort
-	br      *bufio.Reader
+	// pool is the pool that has opened the connection, at openedAt.
+	pool     *pool
+	openedAt time.Time
+	address  netip.AddrPort
+	br       *bufio.Reader
 	// onTimeout reports whether a read or write that has exceeded its deadline
 	// goes on. arrived reports whether a read would return at once. It is nil while
 	// the connection is idle.
@@ -202,7 +203,7 @@
 
 // add adds a new connection.
 func (p *pool) add(conn net.Conn, address netip.AddrPort) *endpointConn {
-	c := &endpointConn{Conn: conn, pool: p, address: address}
+	c := &endpointConn{Conn: conn, pool: p, address: address, openedAt: time.Now()}
 	c.br = bufio.NewReaderSize(c, readBufferBytes)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -223,13 +224,13 @@
 	}
 }
 
-// connected reports whether any connection to an address is open at both ends, as far as is
-// known.
-func (p *pool) connected(address netip.AddrPort) bool {
+// connected reports whether any connection to an address that was opened before the given
+// time is open at both ends, as far as is known.
+func (p *pool) connected(address netip.AddrPort, opened time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.open[address] {
-		if !connEnded(c.Conn) {
+		if c.openedAt.Before(opened) && !connEnded(c.Conn) {
 			return true
 		}
 	}
--- a/internal/forwarder/pool_test.go
+++ b/internal/forwarder/pool_test.go
@@ -47,11 +47,11 @@
 	for range 3 {
 		conn, err := p.connect(address)
 		c.Assert(err, qt.IsNil)
-		c.Check(p.connected(address), qt.IsTrue)
+		c.Check(p.connected(address, time.Now()), qt.IsTrue)
 		p.put(address, conn, time.Now(), &fasthttp.ResponseHeader{}, 8)
 	}
 	c.Check(p.open[address], qt.HasLen, 1)
 	p.closeIdle(address)
-	c.Check(p.connected(address), qt.IsFalse)
+	c.Check(p.connected(address, time.Now()), qt.IsFalse)
 	c.Check(p.open, qt.HasLen, 0)
 }
