Soak-test responses that end with their connection

Servers are killed in series and restarted, reset their connections, or break off responses, also between two events; nodes are frozen meanwhile, killed or stopped; the usual faults go on. Servers that leave complete their responses before they end. Callers check events and bodies as before. Their requests differ from each other, as nodes refuse a request under which three endpoints have ended one after the other (docs/decisions/crashing-requests.md).

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -12,22 +12,24 @@
 	"github.com/alexflint/go-arg"
 
 	"snipedyke/internal/soaker"
+	"snipedyke/platform/standin"
 )
 
 // arguments holds the command-line arguments.
 type arguments struct {
-	Binary  string        `arg:"--binary,required" help:"path of the snipedyke executable"`
-	Seed    uint64        `arg:"--seed" default:"1" help:"first seed"`
-	Seeds   int           `arg:"--seeds" default:"1" help:"number of seeds"`
-	Nodes   int           `arg:"--nodes" default:"4" help:"number of node processes"`
-	Servers int           `arg:"--servers" default:"5" help:"number of stand-in servers"`
-	Callers int           `arg:"--callers" default:"12" help:"number of callers"`
-	Limits  bool          `arg:"--limits" help:"press the limits that all nodes share, with more callers and further faults"`
-	Load    bool          `arg:"--load" help:"degrade servers and let accounts burst, with overload control enabled"`
-	Harmful bool          `arg:"--harmful" help:"send a request that crashes each server that runs it; its kind depends on the seed"`
-	Calm    bool          `arg:"--calm" help:"inject no faults but those that other flags name"`
-	Length  time.Duration `arg:"--length" default:"20s" help:"time during which faults are injected"`
-	Logs    string        `arg:"--logs" help:"directory for the logs of failed seeds, created if missing [default: that for temporary files]"`
+	Binary   string        `arg:"--binary,required" help:"path of the snipedyke executable"`
+	Seed     uint64        `arg:"--seed" default:"1" help:"first seed"`
+	Seeds    int           `arg:"--seeds" default:"1" help:"number of seeds"`
+	Nodes    int           `arg:"--nodes" default:"4" help:"number of node processes"`
+	Servers  int           `arg:"--servers" default:"5" help:"number of stand-in servers"`
+	Callers  int           `arg:"--callers" default:"12" help:"number of callers"`
+	Limits   bool          `arg:"--limits" help:"press the limits that all nodes share, with more callers and further faults"`
+	Load     bool          `arg:"--load" help:"degrade servers and let accounts burst, with overload control enabled"`
+	Harmful  bool          `arg:"--harmful" help:"send a request that crashes each server that runs it; its kind depends on the seed"`
+	Unframed bool          `arg:"--unframed" help:"run servers as processes that are killed or reset while they send responses without a length or chunks"`
+	Calm     bool          `arg:"--calm" help:"inject no faults but those that other flags name"`
+	Length   time.Duration `arg:"--length" default:"20s" help:"time during which faults are injected"`
+	Logs     string        `arg:"--logs" help:"directory for the logs of failed seeds, created if missing [default: that for temporary files]"`
 }
 
 // Description implements arg.Described.
@@ -36,6 +38,14 @@
 }
 
 func main() {
+	if len(os.Args) == 2 && os.Args[1] == soaker.ServerCommand {
+		if err := standin.ServeProcess(os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, "error:", err)
+			os.Exit(1)
+		}
+
+		return
+	}
 	var a arguments
 	arg.MustParse(&a)
 	failed := 0
@@ -60,7 +70,7 @@
 func run(a arguments, seed uint64) (ok bool, err error) {
 	path, err := withLog(a.Logs, seed, func(log io.Writer) (bool, error) {
 		r, err := soaker.Run(soaker.Options{
-			Binary: a.Binary, Nodes: a.Nodes, Servers: a.Servers, Seed: seed, Length: a.Length, Callers: a.Callers, Limits: a.Limits, Load: a.Load, Harmful: a.Harmful, Calm: a.Calm, Output: log,
+			Binary: a.Binary, Nodes: a.Nodes, Servers: a.Servers, Seed: seed, Length: a.Length, Callers: a.Callers, Limits: a.Limits, Load: a.Load, Harmful: a.Harmful, Unframed: a.Unframed, Calm: a.Calm, Output: log,
 		})
 		if err != nil {
 			return false, err
@@ -73,6 +83,9 @@
 		if a.Load {
 			fmt.Printf("   %d requests met a reset and could be repeated, %d returns of servers and %d accounts beside a burst checked\n", r.LoadChecks.Resets, r.LoadChecks.Returns, r.LoadChecks.Accounts)
 		}
+		if a.Unframed {
+			fmt.Printf("   %d responses without framing began, %d were not received whole\n", r.Unframed.Begun, r.Unframed.Partial)
+		}
 		if a.Harmful {
 			fmt.Printf("   the harmful request crashed %d servers\n", r.Crashes)
 		}
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -46,6 +46,9 @@
 	sent               int
 	// harmful reports whether the requests crash the servers that run them.
 	harmful bool
+	// distinct makes the caller send no request twice. Nodes refuse one under which
+	// several endpoints have ended.
+	distinct bool
 }
 
 // newCaller returns a caller that sends requests of all kinds.
@@ -56,7 +59,7 @@
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 		fresh:  &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		paths:  []string{"/safe/", "/unsafe/", "/stream/", resumablePrefix}, keys: []string{keptKey, revokedKey},
-		minPause: 10, maxPause: 50,
+		minPause: 10, maxPause: 50, distinct: s.opts.Unframed,
 	}
 }
 
@@ -158,7 +161,7 @@
 	// The client can't rewind this body, so it doesn't retry the request on a
 	// broken connection.
 	body := io.NopCloser(strings.NewReader("a body"))
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+q.node.callerAddr.String()+q.path+"x?y=1", body)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+q.node.callerAddr.String()+q.path+"x?y="+c.query(q), body)
 	if err != nil {
 		c.soaker.history.AddViolation("%s: %v", q.id, err)
 
@@ -205,6 +208,19 @@
 	return a, wait
 }
 
+// query returns the query of a request. A stream that is taken up keeps that of its first
+// attempt.
+func (c *caller) query(q request) string {
+	switch {
+	case !c.distinct:
+		return "1"
+	case q.stream != "":
+		return q.stream
+	default:
+		return q.id
+	}
+}
+
 // errLost is the error of a body whose connection the caller has lost.
 var errLost = errors.New("connection lost")
 
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -21,10 +21,7 @@
 	case 0:
 		s.killNode(n)
 	case 1:
-		s.logFault("stop", n.index, 0)
-		s.history.MarkDisturbed(n.index, time.Now().Add(shutdownGrace))
-		s.history.MarkInterrupted(n.index, 0)
-		n.signal(syscall.SIGTERM, true)
+		s.stopNode(n)
 	case 2:
 		s.freezeNode(n, length)
 	case 3:
@@ -94,6 +91,14 @@
 	n.signal(syscall.SIGKILL, true)
 }
 
+// stopNode stops a node gracefully. It is then started again.
+func (s *Soaker) stopNode(n *node) {
+	s.logFault("stop", n.index, 0)
+	s.history.MarkDisturbed(n.index, time.Now().Add(shutdownGrace))
+	s.history.MarkInterrupted(n.index, 0)
+	n.signal(syscall.SIGTERM, true)
+}
+
 // logFault counts a fault and writes a line about it to Options.Output. The node is -1 for
 // faults of the store, of a server or of the manifest.
 func (s *Soaker) logFault(what string, node int, length time.Duration) {
@@ -217,7 +222,7 @@
 		time.AfterFunc(drainTime, func() {
 			s.store.DeleteServer(server.ID())
 			s.markAllCuts(time.Second)
-			server.Crash()
+			server.ShutDown()
 		})
 		s.recordPublishError(s.addServer(loopbackAnyPort))
 
@@ -294,7 +299,7 @@
 	time.AfterFunc(noticeTime, func() {
 		s.store.DeleteServer(server.ID())
 		s.markAllCuts(time.Second)
-		server.Crash()
+		server.ShutDown()
 	})
 }
 
--- a/internal/soaker/harmful.go
+++ b/internal/soaker/harmful.go
@@ -44,6 +44,7 @@
 		c := newCaller(s, firstHarmfulCaller+i)
 		c.client = c.fresh
 		c.paths, c.keys, c.harmful = []string{harmfulPath(s.opts.Seed)}, []string{keptKey}, true
+		c.distinct = false
 		mean := int(harmfulPause.Milliseconds())
 		c.minPause, c.maxPause = mean/2, mean*3/2
 		wg.Go(func() { c.run(ended) })
--- a/internal/soaker/limitfault.go
+++ b/internal/soaker/limitfault.go
@@ -136,14 +136,21 @@
 	return time.Duration(least+f.rng.IntN(most-least)) * time.Millisecond
 }
 
+// registeredServers returns the servers that are registered, by ID.
+func (s *Soaker) registeredServers() []*standin.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*standin.Server, 0, len(s.servers))
+	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
+		list = append(list, s.servers[id])
+	}
+
+	return list
+}
+
 // most returns all or most of the servers that are registered, in random order.
 func (f *limitFaults) most() []*standin.Server {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	list := make([]*standin.Server, 0, len(f.servers))
-	for _, id := range slices.Sorted(maps.Keys(f.servers)) {
-		list = append(list, f.servers[id])
-	}
+	list := f.registeredServers()
 	f.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 
 	return list[:len(list)-f.rng.IntN(len(list)/2+1)]
--- a/internal/soaker/process_test.go
+++ b/internal/soaker/process_test.go
@@ -13,15 +13,23 @@
 	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
+
+	"snipedyke/platform/standin"
 )
 
 // TestMain runs the tests. In the processes that these start as nodes, it listens for
-// readiness checks instead, until it is killed.
+// readiness checks instead, until it is killed; in those for servers, it serves.
 func TestMain(m *testing.M) {
-	if len(os.Args) < 2 || os.Args[1] != "serve" {
+	var err error
+	switch {
+	case len(os.Args) > 1 && os.Args[1] == "serve":
+		err = listenUntilKilled(os.Args[len(os.Args)-1])
+	case len(os.Args) > 1 && os.Args[1] == ServerCommand:
+		err = standin.ServeProcess(os.Stdin, os.Stdout)
+	default:
 		os.Exit(m.Run())
 	}
-	if err := listenUntilKilled(os.Args[len(os.Args)-1]); err != nil {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/internal/soaker/release.go
+++ b/internal/soaker/release.go
@@ -108,7 +108,7 @@
 	time.AfterFunc(noticeTime, func() {
 		r.store.DeleteServer(server.ID())
 		r.markAllCuts(time.Second)
-		server.Crash()
+		server.ShutDown()
 	})
 }
 
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -45,6 +45,10 @@
 	// Harmful adds callers of a request that crashes each server that runs it. Its kind
 	// depends on the seed.
 	Harmful bool
+	// Unframed makes a share of the responses end with their connection, and adds faults
+	// that cut these off. Servers are processes that run the executable of this process
+	// with ServerCommand. The share depends on the seed.
+	Unframed bool
 	// Calm injects no other faults.
 	Calm bool
 	// Output receives the logs of the nodes and the fault schedule; nil discards
@@ -63,6 +67,7 @@
 	TakeUps          TakeUps
 	Peaks            Peaks
 	LoadChecks       LoadChecks
+	Unframed         UnframedResponses
 	// Crashes is the number of servers that the harmful request has crashed.
 	Crashes    int
 	Violations []string
@@ -90,6 +95,8 @@
 	peerPort      = 7300
 	// nodeMemory is the memory of a node in megabytes. No process may exceed it.
 	nodeMemory = 112
+	// serverWork is the processing time of a request that is not streamed.
+	serverWork = 20 * time.Millisecond
 	// routeTimeout and routeAttempts are those of all routes. In a test of the limits, the
 	// latter is limitRouteAttempts.
 	routeTimeout       = 4 * time.Second
@@ -288,14 +295,20 @@
 	count, version := s.serverCount, fmt.Sprint("v1.", s.release)
 	s.mu.Unlock()
 	id := fmt.Sprintf("i-%d-%d", s.opts.Seed, count)
-	server, err := standin.NewServer(id, version, addr, 20*time.Millisecond, s.opts.Seed+uint64(count), s.history)
+	server, err := s.newServer(id, version, addr, s.opts.Seed+uint64(count))
 	if err != nil {
 		return err
 	}
 	server.OnCrash(func() { s.handleCrash(server) })
 	s.mu.Lock()
 	s.servers[id] = server
+	closed := s.closed
 	s.mu.Unlock()
+	if closed {
+		server.Crash()
+
+		return nil
+	}
 	s.history.MarkServing(id, version)
 	if s.coldRate() > 0 && count > s.opts.Servers {
 		s.cool(server, coldPeriod, false)
@@ -389,6 +402,15 @@
 		load = newLoadFaults(s, ended, inject)
 		inject, create, freeTime = load.inject, loadCallers(create), loadFreeTime
 	}
+	if s.opts.Calm {
+		inject = func() {}
+	}
+	if s.opts.Unframed {
+		inject = newUnframedFaults(s, ended, inject).inject
+		for i := range slowCallers {
+			wg.Go(func() { newSlowCaller(s, i).run(stop) })
+		}
+	}
 	for i := range callers {
 		wg.Go(func() { create(s, i).run(stop) })
 	}
@@ -405,9 +427,7 @@
 	}
 	end := time.Now().Add(s.opts.Length)
 	for time.Now().Before(end) {
-		if !s.opts.Calm {
-			inject()
-		}
+		inject()
 		time.Sleep(time.Duration(100+s.rng.IntN(900)) * time.Millisecond)
 	}
 	close(ended)
@@ -427,6 +447,7 @@
 	r := Result{Faults: s.faultCount, TakeUps: s.history.TakeUps(), Violations: s.history.Check()}
 	s.history.mu.Lock()
 	r.Peaks, r.LoadChecks = s.history.peaks, s.history.loadChecks
+	r.Unframed = s.history.countUnframed()
 	r.Crashes = len(s.history.crashes)
 	r.Attempts, r.Runs = len(s.history.outcomes), len(s.history.runs)
 	s.history.mu.Unlock()
@@ -473,7 +494,7 @@
 		n.mu.Unlock()
 		n.storeProxy.Close()
 	}
-	for _, server := range s.servers {
+	for _, server := range s.registeredServers() {
 		server.Crash()
 	}
 	s.processes.Wait()
