--- a/test.sh
+++ b/test.sh
@@ -49,6 +49,15 @@
       "$dir/soak" --binary "$dir/snipedyke" --harmful --calm --seed $seed --length 10s || verdict=1
     fi
   done
+  # Responses without a length or chunks, whose servers are killed or reset connections. In
+  # seed 3, servers also start again at their addresses while nodes are frozen.
+  for seed in 3 6; do
+    if grep -qsx "skip-soak: unframed $seed" KNOWN-RED.txt; then
+      echo "known red, not run: unframed seed $seed"
+    else
+      "$dir/soak" --binary "$dir/snipedyke" --unframed --calm --seed $seed --length 6s || verdict=1
+    fi
+  done
   rm -rf "$dir"
   return $verdict
 }
