Log which endpoints say that they are brittle

Nothing read the field, so that neither logs nor metrics showed when the rule applies.

Events 756 and 757 name the endpoint when it begins and ceases to say so, 758 a malformed value. The gauge endpoints_brittle and the notices with the label brittle count them. Dispatch.AwaitsNotice replaces Limited, as both statements end with a response without them. Placement is as before.

--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -342,6 +342,7 @@
 	write("endpoints_displaced", float64(s.Displaced))
 	write("endpoints_cold", float64(s.Cold))
 	write("endpoints_limited", float64(s.Limited))
+	write("endpoints_brittle", float64(s.Brittle))
 	write("endpoints_failing", float64(s.Failing))
 	write("suspects", float64(s.Suspected))
 	write("suspects_isolated", float64(s.Isolated))
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -277,9 +277,10 @@
 	// Paused that of those that get no requests because they asked for time.
 	// Displaced is the number of those that get none because another one has their
 	// address. Cold is the number of those that are cold, and
-	// Limited that of those that have named a limit of requests. Failing is the number of
-	// those that get only probe requests because they fail most requests.
-	Leaving, Paused, Displaced, Cold, Limited, Failing int
+	// Limited that of those that have named a limit of requests. Brittle is the number of
+	// those that have said that they are brittle, and Failing that of those that get only
+	// probe requests because they fail most requests.
+	Leaving, Paused, Displaced, Cold, Limited, Brittle, Failing int
 	// Checking is the number of endpoints that are being checked for whether they have
 	// ended.
 	Checking int
@@ -315,6 +316,9 @@
 		if e.limited() {
 			s.Limited++
 		}
+		if e.brittle() {
+			s.Brittle++
+		}
 		if e.observed.failing {
 			s.Failing++
 		}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -90,6 +90,12 @@
 	Limit        float64
 	Limited      bool
 	InvalidLimit string
+	// MaxDeclines is the number of requests that the endpoint can decline in a second for
+	// want of room without failing, if Brittle is true. InvalidBrittle is the value that
+	// it states in place of that number if it is malformed, or empty.
+	MaxDeclines    float64
+	Brittle        bool
+	InvalidBrittle string
 }
 
 // EndpointChecked reports the result of CheckEndpoint.
@@ -332,9 +338,9 @@
 	// CacheHolder, if valid, is the address of an endpoint from which the shared
 	// parts of the prompt can be fetched.
 	CacheHolder netip.AddrPort
-	// Limited reports whether the endpoint has named a limit of requests. Then
-	// EndpointNoticed must follow its response, also if that names none.
-	Limited bool
+	// AwaitsNotice reports whether the endpoint has named a limit of requests or is
+	// brittle. Then EndpointNoticed must follow its response, also if that says nothing.
+	AwaitsNotice bool
 	// MaxIdle is the maximum number of idle connections to keep to the endpoint.
 	MaxIdle int
 }
--- a/internal/director/notice.go
+++ b/internal/director/notice.go
@@ -41,6 +41,11 @@
 	limit        float64
 	limited      bool
 	limitedSince time.Time
+	// maxDeclines is the number of requests that the endpoint can decline in a second for
+	// want of room without failing since brittleSince, if brittle is true.
+	maxDeclines  float64
+	brittle      bool
+	brittleSince time.Time
 	// removedAt is when the endpoint's entry was removed, or zero while there is
 	// one.
 	removedAt time.Time
@@ -101,6 +106,7 @@
 		d.pause(now, req, req.endpoint, e.Pause)
 	}
 	d.noteLimit(now, req, e)
+	d.noteBrittle(now, req, e)
 }
 
 // pause stops requests to an endpoint that has asked for time. The nodes return at
@@ -162,7 +168,8 @@
 	noticeLeaving = "leaving"
 	noticePause   = "pause"
 	noticeLimit   = "limit"
+	noticeBrittle = "brittle"
 )
 
 // NoticeLabels lists the labels of CounterNotices.
-var NoticeLabels = []string{noticeLeaving, noticePause, noticeLimit}
+var NoticeLabels = []string{noticeLeaving, noticePause, noticeLimit, noticeBrittle}
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -70,10 +70,11 @@
 	// erred holds the endpoints that have answered the request with an error status, until
 	// another one answers it.
 	erred []*endpoint
-	// endpoint is the endpoint of the attempt in progress, or nil, and sentLimited
-	// reports whether it had named a limit when the attempt began.
-	endpoint    *endpoint
-	sentLimited bool
+	// endpoint is the endpoint of the attempt in progress, or nil. sentLimited and
+	// sentBrittle report whether it had named a limit, and whether it was brittle, when
+	// the attempt began.
+	endpoint                 *endpoint
+	sentLimited, sentBrittle bool
 	// sendBy is the SendBy of the last attempt, or zero.
 	sendBy time.Time
 	// replaced reports whether the attempt in progress has been given up for
@@ -338,7 +339,7 @@
 	e.pacer.Record(now)
 	d.admitDemand(now, req)
 	req.retryPending, req.beganAt = false, time.Time{}
-	req.endpoint, req.sentLimited, req.replaced = e, e.limited(), false
+	req.endpoint, req.sentLimited, req.sentBrittle, req.replaced = e, e.limited(), e.brittle(), false
 	if req.usesEngine && !req.relayed {
 		req.awaitingFirstByte, req.prefillTokensAhead = true, e.load.PrefillTokens()
 		req.sentLoad = e.loadWith(req)
@@ -358,7 +359,7 @@
 	dispatch := Dispatch{
 		ID: req.ID, Endpoint: e.entry.ID, Address: e.entry.Address, Account: account,
 		Urgency: min(d.table.Urgency(req.route, req.account), maxUrgencyRank), Route: req.route, Deadline: d.deadlineOfAttempt(req),
-		Resume: req.relayed, Limited: req.sentLimited, MaxIdle: d.idleLimit(now, req.service.name),
+		Resume: req.relayed, AwaitsNotice: req.sentLimited || req.sentBrittle, MaxIdle: d.idleLimit(now, req.service.name),
 	}
 	req.sendBy = time.Time{}
 	if req.sentLimited || d.paced(now, e) {
--- a/internal/director/share_test.go
+++ b/internal/director/share_test.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		f.sent[d.Endpoint] = append(f.sent[d.Endpoint], f.now)
-		if f.limit > 0 || d.Limited {
+		if f.limit > 0 || d.AwaitsNotice {
 			n.post(EndpointNoticed{ID: d.ID, Limit: f.limit, Limited: f.limit > 0})
 		}
 		f.finish(n, n.post(AttemptFinished{ID: d.ID, Result: result, Status: 200}), result)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -433,11 +433,12 @@
 	}
 	notice := director.EndpointNoticed{
 		ID: a.call.id, Leaving: m.Leaving, Limit: m.Limit, Limited: m.HasLimit, InvalidLimit: m.InvalidLimit,
+		MaxDeclines: m.MaxDeclines, Brittle: m.Brittle, InvalidBrittle: m.InvalidBrittle,
 	}
 	if a.resp.StatusCode() == http.StatusServiceUnavailable {
 		notice.Pause, notice.InvalidPause = m.RetryAfter, m.InvalidRetryAfter
 	}
-	if a.dispatch.Limited || notice != (director.EndpointNoticed{ID: a.call.id}) {
+	if a.dispatch.AwaitsNotice || notice != (director.EndpointNoticed{ID: a.call.id}) {
 		a.leaving = m.Leaving
 		a.call.f.Post(notice)
 	}
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -46,9 +46,10 @@
 func (protocol) ParseResponse(h *fasthttp.ResponseHeader) ResponseMetadata {
 	cold, _ := time.ParseDuration(string(h.Peek("Cold")))
 	limit, err := strconv.ParseFloat(string(h.Peek("Limit")), 64)
+	declines, brittleErr := strconv.ParseFloat(string(h.Peek("Brittle")), 64)
 
 	return ResponseMetadata{
-		Limit: limit, HasLimit: err == nil,
+		Limit: limit, HasLimit: err == nil, MaxDeclines: declines, Brittle: brittleErr == nil,
 		AttemptID: string(h.Peek("Name")), Sealed: len(h.Peek("Seal")) > 0, Declined: len(h.Peek("Declined")) > 0, ColdRemaining: cold,
 		Leaving: len(h.Peek("Leaving")) > 0, Instance: string(h.Peek("Is")), RetryAfter: time.Duration(len(h.Peek("Busy"))) * time.Minute,
 	}
--- a/internal/forwarder/notice_test.go
+++ b/internal/forwarder/notice_test.go
@@ -132,3 +132,20 @@
 	}
 	c.Check(len(busy.requests()) <= 1, qt.IsTrue, qt.Commentf("%d", len(busy.requests())))
 }
+
+// Guards against a brittle endpoint that is not known as such, or for longer than it is.
+func TestBrittleEndpointIsNoticed(t *testing.T) {
+	c := qt.New(t)
+	fields := []string{"Brittle: 9\r\n", ""}
+	e := newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nName: %s\r\nSeal: s\r\n%sContent-Length: 0\r\n\r\n", r.Header.Get("Name"), fields[0])
+		fields = fields[1:]
+
+		return err == nil
+	})
+	s := start(t, e)
+	for i, want := range []int{1, 0} {
+		c.Check(s.status(c, fmt.Sprint("r", i)), qt.Equals, 200)
+		c.Check(s.Status().Brittle, qt.Equals, want)
+	}
+}
--- a/internal/forwarder/protocol.go
+++ b/internal/forwarder/protocol.go
@@ -84,6 +84,12 @@
 	Limit        float64
 	HasLimit     bool
 	InvalidLimit string
+	// MaxDeclines is the number of requests that the endpoint can decline in a second for
+	// want of room without failing, if Brittle is true. InvalidBrittle is the value of the
+	// field if it is malformed, or empty.
+	MaxDeclines    float64
+	Brittle        bool
+	InvalidBrittle string
 	// ColdRemaining is the remaining time for which the endpoint is cold, or zero.
 	ColdRemaining time.Duration
 }
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -93,6 +93,9 @@
 	AttemptCutOff      = 751
 	RequestsIsolated   = 752
 	IsolationEnded     = 753
+	EndpointBrittle    = 756
+	BrittlenessEnded   = 757
+	BrittleIgnored     = 758
 )
 
 // Definition describes a log event.
@@ -194,6 +197,9 @@
 	{AttemptCutOff, hclog.Info, "attempt cut off by its endpoint", []string{"request", "content", "route", "service", "account", "endpoint", "took", "begun", "cause", "parts"}},
 	{RequestsIsolated, hclog.Warn, "requests under which endpoints end are refused", []string{"content", "part", "ends"}},
 	{IsolationEnded, hclog.Info, "requests are no longer refused for endpoints that ended under them", []string{"content", "part"}},
+	{EndpointBrittle, hclog.Info, "endpoint is brittle", []string{"request", "endpoint", "service", "declines", "nodes"}},
+	{BrittlenessEnded, hclog.Info, "endpoint is no longer brittle", []string{"request", "endpoint", "service", "length"}},
+	{BrittleIgnored, hclog.Warn, "malformed statement that an endpoint is brittle ignored", []string{"request", "endpoint", "value"}},
 }
 
 // Catalogue returns the definitions of all events in the order of their
