Send brittle endpoints only what they have room for

While endpoints of a service say that they are brittle, a node sends them no more requests than they have slots, counting those of the other nodes. Of what the others do not know of yet, a node may have its part of the free slots and of half of the declines; where that is below one request, some nodes have one each, selected anew every 2 s. A decline stops the node for 250 ms, or for 1.1 s if its part of the declines is used up, and lowers what it takes for the capacity. Endpoints that have said nothing, such as the successor of a failed one, are treated alike. Requests without an endpoint wait as in any overload and are refused with endpoints_brittle. Entries now include the slots.

A response without the field ends this also for endpoints of the service that have not said for 3 s that they are brittle, and a node that has neither heard of such a service nor sent it anything for 5 s sends one request to find out.

--- a/internal/director/cold.go
+++ b/internal/director/cold.go
@@ -40,6 +40,11 @@
 	// pacer limits the requests while the endpoint is cold or names a limit. It records
 	// them at any time, as this may begin just after the endpoint has got some.
 	pacer pacer.Pacer
+	// room limits the requests while the endpoint is brittle. It is nil until the first
+	// one. soundAt is when the endpoint last responded without saying that it is brittle,
+	// while it was taken for that, or zero.
+	room    *room
+	soundAt time.Time
 	// removedAt is when the endpoint's entry was removed, or zero while there is one.
 	removedAt time.Time
 }
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -74,6 +74,9 @@
 	notices map[incarnation]*notice
 	// pacings holds what limits the requests to endpoints.
 	pacings map[incarnation]*pacing
+	// brittleServices holds the services with endpoints that have said that they are
+	// brittle.
+	brittleServices map[string]brittleness
 	// addresses holds who has which address. addressesSweptAt is when those that no
 	// endpoint has any more were last removed.
 	addresses        map[netip.AddrPort]*address
@@ -164,7 +167,7 @@
 func New(opts Options) *Director {
 	return &Director{
 		opts: opts, registrar: registrar.New(opts.PublicationInterval),
-		endpoints: map[string]*endpoint{}, notices: map[incarnation]*notice{}, pacings: map[incarnation]*pacing{}, centreReturns: map[string]time.Time{}, addresses: map[netip.AddrPort]*address{}, services: map[string]*service{},
+		endpoints: map[string]*endpoint{}, notices: map[incarnation]*notice{}, pacings: map[incarnation]*pacing{}, brittleServices: map[string]brittleness{}, centreReturns: map[string]time.Time{}, addresses: map[netip.AddrPort]*address{}, services: map[string]*service{},
 		requests: map[uint64]*request{}, endpointsByNumber: map[uint32]*endpoint{}, fleet: newFleet(opts), sharer: sharer.New(),
 	}
 }
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -150,6 +150,8 @@
 		return StateCold
 	case !d.withinLimit(now, e):
 		return StateLimited
+	case !d.hasRoom(now, e):
+		return StateBrittle
 	default:
 		return ""
 	}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -473,7 +473,9 @@
 	ReasonHarmfulRequest Reason = "harmful_request"
 	ReasonPaused         Reason = "endpoints_paused"
 	ReasonLimited        Reason = "endpoints_limited"
-	ReasonLeaving        Reason = "leaving"
+	// ReasonBrittle is that endpoints may be brittle and have no room.
+	ReasonBrittle Reason = "endpoints_brittle"
+	ReasonLeaving Reason = "leaving"
 	// ReasonVersionGone is that no endpoint of the version at which a stream began
 	// can go on with it.
 	ReasonVersionGone Reason = "version_gone"
@@ -490,7 +492,7 @@
 var Reasons = []Reason{
 	ReasonNotReady, ReasonNoRoute, ReasonNoKey, ReasonStaleView, ReasonTooLarge, ReasonMalformed,
 	ReasonNoEndpoint, ReasonOverload, ReasonAccountShare, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmfulPrompt, ReasonHarmfulRequest,
-	ReasonPaused, ReasonLimited, ReasonLeaving, ReasonVersionGone, ReasonVersionUnknown, ReasonMemory, ReasonInternal,
+	ReasonPaused, ReasonLimited, ReasonBrittle, ReasonLeaving, ReasonVersionGone, ReasonVersionUnknown, ReasonMemory, ReasonInternal,
 }
 
 // Results lists all results.
--- a/internal/director/explain.go
+++ b/internal/director/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -97,6 +98,9 @@
 	// requests that it may send while the endpoint is cold or names a limit.
 	StateCold    State = "cold"
 	StateLimited State = "limited"
+	// StateBrittle is that of a brittle endpoint that may decline a request for want of
+	// room.
+	StateBrittle State = "brittle"
 	// StateRegion is that of an endpoint in a region where the request may not run.
 	StateRegion State = "region"
 	// StateFailing is that of an endpoint that gets only probe requests, and StateFull that
@@ -248,7 +252,7 @@
 	c.asking, c.waiting, c.observedEndpoints, c.changedEndpoints = nil, nil, nil, nil
 	c.effects, c.candidateBuffer, c.shareBuffer = nil, nil, nil
 	c.requests, c.services, c.endpoints = map[uint64]*request{}, map[string]*service{}, map[string]*endpoint{}
-	c.sharer = d.sharer.Clone()
+	c.sharer, c.brittleServices = d.sharer.Clone(), maps.Clone(d.brittleServices)
 	former := d.services[name]
 	if former == nil {
 		return &c
@@ -278,7 +282,7 @@
 	for _, e := range former {
 		copied, load := *e, *e.load
 		copied.load = &load
-		copied.pacing = &pacing{coldUntil: e.coldUntil, pacer: e.pacer.Clone(), removedAt: e.removedAt}
+		copied.pacing = &pacing{coldUntil: e.coldUntil, pacer: e.pacer.Clone(), removedAt: e.removedAt, room: e.room.clone(), soundAt: e.soundAt}
 		copies[e] = &copied
 		list = append(list, &copied)
 		d.endpoints[e.entry.ID] = &copied
--- a/internal/director/limit.go
+++ b/internal/director/limit.go
@@ -70,7 +70,7 @@
 	}
 	// Nodes that start together begin their periods at different times, so that the
 	// endpoint gets requests at any time.
-	elapsed := now.Sub(d.startedAt) + time.Duration(xxhash.Sum64String(d.opts.Name)%uint64(selectionPeriod))
+	elapsed := now.Sub(d.startedAt) + phase(d.opts.Name, selectionPeriod)
 	if elapsed%selectionPeriod < limitWindow {
 		// Nodes of the period before may have sent their requests just now.
 		return 0
@@ -83,13 +83,23 @@
 	return 0
 }
 
+// phase returns a time within a period that differs between nodes.
+func phase(node string, period time.Duration) time.Duration {
+	return time.Duration(xxhash.Sum64String(node) % uint64(period))
+}
+
 // unavailableReason returns why no endpoint can take a request now.
 func (d *Director) unavailableReason(now time.Time, req *request) Reason {
+	reason := ReasonNoEndpoint
 	for _, e := range req.service.endpoints {
-		if d.serves(now, req, e) && !d.withinLimit(now, e) {
+		switch {
+		case !d.serves(now, req, e):
+		case !d.withinLimit(now, e):
 			return ReasonLimited
+		case !d.hasRoom(now, e):
+			reason = ReasonBrittle
 		}
 	}
 
-	return ReasonNoEndpoint
+	return reason
 }
--- a/internal/director/notice.go
+++ b/internal/director/notice.go
@@ -42,10 +42,11 @@
 	limited      bool
 	limitedSince time.Time
 	// maxDeclines is the number of requests that the endpoint can decline in a second for
-	// want of room without failing since brittleSince, if brittle is true.
-	maxDeclines  float64
-	brittle      bool
-	brittleSince time.Time
+	// want of room without failing since brittleSince, if brittle is true. It last said so
+	// at brittleAt.
+	maxDeclines             float64
+	brittle                 bool
+	brittleSince, brittleAt time.Time
 	// removedAt is when the endpoint's entry was removed, or zero while there is
 	// one.
 	removedAt time.Time
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -28,6 +28,7 @@
 		req.endpoint.load.Own.PrefillTokens -= req.Need.PrefillTokens()
 		d.markChanged(req.endpoint)
 	}
+	req.settle(req.endpoint)
 	d.recordOrigin(now, req)
 	req.beganAt = now
 	d.confirmAddress(now, req.endpoint)
@@ -162,6 +163,7 @@
 		}
 	case Declined:
 		d.confirmAddress(now, e)
+		d.recordDeclined(now, e)
 		// An endpoint that leaves or asks for time says so, and gets no requests for that.
 		d.recordOutcome(now, e, !e.leaving() && !e.pausedUntil().After(now))
 	case Misdirected, Unreached:
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -75,6 +75,9 @@
 	// the attempt began.
 	endpoint                 *endpoint
 	sentLimited, sentBrittle bool
+	// unsettledAt is when the attempt in progress was sent to a brittle endpoint that may
+	// still decline it, or zero.
+	unsettledAt time.Time
 	// sendBy is the SendBy of the last attempt, or zero.
 	sendBy time.Time
 	// replaced reports whether the attempt in progress has been given up for
@@ -339,7 +342,8 @@
 	e.pacer.Record(now)
 	d.admitDemand(now, req)
 	req.retryPending, req.beganAt = false, time.Time{}
-	req.endpoint, req.sentLimited, req.sentBrittle, req.replaced = e, e.limited(), e.brittle(), false
+	req.endpoint, req.sentLimited, req.replaced = e, e.limited(), false
+	d.occupy(now, req, e)
 	if req.usesEngine && !req.relayed {
 		req.awaitingFirstByte, req.prefillTokensAhead = true, e.load.PrefillTokens()
 		req.sentLoad = e.loadWith(req)
@@ -404,6 +408,7 @@
 		return nil
 	}
 	req.endpoint = nil
+	req.settle(e)
 	if req.awaitingFirstByte {
 		req.awaitingFirstByte = false
 		e.load.Own.PrefillTokens -= req.Need.PrefillTokens()
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -42,6 +42,9 @@
 	// Version is the version of the endpoint's software, or empty if it does not
 	// publish one. An incarnation has one version for all of its life.
 	Version string
+	// Slots is the number of requests that the endpoint processes at the same time, or
+	// zero if it is not known.
+	Slots int
 	// Draining reports whether the endpoint accepts no new work.
 	Draining bool
 	// Cold is the time for which the endpoint remains cold.
