Let brittle servers fail in the soak test

The stand-in server can have slots and a queue, and be brittle: it says so in all responses, and crashes when it has declined too many requests in a second. The check counts failures of which most declined requests came from nodes that no fault affects.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -59,7 +59,7 @@
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 		fresh:  &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		paths:  []string{"/safe/", "/unsafe/", "/stream/", resumablePrefix}, keys: []string{keptKey, revokedKey},
-		minPause: 10, maxPause: 50, distinct: s.opts.Unframed,
+		minPause: 10, maxPause: 50, distinct: s.opts.Unframed || s.opts.Brittle,
 	}
 }
 
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -331,6 +331,7 @@
 			s.store.EndEvacuation(zone)
 		}
 	}
+	s.endBrittle()
 	s.history.EndLimits()
 	s.history.EndLoad()
 	s.mu.Lock()
--- a/internal/soaker/harmful.go
+++ b/internal/soaker/harmful.go
@@ -60,6 +60,11 @@
 	s.logFault("request crashes server "+server.ID(), -1, 0)
 	s.markAllCuts(time.Second)
 	s.history.MarkCrash(server.ID())
+	s.restart(server)
+}
+
+// restart starts a server that has crashed again after a while.
+func (s *Soaker) restart(server *standin.Server) {
 	time.AfterFunc(expiryTime, func() { s.store.DeleteServer(server.ID()) })
 	pause := minRestart + time.Duration(rand.Int64N(int64(maxRestart-minRestart)))
 	time.AfterFunc(pause, func() {
--- a/internal/soaker/history.go
+++ b/internal/soaker/history.go
@@ -78,6 +78,10 @@
 	bursts   []burst
 	// crashes holds the ends of endpoints under the harmful request.
 	crashes []crash
+	// falls holds the ends of brittle endpoints that have declined too many requests, and
+	// brittleEndpoints is the number of endpoints. countedFalls is set by Check.
+	falls                          []fall
+	brittleEndpoints, countedFalls int
 	// end is the time from which callers send no more.
 	end time.Time
 	// peaks and loadChecks are set by Check.
@@ -214,6 +218,7 @@
 	violations = append(violations, h.checkLimits()...)
 	violations = append(violations, h.checkLoad()...)
 	violations = append(violations, h.checkHarmful()...)
+	violations = append(violations, h.checkFalls()...)
 
 	return append(violations, h.checkNotices()...)
 }
--- a/internal/soaker/loadfault.go
+++ b/internal/soaker/loadfault.go
@@ -35,7 +35,7 @@
 
 // loadSettings returns the part of a node's settings that enables overload control.
 func (s *Soaker) loadSettings() string {
-	if !s.opts.Load {
+	if !s.opts.Load && !s.opts.Brittle {
 		return ""
 	}
 
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -49,6 +49,9 @@
 	// that cut these off. Servers are processes that run the executable of this process
 	// with ServerCommand. The share depends on the seed.
 	Unframed bool
+	// Brittle makes all servers brittle for a time in which callers send more than they
+	// can run, and enables overload control in the nodes.
+	Brittle bool
 	// Calm injects no other faults.
 	Calm bool
 	// Output receives the logs of the nodes and the fault schedule; nil discards
@@ -69,8 +72,11 @@
 	LoadChecks       LoadChecks
 	Unframed         UnframedResponses
 	// Crashes is the number of servers that the harmful request has crashed.
-	Crashes    int
-	Violations []string
+	Crashes int
+	// Falls is the number of brittle servers that have failed because they declined too
+	// many requests, and CountedFalls that of those for which sound nodes are to blame.
+	Falls, CountedFalls int
+	Violations          []string
 }
 
 const (
@@ -135,6 +141,8 @@
 	// absentUntil holds the times until which servers leave or ask for time.
 	absentUntil []time.Time
 
+	// brittle is what servers are that start, guarded by mu.
+	brittle     brittle
 	mu          sync.Mutex
 	servers     map[string]*standin.Server
 	serverCount int
@@ -302,6 +310,9 @@
 	server.OnCrash(func() { s.handleCrash(server) })
 	s.mu.Lock()
 	s.servers[id] = server
+	if s.opts.Brittle {
+		s.limitRoom(server)
+	}
 	closed := s.closed
 	s.mu.Unlock()
 	if closed {
@@ -421,6 +432,10 @@
 		}
 		releases.Go(func() { newReleaser(s).run(ended) })
 	}
+	if s.opts.Brittle {
+		s.overload(&wg, ended)
+		s.startBrittle()
+	}
 	var harmful conc.WaitGroup
 	if s.opts.Harmful {
 		s.sendHarmful(&harmful, ended)
@@ -449,6 +464,7 @@
 	r.Peaks, r.LoadChecks = s.history.peaks, s.history.loadChecks
 	r.Unframed = s.history.countUnframed()
 	r.Crashes = len(s.history.crashes)
+	r.Falls, r.CountedFalls = len(s.history.falls), s.history.countedFalls
 	r.Attempts, r.Runs = len(s.history.outcomes), len(s.history.runs)
 	s.history.mu.Unlock()
 	sent := 0
--- a/internal/soaker/unframed.go
+++ b/internal/soaker/unframed.go
@@ -21,7 +21,7 @@
 // framing.
 func (s *Soaker) newServer(id, version string, address netip.AddrPort, seed uint64) (*standin.Server, error) {
 	if !s.opts.Unframed {
-		return standin.NewServer(id, version, address, serverWork, seed, s.history)
+		return standin.NewServer(id, version, address, s.workTime(), seed, s.history)
 	}
 	binary, err := os.Executable()
 	if err != nil {
@@ -29,7 +29,7 @@
 	}
 	cmd := exec.Command(binary, ServerCommand)
 	cmd.Stderr = outputWriter{s}
-	server, err := standin.StartServer(cmd, id, version, address, serverWork, seed, s.history)
+	server, err := standin.StartServer(cmd, id, version, address, s.workTime(), seed, s.history)
 	if err != nil {
 		return nil, err
 	}
--- a/test.sh
+++ b/test.sh
@@ -40,6 +40,8 @@
   done
   # A fleet in which a node's share of a cold server is below one request a second.
   "$dir/soak" --binary "$dir/snipedyke" --seed 11 --length 8s --nodes 24 --limits || verdict=1
+  # Brittle servers, with callers that send more than they can run.
+  "$dir/soak" --binary "$dir/snipedyke" --brittle --calm --seed 1 --length 10s || verdict=1
   # A request that crashes each server that runs it, of a kind that may be repeated, one
   # that runs at most once, and a stream.
   for seed in 5 6 9; do
