--- a/cmd/snipedyke/place.go
+++ b/cmd/snipedyke/place.go
@@ -100,6 +100,8 @@
 	switch {
 	case p.Outcome == director.OutcomeSent && p.Probe:
 		return "sent to " + p.Endpoint + " as a probe request"
+	case p.Node != "":
+		return "handed over to the node at " + p.Node
 	case p.Outcome == director.OutcomeSent:
 		return "sent to " + p.Endpoint + " of service " + p.Service
 	case p.Outcome == director.OutcomeQueued:
--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -94,6 +94,9 @@
 	sumTime         time.Time
 	// unsent holds the changes of sum that the speaker has not yet passed on.
 	unsent delta
+	// nodes holds the addresses of its nodes as of nodesTime, if this node has asked.
+	nodes     []uint32
+	nodesTime time.Time
 }
 
 // foreignNode is a node of another data centre that has sent a hello.
@@ -453,6 +456,10 @@
 		a.receiveViewDigest(now, from, m)
 	case *encoder.Demands:
 		a.receiveDemands(now, from, m)
+	case *encoder.NodeQuery:
+		return []Output{{from, a.nodeList(now, from)}}
+	case *encoder.NodeList:
+		a.receiveNodeList(now, m)
 	}
 
 	return nil
--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 
 	"snipedyke/internal/acceptor"
+	"snipedyke/internal/aggregator"
 	"snipedyke/internal/configurer"
 	"snipedyke/internal/director"
 	"snipedyke/internal/exchanger"
@@ -90,6 +91,8 @@
 	exchanger *exchanger.Exchanger
 	readiness net.Listener
 	metrics   net.Listener
+	// peerPort is the port at which nodes take requests from each other.
+	peerPort uint16
 }
 
 // NewRoutingNode returns a node that is already listening on its addresses. Run
@@ -101,7 +104,7 @@
 	if output == nil {
 		output = io.Discard
 	}
-	n := &RoutingNode{opts: opts, exporter: exporter.New(), logWriter: logger.NewAsyncWriter(output)}
+	n := &RoutingNode{opts: opts, peerPort: s.Peers.Port(), exporter: exporter.New(), logWriter: logger.NewAsyncWriter(output)}
 	n.logger = logger.NewRateLimiter(logger.New(logger.Options{
 		Output: n.logWriter, Format: logger.Format(s.Log.Format), Level: hclog.LevelFromString(s.Log.Level), Node: s.Name,
 	}), n.logWriter)
@@ -116,7 +119,7 @@
 	}
 	n.forwarder, err = forwarder.New(forwarder.Options{
 		Director: directorOptions(s),
-		Protocol: opts.Protocol, Logger: n.logger, Meter: routedMeter{n.exporter}, Callers: s.Callers, Clock: opts.Clock,
+		Protocol: opts.Protocol, Logger: n.logger, Meter: routedMeter{n.exporter}, Callers: s.Callers, Nodes: s.Peers, Clock: opts.Clock,
 		MaxBodyBytes: maxRequestBody, MaxHeaderBytes: maxRequestHeader,
 		MaxConnections: maxConnections(s), MemoryBudget: memoryShare(s), MaxIdleConnections: min(maxIdleConnections, s.Descriptors/4),
 		GracePeriod: s.Grace, AnnounceOrigins: n.announceOrigins, AskOrigin: n.askOrigin, ConfirmView: n.confirmView,
@@ -139,6 +142,8 @@
 		SetOthersLoad: func(others encoder.LoadSum, centres []string) {
 			n.forwarder.Post(director.OthersLoadReplaced{Others: others, Centres: centres})
 		},
+		SetNodes:        n.setNodes,
+		CutOff:          func() bool { return n.forwarder.Status().Stranded },
 		LoadChange:      func() encoder.LoadChange { return n.forwarder.LoadChange() },
 		SetChangedLoads: func(others encoder.LoadSum) { n.forwarder.Post(director.OthersLoadUpdated{Others: others}) },
 		Observations:    n.forwarder.Observations,
@@ -174,6 +179,15 @@
 	}
 }
 
+// setNodes tells the director which other nodes run. All nodes use the same port.
+func (n *RoutingNode) setNodes(list []aggregator.Node) {
+	nodes := make([]director.Node, 0, len(list))
+	for _, node := range list {
+		nodes = append(nodes, director.Node{Address: netip.AddrPortFrom(node.Address, n.peerPort), DataCentre: node.Centre})
+	}
+	n.forwarder.Post(director.NodesKnown{List: nodes})
+}
+
 // askOrigin asks other nodes at which version a stream has begun.
 func (n *RoutingNode) askOrigin(key uint64, service string) {
 	if n.exchanger != nil {
@@ -325,11 +339,15 @@
 // collect writes the gauges.
 func (n *RoutingNode) collect(write func(name string, value float64)) {
 	s := n.forwarder.Status()
-	ready := 0.0
+	ready, stranded := 0.0, 0.0
 	if s.Ready {
 		ready = 1
 	}
+	if s.Stranded {
+		stranded = 1
+	}
 	write("ready", ready)
+	write("stranded", stranded)
 	write("view_age_seconds", s.Age.Seconds())
 	write("view_version", float64(s.Version))
 	view := n.follower.View()
@@ -391,6 +409,10 @@
 		return exporter.RoutedCuts
 	case director.CounterProbes:
 		return exporter.RoutedProbes
+	case director.CounterHandovers:
+		return exporter.RoutedHandovers
+	case director.CounterHanded:
+		return exporter.RoutedHanded
 	default:
 		return reducer.Counter(c)
 	}
--- a/internal/configurer/routing.go
+++ b/internal/configurer/routing.go
@@ -19,7 +19,8 @@
 	Callers   netip.AddrPort
 	Readiness netip.AddrPort
 	Metrics   netip.AddrPort
-	// Peers is the listen address for other nodes; all nodes use the same port.
+	// Peers is the listen address for other nodes, for messages by UDP and requests that are
+	// handed over by TCP. All nodes use the same port.
 	// Seeds are the addresses of nodes from which others can be discovered.
 	Peers netip.AddrPort
 	Seeds []netip.Addr
--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -35,15 +35,17 @@
 	// include this request, which is not admitted yet.
 	point := float64(xxhash.Sum64String("share "+req.Name)) / math.MaxUint64
 	req.beyondShare = point >= d.sharer.Share(now, key)
-	d.sharer.Record(now, key, req.Need.PrefillTokens(), false)
+	if !req.Counted {
+		d.sharer.Record(now, key, req.Need.PrefillTokens(), false)
+	}
 }
 
 // admitDemand counts a request that is sent to an endpoint for the first time.
 func (d *Director) admitDemand(now time.Time, req *request) {
-	if !d.shares(req) || req.counted {
+	if !d.shares(req) || req.admitted {
 		return
 	}
-	req.counted = true
+	req.admitted = true
 	d.sharer.Record(now, accountKey(req), req.Need.PrefillTokens(), true)
 }
 
--- a/internal/director/candidate.go
+++ b/internal/director/candidate.go
@@ -68,7 +68,12 @@
 
 // regionAllowed reports whether a request may run in an endpoint's region.
 func (d *Director) regionAllowed(req *request, e *endpoint) bool {
-	region := d.opts.Regions[e.entry.DataCentre]
+	return d.centreAllowed(req, e.entry.DataCentre)
+}
+
+// centreAllowed reports whether a request may go to a data centre.
+func (d *Director) centreAllowed(req *request, centre string) bool {
+	region := d.opts.Regions[centre]
 	if len(req.route.Regions) > 0 && !contains(req.route.Regions, region) {
 		return false
 	}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -104,6 +104,11 @@
 	// readyAt is when the node last became ready.
 	readyAt time.Time
 
+	// link is what the node knows of its own links to the endpoints, and peers holds the
+	// other nodes by address.
+	link  link
+	peers map[netip.AddrPort]*peer
+
 	fleet fleet
 	// sharer divides the capacity between client accounts where it is short.
 	sharer *sharer.Sharer
@@ -225,6 +230,10 @@
 		d.isolator.Merge(now, e.Crashes)
 	case EndpointChecked:
 		d.handleChecked(now, e)
+	case LinksChecked:
+		d.handleLinksChecked(now, e)
+	case NodesKnown:
+		d.setNodes(e.List)
 	case OriginsLearned:
 		d.learnOrigins(now, e.List, e.From)
 	case ViewRestored:
@@ -290,14 +299,15 @@
 	// Suspected is the number of requests and prompt parts under which endpoints have
 	// cut off attempts, and Isolated that of those that are refused.
 	Suspected, Isolated int
-	Ready               bool
+	// Stranded reports whether the node is cut off from all endpoints.
+	Stranded, Ready bool
 }
 
 // Status returns the current status.
 func (d *Director) Status(now time.Time) Status {
 	s := Status{
 		Age: d.Age(now), Nodes: d.fleet.size(), Endpoints: d.registrar.Len(),
-		Requests: len(d.requests), Waiting: len(d.waiting), Ready: d.ready,
+		Requests: len(d.requests), Waiting: len(d.waiting), Stranded: d.link.stranded, Ready: d.ready,
 	}
 	s.Suspected, s.Isolated = d.isolator.Counts()
 	for _, e := range d.endpoints {
@@ -347,10 +357,10 @@
 
 // NeedsTick reports whether a Ticked event is needed soon, because requests are
 // waiting for endpoints or other nodes, or must be answered before the process ends,
-// vanished entries are held, or entries or data centres are held back after the store
-// was restored.
+// vanished entries are held, entries or data centres are held back after the store
+// was restored, or the node is or may be cut off from the endpoints.
 func (d *Director) NeedsTick() bool {
-	return len(d.waiting)+len(d.asking) > 0 || d.leaving && len(d.requests) > 0 || d.registrar.HasHeld()
+	return d.link.stranded || d.link.suspected() || d.link.severalSilent() || len(d.waiting)+len(d.asking) > 0 || d.leaving && len(d.requests) > 0 || d.registrar.HasHeld()
 }
 
 func (d *Director) setTable(now time.Time, t *router.Table) {
@@ -501,6 +511,8 @@
 		d.returnCentres(now, d.registrar.ReleaseCentres(now))
 	}
 	d.endRequests(now)
+	d.expireFailedLinks(now)
+	d.checkLinks(now)
 	d.askAgain(now)
 	d.retryWaiting(now)
 }
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -291,18 +292,19 @@
 	c.Check(retries > 100, qt.IsTrue, qt.Commentf("%d", retries))
 }
 
-// Guards against four faults in any order of events: a request that gets no
+// Guards against faults in any order of events: a request that gets no
 // answer or several, an attempt at an endpoint that takes no new requests, more
-// attempts than the route allows, and a refusal stating that a request has not
-// run although it may have.
+// attempts than the route allows, a refusal stating that a request has not
+// run although it may have, and a request that goes to a node twice.
 func TestRandomEventsKeepThePromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := newNode()
 		type state struct {
 			path string
-			// endpoint is the ID of the endpoint of the attempt in progress, or
-			// empty.
+			// endpoint is the ID of the endpoint of the attempt in progress, or the
+			// address of the other node, or empty. nodes holds these addresses.
 			endpoint          string
+			nodes             []netip.AddrPort
 			mayHaveRun, ended bool
 		}
 		requests := map[uint64]*state{}
@@ -325,6 +327,15 @@
 						t.Fatalf("%s may run twice", s.path)
 					}
 					s.endpoint = e.Endpoint
+				case HandOver:
+					s := requests[e.ID]
+					if s.ended || s.endpoint != "" || slices.Contains(s.nodes, e.Node) || !n.stranded() {
+						t.Fatalf("request %d was handed over to %s in state %+v", e.ID, e.Node, s)
+					}
+					if s.mayHaveRun && (s.path == "/pay/" || s.path == "/chat/") {
+						t.Fatalf("%s may run twice", s.path)
+					}
+					s.endpoint, s.nodes = e.Node.String(), append(s.nodes, e.Node)
 				case Refuse:
 					s := requests[e.ID]
 					if s.ended || s.endpoint != "" {
@@ -344,7 +355,7 @@
 		id := uint64(0)
 		for range rapid.IntRange(1, 80).Draw(t, "events") {
 			n.now = n.now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * time.Millisecond)
-			switch rapid.IntRange(0, 7).Draw(t, "event") {
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
 			case 0, 1:
 				id++
 				path := rapid.SampledFrom([]string{"/pay/", "/look/", "/chat/", "/draft/"}).Draw(t, "path")
@@ -358,9 +369,13 @@
 						continue
 					}
 					result := Result(rapid.IntRange(int(Answered), int(TimedOut)).Draw(t, "result"))
+					status, reason := rapid.SampledFrom([]int{200, 500}).Draw(t, "status"), Reason("")
+					if _, err := netip.ParseAddrPort(s.endpoint); err == nil && (result == Declined || result == Misdirected) {
+						result, status, reason = Refused, 503, rapid.SampledFrom([]Reason{ReasonStranded, ReasonOverload}).Draw(t, "reason")
+					}
 					s.endpoint = ""
 					s.mayHaveRun = s.mayHaveRun || result == Broken || result == TimedOut
-					check(n.post(AttemptFinished{ID: r, Result: result, Status: rapid.SampledFrom([]int{200, 500}).Draw(t, "status")}))
+					check(n.post(AttemptFinished{ID: r, Result: result, Status: status, Reason: reason}))
 
 					break
 				}
@@ -374,6 +389,10 @@
 			case 6:
 				check(n.post(ViewConfirmed{n.now}))
 			case 7:
+				check(n.post(LinksChecked{Reached: n.link.checked[:rapid.IntRange(0, len(n.link.checked)/4).Draw(t, "reached")]}))
+			case 8:
+				check(n.post(NodesKnown{peersOf("kochi", rapid.IntRange(0, 6).Draw(t, "nodes"))}))
+			case 9:
 				for r := uint64(1); r <= id; r++ {
 					s := requests[r]
 					if s.endpoint == "" || s.ended {
--- a/internal/director/endpoint.go
+++ b/internal/director/endpoint.go
@@ -82,6 +82,9 @@
 	d.log(logger.EndpointAdded, "endpoint", entry.ID, "service", entry.Service, "centre", entry.DataCentre,
 		"version", entry.Version, "draining", entry.Draining, "cold", entry.Cold.String())
 	d.claimAddress(now, e)
+	if d.link.stranded {
+		d.link.added = append(d.link.added, e)
+	}
 }
 
 func (d *Director) updateEndpoint(now time.Time, entry registrar.Entry) {
@@ -105,6 +108,7 @@
 	}
 	delete(d.endpoints, entry.ID)
 	delete(d.endpointsByNumber, e.number)
+	d.link.added = slices.DeleteFunc(d.link.added, func(added *endpoint) bool { return added == e })
 	d.markChanged(e)
 	d.retainNotice(now, e)
 	d.retainPacing(now, e)
@@ -165,9 +169,11 @@
 	if until := now.Add(length); until.After(e.suspendedUntil) {
 		e.suspendedUntil = until
 	}
-	// Its cold period begins when it is back. By then it has published its entry again,
-	// or that has expired.
-	d.markCold(e.suspendedUntil.Add((missedPublications+1)*d.opts.PublicationInterval), e, 0)
+	if result != Unreached || !d.link.stranded {
+		// Its cold period begins when it is back. By then it has published its entry again,
+		// or that has expired.
+		d.markCold(e.suspendedUntil.Add((missedPublications+1)*d.opts.PublicationInterval), e, 0)
+	}
 	d.log(logger.EndpointSuspended, "endpoint", e.entry.ID, "service", e.entry.Service,
 		"result", result.String(), "failures", e.consecutiveFailures, "length", length.String())
 }
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -52,6 +52,12 @@
 	Content uint32
 	// Need describes what the request needs from a model engine.
 	Need chooser.Need
+	// HandedOver reports whether another node has handed the request over. It is not
+	// handed over again. Attempts is the number of attempts that node has made that may
+	// have run, and Counted reports whether its retry budget includes the request.
+	HandedOver bool
+	Attempts   int
+	Counted    bool
 }
 
 // ResponseStarted reports that the first byte of an answer has arrived from the
@@ -107,6 +113,22 @@
 	Refused bool
 }
 
+// LinksChecked reports the result of CheckLinks.
+type LinksChecked struct {
+	// Reached holds the addresses to which a connection was established.
+	Reached []netip.AddrPort
+}
+
+// Node is another node of the fleet.
+type Node struct {
+	// Address is where the node takes requests that are handed over.
+	Address    netip.AddrPort
+	DataCentre string
+}
+
+// NodesKnown provides the other nodes that are known to run, without duplicates.
+type NodesKnown struct{ List []Node }
+
 // RequestLost reports that a request has ended because of an unexpected error.
 type RequestLost struct{ ID uint64 }
 
@@ -133,6 +155,12 @@
 	// answer ended with its connection, and no other connection to the endpoint is open. If the
 	// endpoint has crashed, the answer may lack a part.
 	HostRefused bool
+	// Connected reports whether a new connection has been established.
+	Connected bool
+	// Reason and RetryAfter are the error with which another node has refused the request,
+	// and its retry delay. They count for Refused only, as does Status.
+	Reason     Reason
+	RetryAfter time.Duration
 	// Cause describes why the attempt failed, for the log.
 	Cause string
 	// Cold, if not zero, is the remaining cold time that the endpoint has
@@ -183,11 +211,13 @@
 	// Unsent is an attempt whose deadline or SendBy passed before any byte was sent,
 	// through no fault of the endpoint.
 	Unsent
+	// Refused is an error that the node has generated to which the request was handed over.
+	Refused
 )
 
 // String returns the name of the result.
 func (r Result) String() string {
-	names := [...]string{"answered", "declined", "misdirected", "unreached", "broken", "silent", "cancelled", "unsent"}
+	names := [...]string{"answered", "declined", "misdirected", "unreached", "broken", "silent", "cancelled", "unsent", "refused"}
 	if int(r) < len(names) {
 		return names[r]
 	}
@@ -295,6 +325,8 @@
 func (ViewConfirmed) event()        {}
 func (CrashesObserved) event()      {}
 func (EndpointChecked) event()      {}
+func (LinksChecked) event()         {}
+func (NodesKnown) event()           {}
 func (DemandsReceived) event()      {}
 func (ObservationsReceived) event() {}
 func (ViewReachable) event()        {}
@@ -354,6 +386,28 @@
 	RetryAfter time.Duration
 }
 
+// HandOver sends a request to another node, which places it. Like a Dispatch, it is followed
+// by exactly one AttemptFinished.
+type HandOver struct {
+	ID uint64
+	// Node is the address at which the node takes requests from others.
+	Node netip.AddrPort
+	// Route is the request's route.
+	Route *router.Route
+	// Deadline is the time by which the answer must be complete.
+	Deadline time.Time
+	// Resume reports whether the attempt continues a stream after the last event
+	// that the caller has received.
+	Resume bool
+	// Attempts and Counted are those of Request.
+	Attempts int
+	Counted  bool
+}
+
+// CheckLinks connects to endpoints, all at once, to find out whether this node is cut off
+// from them. It is followed by a LinksChecked.
+type CheckLinks struct{ Addresses []netip.AddrPort }
+
 // Relay passes on the answer of the attempt that has just finished.
 type Relay struct{ ID uint64 }
 
@@ -413,6 +467,8 @@
 func (GiveUp) effect()               {}
 func (CloseIdleConnections) effect() {}
 func (CheckEndpoint) effect()        {}
+func (CheckLinks) effect()           {}
+func (HandOver) effect()             {}
 func (Log) effect()                  {}
 func (Count) effect()                {}
 func (Observe) effect()              {}
@@ -438,6 +494,11 @@
 	// CounterProbes counts the requests that were sent to failing endpoints to find out
 	// whether they still fail, by service.
 	CounterProbes Counter = "probes"
+	// CounterHandovers counts the requests that were handed over to other nodes by the
+	// result there, and CounterHanded those that other nodes have handed over to this one,
+	// as LabelAccepted or LabelRefused.
+	CounterHandovers Counter = "handovers"
+	CounterHanded    Counter = "handed"
 	// CounterCuts counts the messages that gave way because the memory budget was used
 	// up, by what they were.
 	CounterCuts Counter = "memory_cuts"
@@ -447,6 +508,12 @@
 // because its endpoint was silent.
 const LabelReplaced = "replaced"
 
+// The labels of CounterHanded.
+const (
+	LabelAccepted = "accepted"
+	LabelRefused  = "refused"
+)
+
 // Reason is the stable code of an error generated by the node.
 type Reason string
 
@@ -482,6 +549,9 @@
 	// ReasonVersionUnknown is that no node knows the version at which a stream began
 	// that its caller takes up again.
 	ReasonVersionUnknown Reason = "version_unknown"
+	// ReasonStranded is that the node to which a request was handed over is cut off from
+	// all endpoints, too.
+	ReasonStranded Reason = "stranded"
 	// ReasonInternal is that an unexpected error has ended the request.
 	ReasonInternal Reason = "internal"
 	// ReasonMemory is that the memory budget has no room for the body of the request.
@@ -492,8 +562,8 @@
 var Reasons = []Reason{
 	ReasonNotReady, ReasonNoRoute, ReasonNoKey, ReasonStaleView, ReasonTooLarge, ReasonMalformed,
 	ReasonNoEndpoint, ReasonOverload, ReasonAccountShare, ReasonDeclined, ReasonBroken, ReasonTimeout, ReasonGone, ReasonHarmfulPrompt, ReasonHarmfulRequest,
-	ReasonPaused, ReasonLimited, ReasonBrittle, ReasonLeaving, ReasonVersionGone, ReasonVersionUnknown, ReasonMemory, ReasonInternal,
+	ReasonPaused, ReasonLimited, ReasonBrittle, ReasonLeaving, ReasonVersionGone, ReasonVersionUnknown, ReasonMemory, ReasonStranded, ReasonInternal,
 }
 
 // Results lists all results.
-var Results = []Result{Answered, Declined, Misdirected, Unreached, Broken, TimedOut, Cancelled, Unsent}
+var Results = []Result{Answered, Declined, Misdirected, Unreached, Broken, TimedOut, Cancelled, Unsent, Refused}
--- a/internal/director/explain.go
+++ b/internal/director/explain.go
@@ -17,6 +17,8 @@
 	// reports whether it is a failing one that is sent a probe request.
 	Endpoint string `json:"endpoint,omitempty"`
 	Probe    bool   `json:"probe,omitempty"`
+	// Node is the address of the node to which the request is handed over, or empty.
+	Node string `json:"node,omitempty"`
 	// Status, Reason, Cause and Retry are those of the error with which a request is
 	// rejected. If it is queued, it gets this error after Wait unless something changes
 	// before. Retry is the value of Retry-After, in nanoseconds as all times here.
@@ -172,6 +174,9 @@
 		chosen.pacer.Withdraw(now)
 		p.Outcome, p.Endpoint = OutcomeSent, chosen.entry.ID
 	}
+	if req.node.IsValid() {
+		p.Outcome, p.Node = OutcomeSent, req.node.String()
+	}
 	if req.service != nil {
 		p.Service = req.service.name
 		candidates := d.candidates(now, req)
--- a/internal/director/harmful.go
+++ b/internal/director/harmful.go
@@ -60,8 +60,9 @@
 	d.log(logger.AttemptCutOff, "request", req.Name, "content", strconv.FormatUint(req.fingerprint(), 16), "route", req.route.Name,
 		"service", req.service.name, "account", account, "endpoint", e.entry.ID, "took", f.Took.String(), "begun", req.begun(),
 		"cause", f.Cause, "parts", formatParts(req.Need.SharedParts))
-	if f.HostRefused {
-		// The answer may be complete, and the endpoint sound.
+	if f.HostRefused || d.link.stranded {
+		// The answer may be complete and the endpoint sound, or the node's own links cut off
+		// the attempt.
 		return
 	}
 	if !ranOn {
@@ -92,7 +93,9 @@
 	}
 	e.checking = false
 	if c.Refused {
-		d.isolator.RecordEnded(now, e.boot)
+		d.noteFailedLink(now, d.takeFailedLink(e))
+		d.recordEnded(now, e)
+		d.checkLinks(now)
 	}
 }
 
--- a/internal/director/observation.go
+++ b/internal/director/observation.go
@@ -209,7 +209,7 @@
 // probe returns a failing endpoint to which a request is sent to find out whether it
 // still fails, or nil. Only requests that another endpoint can take over are used.
 func (d *Director) probe(now time.Time, req *request) *endpoint {
-	if !d.opts.Outcomes || req.endpoint != nil || len(req.tried) > 0 || req.relayed || !req.hasRetryLeft() || !d.canRetry(now, req) {
+	if !d.opts.Outcomes || req.endpoint != nil || req.runs() > 0 || req.relayed || !req.hasRetryLeft() || !d.canRetry(now, req) {
 		return nil
 	}
 	for _, e := range req.service.endpoints {
--- a/internal/director/origin.go
+++ b/internal/director/origin.go
@@ -135,7 +135,7 @@
 func (d *Director) leadsToService(req *request) bool {
 	route := d.table.Route(req.Host, req.Path)
 
-	return route != nil && route.Service(req.Resumes) == req.service.name
+	return route != nil && route.Service(req.first) == req.service.name
 }
 
 // agreedVersion returns the only version that most nodes know of, if none that was
@@ -248,7 +248,7 @@
 // version of the stream is known from.
 func (d *Director) logTakeUp(req *request, source string) {
 	d.emit(Count{Counter: CounterTakeUps, Label: source})
-	d.log(logger.StreamTakenUp, "request", req.Name, "resumes", req.Resumes, "route", req.route.Name, "service", req.service.name,
+	d.log(logger.StreamTakenUp, "request", req.Name, "resumes", req.first, "route", req.route.Name, "service", req.service.name,
 		"version", req.version, "source", source, "serving", req.service.sortedVersions())
 }
 
--- a/internal/director/outcome.go
+++ b/internal/director/outcome.go
@@ -12,13 +12,16 @@
 // handleFirstByte records that an endpoint has begun to answer.
 func (d *Director) handleFirstByte(now time.Time, e ResponseStarted) {
 	req := d.requests[e.ID]
-	if req == nil || req.endpoint == nil {
+	if req == nil || !req.inProgress() {
 		return
 	}
 	req.started = true
 	if req.timeToFirstByte == 0 {
 		req.timeToFirstByte = now.Sub(req.arrivedAt)
 	}
+	if req.endpoint == nil {
+		return
+	}
 	if req.awaitingFirstByte {
 		req.awaitingFirstByte = false
 		if req.prefixCached {
@@ -28,6 +31,7 @@
 		req.endpoint.load.Own.PrefillTokens -= req.Need.PrefillTokens()
 		d.markChanged(req.endpoint)
 	}
+	d.noteResponse(now)
 	req.settle(req.endpoint)
 	d.recordOrigin(now, req)
 	req.beganAt = now
@@ -47,7 +51,8 @@
 		return
 	}
 	req.relayed = req.relayed || s.Relayed
-	req.replaced = d.reserveReplacement(now, req)
+	d.noteSilence(now, req.endpoint)
+	req.replaced = d.takesOver(now, req) || d.reserveReplacement(now, req)
 	if req.replaced {
 		d.emit(GiveUp{ID: req.ID})
 	}
@@ -61,6 +66,14 @@
 	if req == nil {
 		return
 	}
+	if f.Connected && !req.node.IsValid() {
+		d.noteConnected(now, now.Add(-f.Took))
+	}
+	if req.node.IsValid() {
+		d.handlePeerFinished(now, req, f)
+
+		return
+	}
 	e, reserved := d.release(req), d.releaseReservation(req)
 	if f.HostRefused && f.Result == Answered && d.crashed(e) {
 		f.Result, f.Cause = Broken, "endpoint has ended with a response without a length"
@@ -108,11 +121,8 @@
 		if !req.waitUntil.IsZero() {
 			req.waitUntil = now.Add(maxMoveWait)
 		}
-		if f.Result != Misdirected && !req.retriedAt.IsZero() {
-			// The retry has not arrived, and may do so later than the margin of the
-			// budget allows.
-			req.service.retryBudget.Renew(req.retriedAt, now)
-			req.retriedAt = now
+		if f.Result != Misdirected {
+			d.renewRetry(now, req)
 		}
 		d.emit(Count{Counter: CounterRetries, Label: f.Result.String()})
 		d.place(now, req)
@@ -128,6 +138,8 @@
 	case Cancelled:
 		req.mayHaveRun = true
 		d.fail(now, req, ReasonLeaving)
+	case Refused:
+		// Only nodes refuse requests.
 	}
 	d.retryWaiting(now)
 }
@@ -152,6 +164,9 @@
 	if e == nil {
 		return
 	}
+	if f.Result == Answered || f.Result == Declined || f.Result == Misdirected {
+		d.noteResponse(now)
+	}
 	switch f.Result {
 	case Answered:
 		d.confirmAddress(now, e)
@@ -166,22 +181,20 @@
 		d.recordDeclined(now, e)
 		// An endpoint that leaves or asks for time says so, and gets no requests for that.
 		d.recordOutcome(now, e, !e.leaving() && !e.pausedUntil().After(now))
-	case Misdirected, Unreached:
-		if f.Result == Misdirected {
-			d.handleMisdirected(now, req, e, f)
-		} else {
-			d.recordOutcome(now, e, true)
-		}
+	case Misdirected:
+		d.handleMisdirected(now, req, e, f)
 		d.suspend(now, e, f.Result)
 		d.isolator.RecordEnded(now, e.boot)
-	case Broken:
-		d.recordOutcome(now, e, true)
-	case TimedOut:
-		// A caller with little time left says nothing about the endpoint.
-		if f.Took >= firstByteFactor*req.route.LatencyTarget {
+	case Unreached:
+		d.recordUnreached(now, e)
+	case Broken, TimedOut:
+		// A caller with little time left says nothing about the endpoint, and neither does
+		// a failure of the node's own links.
+		if !d.link.stranded && (f.Result == Broken || f.Took >= firstByteFactor*req.route.LatencyTarget) {
 			d.recordOutcome(now, e, true)
+			d.noteSilence(now, e)
 		}
-	case Cancelled, Unsent:
+	case Cancelled, Unsent, Refused:
 	}
 	if f.Cold > 0 {
 		d.markCold(now, e, f.Cold)
@@ -194,7 +207,7 @@
 	if f.Status >= http.StatusInternalServerError && d.retriesErrors(req) && !req.relayed {
 		req.mayHaveRun = true
 		req.tried = append(req.tried, e.entry.ID)
-		if len(req.tried) < req.route.Attempts && d.deadline(req).Sub(now) >= minAttemptTime && d.mayRetry(now, req) {
+		if req.runs() < req.route.Attempts && d.deadline(req).Sub(now) >= minAttemptTime && d.mayRetry(now, req) {
 			if next, holder := d.chooseAdmitted(now, req); next != nil {
 				d.emit(Count{Counter: CounterRetries, Label: "status"})
 				d.dispatch(now, req, next, holder)
@@ -214,10 +227,15 @@
 			req.service.splitter.NoteMixedStream(req.longestPause > req.route.MaxPause)
 		}
 	}
+	d.relay(now, req)
+	d.logAnswered(now, req, e, f)
+}
+
+// relay ends a request with the answer of the attempt that has just finished.
+func (d *Director) relay(now time.Time, req *request) {
 	req.withdrawRetry()
 	d.emit(Relay{ID: req.ID})
 	d.emit(Observe{Kind: req.route.Kind, Value: now.Sub(req.arrivedAt)})
-	d.logAnswered(now, req, e, f)
 	delete(d.requests, req.ID)
 }
 
@@ -239,7 +257,7 @@
 }
 
 // logAnswered logs how a request was answered and what its latency consisted
-// of.
+// of. e is the endpoint, or nil if another node has answered it.
 func (d *Director) logAnswered(now time.Time, req *request, e *endpoint, f AttemptFinished) {
 	took := now.Sub(req.arrivedAt)
 	first := req.timeToFirstByte
@@ -247,8 +265,14 @@
 		first = took
 	}
 	late := first > req.route.LatencyTarget || req.route.MaxPause > 0 && req.longestPause > req.route.MaxPause
-	d.log(logger.RequestAnswered, "request", req.Name, "route", req.route.Name, "endpoint", e.entry.ID, "version", e.entry.Version, "status", f.Status,
-		"took", took.String(), "first", first.String(), "pause", req.longestPause.String(), "events", f.Events, "framing", string(f.Framing), "attempts", len(req.tried)+1,
+	endpoint, version, node := "", "", ""
+	if e != nil {
+		endpoint, version = e.entry.ID, e.entry.Version
+	} else {
+		node = req.lastNode.String()
+	}
+	d.log(logger.RequestAnswered, "request", req.Name, "route", req.route.Name, "endpoint", endpoint, "version", version, "node", node, "handed", req.HandedOver, "status", f.Status,
+		"took", took.String(), "first", first.String(), "pause", req.longestPause.String(), "events", f.Events, "framing", string(f.Framing), "attempts", req.runs()+1,
 		"late", late, "engines", req.service.splitter.LongEngines())
 }
 
@@ -291,8 +315,18 @@
 	}
 }
 
+// renewRetry counts the retry in progress from now on. It has not arrived, and may do so
+// later than the margin of the budget allows.
+func (d *Director) renewRetry(now time.Time, req *request) {
+	if !req.retriedAt.IsZero() {
+		req.service.retryBudget.Renew(req.retriedAt, now)
+		req.retriedAt = now
+	}
+}
+
 // retry sends a request to another endpoint than e, that of its reservation if there is
-// one, if the attempts of its route and the retry budget allow it.
+// one, if the attempts of its route and the retry budget allow it. If e is nil, another node
+// has failed the request.
 func (d *Director) retry(now time.Time, req *request, e *endpoint, f AttemptFinished, reason Reason, reserved *reservation) {
 	if d.failIsolated(now, req) {
 		return
@@ -314,14 +348,16 @@
 	if req.replaced {
 		label = LabelReplaced
 	}
-	version := ""
+	endpoint, version, node := "", "", ""
 	if e != nil {
-		version = e.entry.Version
+		endpoint, version = e.entry.ID, e.entry.Version
+	} else {
+		node = req.lastNode.String()
 	}
 	d.emit(Count{Counter: CounterRetries, Label: label})
-	d.log(logger.RequestRetried, "request", req.Name, "route", req.route.Name, "endpoint", req.tried[len(req.tried)-1], "version", version,
+	d.log(logger.RequestRetried, "request", req.Name, "route", req.route.Name, "endpoint", endpoint, "version", version, "node", node,
 		"result", f.Result.String(), "cause", f.Cause, "took", f.Took.String(), "framing", string(f.Framing), "parts", formatParts(req.Need.SharedParts), "relayed", req.relayed)
-	if reserved != nil && d.current(reserved.endpoint) && d.takes(now, req, reserved.endpoint) {
+	if reserved != nil && !d.link.stranded && d.current(reserved.endpoint) && d.takes(now, req, reserved.endpoint) {
 		req.prefixCached = reserved.prefixCached
 		if reserved.holder != nil && !d.current(reserved.holder) {
 			reserved.holder = nil
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -78,6 +78,12 @@
 	// unsettledAt is when the attempt in progress was sent to a brittle endpoint that may
 	// still decline it, or zero.
 	unsettledAt time.Time
+	// node is the address of the node to which the request is handed over, lastNode that
+	// of the last one, and peersTried holds all of them. peerRuns is the number of times
+	// that it may have run there.
+	node, lastNode netip.AddrPort
+	peersTried     []netip.AddrPort
+	peerRuns       int
 	// sendBy is the SendBy of the last attempt, or zero.
 	sendBy time.Time
 	// replaced reports whether the attempt in progress has been given up for
@@ -98,9 +104,10 @@
 	// and longestPause is the longest pause between two events.
 	timeToFirstByte, longestPause time.Duration
 	// beyondShare reports whether the request is beyond the share of its account, and
-	// shareRejected whether the preferred engine did not admit it for that. counted reports
-	// whether the request counts as admitted.
-	beyondShare, shareRejected, counted bool
+	// shareRejected whether the preferred engine did not admit it for that. admitted reports
+	// whether the request counts as admitted, and recorded whether it counts as one that
+	// this node sends to endpoints.
+	beyondShare, shareRejected, admitted, recorded bool
 	// waitReason is why the request was last queued, or empty.
 	waitReason Reason
 	// rejection is why the preferred engine did not admit the request, or empty.
@@ -124,6 +131,11 @@
 	// have this key, so that nothing can be recorded under it.
 	stream uint64
 	named  bool
+	// first is the Name of the request that brought the first event of the stream, or
+	// that of this one.
+	first string
+	// begunAtPeer reports whether the stream has begun at another node.
+	begunAtPeer bool
 	// takenUpAt is when a request arrived that takes a stream up again. askedAt is,
 	// while it waits for what other nodes know of the stream, when they or the store
 	// were last asked.
@@ -148,10 +160,13 @@
 // begun reports whether the answer to the caller has begun.
 func (r *request) begun() bool { return r.relayed || r.started }
 
+// runs returns the number of attempts that may have run or were declined.
+func (r *request) runs() int { return r.Attempts + r.peerRuns + len(r.tried) }
+
 // attemptsUsed returns the number of attempts that count towards those of the
 // route. A stream that has begun can no longer be refused, so a few endpoints that
 // decline to resume it do not count.
-func (r *request) attemptsUsed() int { return len(r.tried) - min(r.declined, maxDeclined) }
+func (r *request) attemptsUsed() int { return r.runs() - min(r.declined, maxDeclined) }
 
 // waitLimit returns the time until which the request may wait for an endpoint.
 func (r *request) waitLimit() time.Time {
@@ -176,9 +191,17 @@
 // handleArrival places a new request or refuses it.
 func (d *Director) handleArrival(now time.Time, q Request) {
 	req := &request{Request: q, arrivedAt: now}
+	received := d.receive(now, req)
+	if q.HandedOver {
+		label := LabelAccepted
+		if !received {
+			label = LabelRefused
+		}
+		d.emit(Count{Counter: CounterHanded, Label: label})
+	}
 	switch {
-	case !d.receive(now, req):
-	case req.Continues && req.resumable():
+	case !received:
+	case req.takesUp() && d.chooseNode(now, req) == nil:
 		d.takeUp(now, req)
 	default:
 		d.placeInTurn(now, req)
@@ -198,6 +221,11 @@
 
 		return false
 	}
+	if d.link.stranded && q.HandedOver {
+		d.refuse(now, req, http.StatusServiceUnavailable, ReasonStranded)
+
+		return false
+	}
 	fresh := !d.confirmedAt.IsZero() && now.Sub(d.confirmedAt) <= d.opts.FreshView && !d.lacksTable(now)
 	req.route = d.table.Route(q.Host, q.Path)
 	if req.route == nil {
@@ -231,7 +259,7 @@
 	if q.Continues && resumable {
 		first = q.Resumes
 	}
-	req.service = d.ensureService(req.route.Service(first))
+	req.service, req.first = d.ensureService(req.route.Service(first)), first
 	if resumable {
 		req.stream, req.named = streamKey(req, first), first != ""
 	}
@@ -239,16 +267,30 @@
 	if d.opts.Restarted {
 		req.service.retryBudget.Ready = d.readyAt
 	}
-	req.service.retryBudget.RecordRequest(now)
 	if d.engineOf(req) != nil {
 		req.usesEngine = true
 	}
-	req.service.mix.record(now, req.route.Priority, req.Need.PrefillTokens())
-	d.offerDemand(now, req)
+	if d.chooseNode(now, req) == nil {
+		d.recordRequest(now, req)
+	}
 
 	return true
 }
 
+// recordRequest counts a request that this node sends to endpoints, unless another node has
+// counted it.
+func (d *Director) recordRequest(now time.Time, req *request) {
+	if req.recorded {
+		return
+	}
+	req.recorded = true
+	if !req.Counted {
+		req.service.retryBudget.RecordRequest(now)
+		req.service.mix.record(now, req.route.Priority, req.Need.PrefillTokens())
+	}
+	d.offerDemand(now, req)
+}
+
 func (d *Director) engineOf(req *request) *router.Engine {
 	if s := d.table.Service(req.service.name); s != nil {
 		return s.Engine
@@ -257,7 +299,8 @@
 	return nil
 }
 
-// place sends a request to an endpoint, or queues it until one is available.
+// place sends a request to an endpoint, or queues it until one is available. If this node is
+// cut off from the endpoints, it hands the request over to another one.
 func (d *Director) place(now time.Time, req *request) {
 	if d.deadline(req).Sub(now) < minAttemptTime {
 		d.fail(now, req, d.timeoutReason(req))
@@ -272,6 +315,20 @@
 	if d.failIsolated(now, req) {
 		return
 	}
+	if d.handOver(now, req) {
+		return
+	}
+	if d.link.stranded && req.HandedOver {
+		d.fail(now, req, ReasonStranded)
+
+		return
+	}
+	d.recordRequest(now, req)
+	if req.takesUp() {
+		d.takeUp(now, req)
+
+		return
+	}
 	e, holder := d.choose(now, req)
 	if e == nil && req.pinned && d.versionGone(now, req) {
 		d.fail(now, req, ReasonVersionGone)
@@ -373,7 +430,7 @@
 	if holder != nil && !d.displaced(now, holder) {
 		dispatch.CacheHolder = holder.entry.Address
 	}
-	if req.route.Repeatable() && len(req.tried)+1 < req.route.Attempts {
+	if req.route.Repeatable() && req.runs()+1 < req.route.Attempts {
 		if firstByteBy := now.Add(max(firstByteFactor*req.route.LatencyTarget, minFirstByteTimeout)); firstByteBy.Before(dispatch.Deadline) {
 			dispatch.FirstByteDeadline = firstByteBy
 		}
--- a/internal/director/shutdown.go
+++ b/internal/director/shutdown.go
@@ -108,7 +108,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(d.requests)) {
 		req := d.requests[id]
-		if req.endpoint != nil && !req.begun() && !req.callerGone && !req.ended {
+		if req.inProgress() && !req.begun() && !req.callerGone && !req.ended {
 			req.ended = true
 			d.emit(Cancel{ID: id})
 		}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +39,12 @@
 	// other nodes, and the other data centres that have nodes among them.
 	Load          func() encoder.LoadSum
 	SetOthersLoad func(others encoder.LoadSum, centres []string)
+	// SetNodes is called with the other nodes that are known to run when they have changed.
+	// It must not keep the list and may be nil.
+	SetNodes func([]aggregator.Node)
+	// CutOff reports whether the node has lost its links to all endpoints. Then it needs to
+	// know all nodes of the other data centres. It may be nil.
+	CutOff func() bool
 	// LoadChange returns the change of the node's load since the last call of
 	// LoadChange or Load. SetChangedLoads is called with the load of the other
 	// nodes at the endpoints where it has changed.
@@ -81,6 +88,9 @@
 	Clock func() time.Time
 }
 
+// askInterval is the time between two queries for the nodes of other data centres.
+const askInterval = time.Second
+
 // contactInterval is the time between two messages that tell others of the contact with
 // the store. After a node's own outage it must know before its hold of removed entries
 // ends.
@@ -106,10 +116,15 @@
 	// contactSent is the last time at which others were told of the contact with the
 	// store.
 	contactSent time.Time
+	// asked is the last time at which others were asked for the nodes of their data
+	// centres.
+	asked time.Time
 	// demandsSent is the last time at which demands were sent.
 	demandsSent time.Time
-	// nodes is the number of known nodes that was last logged.
-	nodes int
+	// nodes is the number of known nodes that was last logged, and listed holds those that
+	// were last passed to SetNodes.
+	nodes  int
+	listed []aggregator.Node
 	// sendFailed reports whether the last message could not be sent. Only the
 	// first of several failures in a row is logged.
 	sendFailed bool
@@ -185,6 +200,28 @@
 	x.exchangeDemands()
 	x.opts.SetSpeaker(isSpeaker)
 	x.opts.SetOthersLoad(others, centres)
+	x.listNodes()
+}
+
+// listNodes calls SetNodes if the other nodes that are known to run have changed.
+func (x *Exchanger) listNodes() {
+	if x.opts.SetNodes == nil {
+		return
+	}
+	cutOff := x.opts.CutOff != nil && x.opts.CutOff()
+	x.mu.Lock()
+	now := x.opts.Clock()
+	if cutOff && now.Sub(x.asked) >= askInterval {
+		x.asked = now
+		x.send(x.aggregator.AskNodes())
+	}
+	nodes := x.aggregator.Nodes(now)
+	changed := !slices.Equal(nodes, x.listed)
+	x.listed = nodes
+	x.mu.Unlock()
+	if changed {
+		x.opts.SetNodes(nodes)
+	}
 }
 
 // tick sends full sums. It reports whether the node is the speaker of others, and
--- a/internal/exchanger/origin_test.go
+++ b/internal/exchanger/origin_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,9 @@
 	contacts chan [2]time.Time
 	// fleetDemands gets what the node learns of the demands of the fleet.
 	fleetDemands chan []encoder.Demand
+	// cutOff is the value of Options.CutOff, and others gets the other nodes.
+	cutOff atomic.Bool
+	others chan []aggregator.Node
 
 	// mu is held by the callbacks like the lock of a forwarder.
 	mu sync.Mutex
@@ -114,7 +118,7 @@
 		n := &node{
 			ready: make(chan struct{}), learned: make(chan encoder.Origin, 1<<14), refused: make(chan struct{}, 1<<10),
 			known: map[uint64]encoder.Origin{}, contacts: make(chan [2]time.Time, 1<<10),
-			fleetDemands: make(chan []encoder.Demand, 1<<10),
+			fleetDemands: make(chan []encoder.Demand, 1<<10), others: make(chan []aggregator.Node, 1<<10),
 		}
 		if i == 0 {
 			n.contact = firstContact
@@ -144,6 +148,7 @@
 			Demands: func() []encoder.Demand {
 				return []encoder.Demand{{Group: 1, Account: 5, Offered: 1 << i, Admitted: 1}}
 			},
+			SetNodes: func(list []aggregator.Node) { n.others <- list }, CutOff: n.cutOff.Load,
 			SetDemands: func(list []encoder.Demand) { n.fleetDemands <- list },
 		})
 		c.Assert(err, qt.IsNil)
--- a/internal/exporter/exporter.go
+++ b/internal/exporter/exporter.go
@@ -38,13 +38,15 @@
 
 // Counters of routed requests.
 const (
-	RoutedRefusals reducer.Counter = "routed_refusals"
-	RoutedRetries  reducer.Counter = "routed_retries"
-	RoutedAttempts reducer.Counter = "routed_attempts"
-	RoutedNotices  reducer.Counter = "routed_notices"
-	RoutedTakeUps  reducer.Counter = "routed_take_ups"
-	RoutedCuts     reducer.Counter = "routed_memory_cuts"
-	RoutedProbes   reducer.Counter = "routed_probes"
+	RoutedRefusals  reducer.Counter = "routed_refusals"
+	RoutedRetries   reducer.Counter = "routed_retries"
+	RoutedAttempts  reducer.Counter = "routed_attempts"
+	RoutedNotices   reducer.Counter = "routed_notices"
+	RoutedTakeUps   reducer.Counter = "routed_take_ups"
+	RoutedCuts      reducer.Counter = "routed_memory_cuts"
+	RoutedProbes    reducer.Counter = "routed_probes"
+	RoutedHandovers reducer.Counter = "routed_handovers"
+	RoutedHanded    reducer.Counter = "routed_handed"
 )
 
 // labelNames maps each counter to the name of its label, and initialValues to
@@ -66,6 +68,8 @@
 		RoutedTakeUps:            "source",
 		RoutedCuts:               "content",
 		RoutedProbes:             "service",
+		RoutedHandovers:          "result",
+		RoutedHanded:             "result",
 	}
 	initialValues = map[reducer.Counter][]string{
 		reducer.CounterRefusals:  reasonNames(),
@@ -80,6 +84,8 @@
 		RoutedNotices:            director.NoticeLabels,
 		RoutedTakeUps:            director.TakeUpLabels,
 		RoutedCuts:               contentNames(),
+		RoutedHandovers:          routedResultNames(),
+		RoutedHanded:             {director.LabelAccepted, director.LabelRefused},
 	}
 	// perClass lists the counters whose initial time series are also created
 	// for each class.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -67,6 +67,10 @@
 type attempt struct {
 	call     *call
 	dispatch director.Dispatch
+	// pool holds the connections to endpoints, or to nodes if handover is not nil. The
+	// endpoint of dispatch is then the other node.
+	pool     *pool
+	handover *director.HandOver
 	start    time.Time
 	conn     *endpointConn
 	resp     *fasthttp.Response
@@ -107,7 +111,13 @@
 // events of a streamed response.
 func (c *call) attempt(d director.Dispatch) *attempt {
 	now := time.Now()
-	a := &attempt{call: c, dispatch: d, start: now, lastRead: now, finished: director.AttemptFinished{ID: c.id}}
+
+	return (&attempt{call: c, dispatch: d, pool: c.f.pool, start: now, lastRead: now}).run()
+}
+
+// run makes the attempt and returns it.
+func (a *attempt) run() *attempt {
+	a.finished.ID = a.call.id
 	a.finished.Result = a.do()
 	if a.stream == nil {
 		a.close()
@@ -137,6 +147,10 @@
 	if r := a.finished.Result; (r == director.Broken || r == director.TimedOut) && a.call.wasCancelled() {
 		a.finished.Result = director.Cancelled
 	}
+	if r := a.finished.Result; a.handover != nil && (r == director.Broken || r == director.Unreached) {
+		// If the node has ended, its other connections fail, too.
+		a.pool.closeIdle(a.dispatch.Address)
+	}
 }
 
 // failureResult returns the result for an error that occurred after the write
@@ -159,13 +173,14 @@
 	if !a.dispatch.Route.Repeatable() {
 		idle = maxIdleUnrepeatable
 	}
-	conn, err := a.call.f.pool.get(a.dispatch.Address, a.start, idle)
+	conn, err := a.pool.get(a.dispatch.Address, a.start, idle)
 	if err != nil {
 		a.finished.Cause = err.Error()
 
 		return director.Unreached
 	}
 	a.conn = conn
+	a.finished.Connected = a.handover == nil && conn.lastUsed.IsZero()
 	now := a.call.f.opts.Clock()
 	left := a.dispatch.Deadline.Sub(now)
 	if !a.call.setEndpointConn(conn) || left <= 0 {
@@ -174,12 +189,12 @@
 	if !a.dispatch.SendBy.IsZero() && now.After(a.dispatch.SendBy) {
 		// The connection is ready for the next attempt, which need not wait for one.
 		a.call.setEndpointConn(nil)
-		a.call.f.pool.put(a.dispatch.Address, conn, time.Now(), &fasthttp.ResponseHeader{}, a.dispatch.MaxIdle)
+		a.pool.put(a.dispatch.Address, conn, time.Now(), &fasthttp.ResponseHeader{}, a.dispatch.MaxIdle)
 		a.conn = nil
 
 		return director.Unsent
 	}
-	a.end = time.Now().Add(left + responseMargin)
+	a.end = time.Now().Add(left + a.margin())
 	if !a.dispatch.FirstByteDeadline.IsZero() {
 		a.patience = max(left-a.dispatch.Deadline.Sub(a.dispatch.FirstByteDeadline), 0) + responseMargin
 	}
@@ -187,7 +202,11 @@
 	if a.extendDeadline() != nil {
 		return director.Unsent
 	}
-	if err := a.write(left); err != nil {
+	write := a.write
+	if a.handover != nil {
+		write = a.writeHandover
+	}
+	if err := write(left); err != nil {
 		return a.readEarly(err)
 	}
 
@@ -209,7 +228,7 @@
 		return result
 	}
 	switch early := a.read(); early {
-	case director.Answered, director.Declined, director.Misdirected:
+	case director.Answered, director.Declined, director.Misdirected, director.Refused:
 		return early
 	default:
 		a.finished.Cause = cause
@@ -262,6 +281,12 @@
 		Engine: a.dispatch.Route.Kind == router.Stream, TimeRemaining: left, LastEventID: string(a.call.lastEventID),
 		CacheAddress: a.dispatch.CacheHolder,
 	})
+
+	return a.send(req)
+}
+
+// send writes a request to the connection.
+func (a *attempt) send(req *fasthttp.Request) error {
 	bw := writerPool.Get().(*bufio.Writer)
 	bw.Reset(a.conn)
 	defer func() {
@@ -286,7 +311,7 @@
 			return a.failureResult(err)
 		}
 		m := a.call.f.opts.Protocol.ParseResponse(h)
-		if m.AttemptID == a.call.attemptID || m.AttemptID == "" || !a.conn.reused {
+		if m.AttemptID == a.call.attemptID || m.AttemptID == "" || !a.conn.reused || a.handover != nil {
 			return a.handleResponse(m)
 		}
 		// The response belongs to an earlier request on this connection.
@@ -346,6 +371,9 @@
 // handleResponse validates the response header and reads the body, or the first
 // events of a stream.
 func (a *attempt) handleResponse(m ResponseMetadata) director.Result {
+	if a.handover != nil {
+		return a.handleNodeResponse(m)
+	}
 	h := &a.resp.Header
 	if !a.identifies(m) {
 		return a.failureResult(errRequestMismatch)
@@ -372,6 +400,13 @@
 		return a.failureResult(errNoFrame)
 	}
 	a.openWitness()
+
+	return a.accept()
+}
+
+// accept reads the body of a valid response, or the first events of a stream.
+func (a *attempt) accept() director.Result {
+	h := &a.resp.Header
 	if a.dispatch.Route.Kind == router.Stream && h.StatusCode() == http.StatusOK {
 		return a.beginStream()
 	}
@@ -479,7 +514,7 @@
 		_ = a.conn.Close()
 	} else {
 		a.conn.reused = true
-		a.call.f.pool.put(a.dispatch.Address, a.conn, time.Now(), &a.resp.Header, a.dispatch.MaxIdle)
+		a.pool.put(a.dispatch.Address, a.conn, time.Now(), &a.resp.Header, a.dispatch.MaxIdle)
 	}
 	a.conn = nil
 }
@@ -507,7 +542,7 @@
 		return a.failureResult(err)
 	}
 	a.patience = 0
-	if a.dispatch.Route.Resumable {
+	if a.dispatch.Route.Resumable && a.handover == nil {
 		a.patience = max(a.call.f.streamIdleTimeout, idlePauses*a.dispatch.Route.MaxPause)
 	}
 	if a.call.f.opts.Clock().After(a.dispatch.Deadline) || a.extendDeadline() != nil {
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -24,8 +24,10 @@
 	id uint64
 	// conn is the caller's connection.
 	conn *callerConn
-	// attemptID is the ID that the caller gave the attempt.
-	attemptID string
+	// attemptID is the ID that the caller gave the attempt, and apiKey its key, or empty.
+	// continues reports whether the caller takes a stream up again.
+	attemptID, apiKey string
+	continues         bool
 	// req is the request to endpoints. Each attempt sets its own header fields.
 	req *fasthttp.Request
 	// effects receives the next effect to carry out.
@@ -63,7 +65,7 @@
 	c.finish()
 	// The request may have run.
 	ctx.Response.Reset()
-	writeError(ctx, http.StatusBadGateway, director.ReasonInternal, 0)
+	f.writeError(ctx, http.StatusBadGateway, director.ReasonInternal, 0)
 	ctx.Response.Header.SetConnectionClose()
 }
 
@@ -83,13 +85,23 @@
 			ctx.Response.Header.SetConnectionClose()
 		}
 	}()
+	if c.conn.refused {
+		f.writeError(ctx, http.StatusServiceUnavailable, director.ReasonNotReady, 0)
+		ctx.Response.Header.SetConnectionClose()
+
+		return
+	}
 	metadata, err := f.opts.Protocol.ParseRequest(&ctx.Request.Header)
+	var handover Handover
+	if err == nil && c.conn.ofNode() {
+		handover, err = f.opts.Protocol.ParseHandover(&ctx.Request.Header)
+	}
 	if err != nil {
-		writeError(ctx, http.StatusBadRequest, director.ReasonMalformed, 0)
+		f.writeError(ctx, http.StatusBadRequest, director.ReasonMalformed, 0)
 
 		return
 	}
-	c.attemptID, c.req = metadata.AttemptID, fasthttp.AcquireRequest()
+	c.attemptID, c.apiKey, c.continues, c.req = metadata.AttemptID, metadata.APIKey, metadata.Continues, fasthttp.AcquireRequest()
 	body, err := c.readRequestBody(ctx)
 	if err != nil {
 		c.requestHolding.Release()
@@ -109,6 +121,7 @@
 		ID: c.id, Name: metadata.AttemptID, Continues: metadata.Continues, Resumes: metadata.Resumes, Key: metadata.APIKey, Deadline: metadata.Deadline, Need: metadata.Need,
 		Body: len(body), Content: contentHash(&ctx.Request.Header, body),
 		Host: hostName(ctx.Request.Header.Host()), Path: rawPath(ctx.Request.Header.RequestURI()),
+		HandedOver: c.conn.ofNode(), Attempts: handover.Attempts, Counted: handover.Counted,
 	}})
 	if !c.run(ctx) {
 		c.end()
@@ -213,15 +226,15 @@
 	for {
 		switch e := (<-c.effects).(type) {
 		case director.Dispatch:
-			a := c.attempt(e)
-			if a.stream != nil {
-				c.relayStream(ctx, a)
-
+			if c.finishAttempt(ctx, c.attempt(e)) {
+				return true
+			}
+		case director.HandOver:
+			if c.finishAttempt(ctx, c.handOver(e)) {
 				return true
 			}
-			c.f.Post(a.finished)
 		case director.Refuse:
-			writeError(ctx, e.Status, e.Reason, e.RetryAfter)
+			c.f.writeError(ctx, e.Status, e.Reason, e.RetryAfter)
 
 			return false
 		case director.Relay:
@@ -237,6 +250,19 @@
 	}
 }
 
+// finishAttempt relays the stream of an attempt, or reports the end of the attempt to the
+// director if there is no stream. It reports whether there is one.
+func (c *call) finishAttempt(ctx *fasthttp.RequestCtx, a *attempt) (streams bool) {
+	if a.stream != nil {
+		c.relayStream(ctx, a)
+
+		return true
+	}
+	c.f.Post(a.finished)
+
+	return false
+}
+
 // setResponse replaces the complete response, which may be nil.
 func (c *call) setResponse(resp *fasthttp.Response, holding *budgeter.Holding) {
 	if c.response != nil {
@@ -249,7 +275,7 @@
 // relayResponse sends a complete response to the caller. Its memory is accounted for
 // until it is written.
 func (c *call) relayResponse(ctx *fasthttp.RequestCtx) {
-	copyHeader(&ctx.Response.Header, &c.response.Header)
+	c.copyHeader(&ctx.Response.Header, &c.response.Header)
 	body := c.response.Body()
 	if len(body) <= budgeter.FreeBytes {
 		ctx.Response.SetBodyRaw(body)
@@ -277,7 +303,7 @@
 }
 
 // copyHeader copies the status and the end-to-end header fields.
-func copyHeader(to, from *fasthttp.ResponseHeader) {
+func (c *call) copyHeader(to, from *fasthttp.ResponseHeader) {
 	to.SetStatusCode(from.StatusCode())
 	to.SetStatusMessage(from.StatusMessage())
 	for name, value := range from.All() {
@@ -285,6 +311,10 @@
 			to.AddBytesKV(name, value)
 		}
 	}
+	if c.conn.ofNode() {
+		// Only errors that this node generates are refusals.
+		c.f.opts.Protocol.SetRefused(to, "")
+	}
 }
 
 func isHopByHop(name string) bool {
@@ -348,12 +378,15 @@
 }
 
 // writeError sends an error response that the node generates itself.
-func writeError(ctx *fasthttp.RequestCtx, status int, reason director.Reason, retryAfter time.Duration) {
+func (f *Forwarder) writeError(ctx *fasthttp.RequestCtx, status int, reason director.Reason, retryAfter time.Duration) {
 	ctx.Response.SetStatusCode(status)
 	ctx.Response.Header.SetContentType("application/json")
 	if retryAfter > 0 {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
+	if ctx.Conn().(*callerConn).ofNode() {
+		f.opts.Protocol.SetRefused(&ctx.Response.Header, string(reason))
+	}
 	ctx.Response.SetBodyString(fmt.Sprintf(`{"error":{"code":%q}}`, reason))
 }
 
@@ -363,17 +396,17 @@
 	switch {
 	case errors.Is(err, budgeter.ErrExhausted):
 		f.opts.Meter.Count(director.Count{Counter: director.CounterRefusals, Label: string(director.ReasonMemory)})
-		writeError(ctx, http.StatusServiceUnavailable, director.ReasonMemory, memoryRetryAfter)
+		f.writeError(ctx, http.StatusServiceUnavailable, director.ReasonMemory, memoryRetryAfter)
 	case errors.Is(err, budgeter.ErrTooLarge):
-		writeError(ctx, http.StatusRequestEntityTooLarge, director.ReasonTooLarge, 0)
+		f.writeError(ctx, http.StatusRequestEntityTooLarge, director.ReasonTooLarge, 0)
 	case errors.As(err, &small):
-		writeError(ctx, http.StatusRequestHeaderFieldsTooLarge, director.ReasonTooLarge, 0)
+		f.writeError(ctx, http.StatusRequestHeaderFieldsTooLarge, director.ReasonTooLarge, 0)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		writeError(ctx, http.StatusRequestEntityTooLarge, director.ReasonTooLarge, 0)
+		f.writeError(ctx, http.StatusRequestEntityTooLarge, director.ReasonTooLarge, 0)
 	case isTimeout(err):
-		writeError(ctx, http.StatusRequestTimeout, director.ReasonTimeout, 0)
+		f.writeError(ctx, http.StatusRequestTimeout, director.ReasonTimeout, 0)
 	default:
-		writeError(ctx, http.StatusBadRequest, director.ReasonMalformed, 0)
+		f.writeError(ctx, http.StatusBadRequest, director.ReasonMalformed, 0)
 	}
 	ctx.Response.Header.SetConnectionClose()
 }
--- a/internal/forwarder/callerconn.go
+++ b/internal/forwarder/callerconn.go
@@ -12,9 +12,14 @@
 	"snipedyke/internal/dispatcher"
 )
 
-// listener accepts the connections of callers and keeps track of which are idle.
+// listener accepts the connections of callers, or of other nodes, and keeps track of which are idle.
 type listener struct {
 	net.Listener
+	// nodes reports whether the connections are of other nodes, which hand requests over.
+	// limit is the maximum number of connections whose requests are served, or zero if the
+	// HTTP server limits them.
+	nodes bool
+	limit int
 
 	// stopped reports whether connections are closed after their present request.
 	stopped atomic.Bool
@@ -51,6 +56,7 @@
 	c := &callerConn{Conn: conn, listener: l, acceptedAt: time.Now()}
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
+	c.refused = l.limit > 0 && len(l.conns) > l.limit
 	l.mu.Unlock()
 
 	return c, nil
@@ -93,6 +99,8 @@
 	net.Conn
 	listener   *listener
 	acceptedAt time.Time
+	// refused reports whether requests are refused, as there are too many connections.
+	refused bool
 	// state changes from connIdle by compare-and-swap only, so that a connection
 	// is either closed or has its next request served.
 	state atomic.Int32
@@ -108,6 +116,9 @@
 	watchDone chan struct{}
 }
 
+// ofNode reports whether the connection is of another node.
+func (c *callerConn) ofNode() bool { return c.listener.nodes }
+
 // setServerState follows the state that the HTTP server gives the connection.
 // With a part of the next request in its buffer, the server may hold a response
 // back, but then it becomes active again without a call of Read.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -44,12 +45,16 @@
 	Meter    Meter
 	// Callers is the address on which to listen for callers.
 	Callers netip.AddrPort
+	// Nodes is the address on which to listen for requests that other nodes hand over. If
+	// it is invalid, none are taken.
+	Nodes netip.AddrPort
 	// Clock returns the time on which all decisions are based. It must advance
 	// while the machine is suspended, since the age of the shared view determines
 	// which API keys are accepted.
 	Clock func() time.Time
 	// MaxBodyBytes and MaxHeaderBytes limit the size of a request's body and
-	// header. MaxConnections limits the number of connections from callers.
+	// header. MaxConnections limits the number of connections from callers. A fraction of
+	// it, in addition, limits that of connections from other nodes.
 	MaxBodyBytes, MaxHeaderBytes, MaxConnections int
 	// MaxIdleConnections is the maximum number of idle connections to endpoints.
 	MaxIdleConnections int
@@ -94,10 +99,13 @@
 // Forwarder is a node that serves routed requests. Its methods are safe for
 // concurrent use.
 type Forwarder struct {
-	opts         Options
-	listener     *listener
-	server       *fasthttp.Server
-	pool         *pool
+	opts     Options
+	listener *listener
+	server   *fasthttp.Server
+	pool     *pool
+	// nodes serves other nodes, and nodePool holds connections to them.
+	nodes        nodeServer
+	nodePool     *pool
 	budget       *budgeter.Budget
 	lastID       atomic.Uint64
 	shuttingDown atomic.Bool
@@ -118,12 +126,24 @@
 		return nil, &Error{Op: "listen for callers", Kind: KindListen, Err: err}
 	}
 	f := &Forwarder{
-		opts: opts, pool: newPool(opts.MaxIdleConnections), director: director.New(opts.Director), calls: map[uint64]*call{},
+		opts: opts, pool: newPool(opts.MaxIdleConnections), nodePool: newNodePool(opts.MaxIdleConnections), director: director.New(opts.Director), calls: map[uint64]*call{},
 		streamIdleTimeout: streamIdleTimeout, bodyEndTime: bodyEndTime, streamEndTime: streamEndTime,
 		listener: &listener{Listener: acceptor.New(ln, "callers", opts.Logger), conns: map[*callerConn]struct{}{}},
 	}
 	f.budget = budgeter.New(budgeter.Options{Limit: opts.MemoryBudget, Clock: opts.Clock, OnCut: f.noteCut})
-	f.server = &fasthttp.Server{
+	f.server = f.newServer(opts.MaxConnections)
+	if err := f.listenForNodes(); err != nil {
+		return nil, errors.Join(err, ln.Close())
+	}
+
+	return f, nil
+}
+
+// newServer returns an HTTP server for callers or other nodes.
+func (f *Forwarder) newServer(maxConnections int) *fasthttp.Server {
+	opts := f.opts
+
+	return &fasthttp.Server{
 		Handler:                      f.serve,
 		ErrorHandler:                 f.handleReadError,
 		ConnState:                    func(conn net.Conn, s fasthttp.ConnState) { conn.(*callerConn).setServerState(s) },
@@ -131,7 +151,7 @@
 		MaxRequestBodySize:           opts.MaxBodyBytes,
 		StreamRequestBody:            true,
 		HeaderReceived:               f.checkBodyLength,
-		Concurrency:                  opts.MaxConnections,
+		Concurrency:                  maxConnections,
 		ReadTimeout:                  readTimeout,
 		IdleTimeout:                  idleTimeout,
 		NoDefaultServerHeader:        true,
@@ -140,8 +160,6 @@
 		DisablePreParseMultipartForm: true,
 		Logger:                       discardLogger{},
 	}
-
-	return f, nil
 }
 
 // noteCut logs and counts a message that had to give way because the memory budget was
@@ -170,10 +188,12 @@
 		defer close(served)
 		failed = f.server.Serve(f.listener)
 	})
+	wg.Go(f.nodes.serve)
 	select {
 	case <-ctx.Done():
 		f.shutdown(served)
 	case <-served:
+		f.nodes.close()
 	}
 	wg.Wait()
 	if failed != nil && !f.shuttingDown.Load() {
@@ -194,14 +214,19 @@
 	f.Post(director.ShutdownRequested{AnswerBy: f.opts.Clock().Add(f.opts.GracePeriod - exitMargin - answerMargin)})
 	time.Sleep(drainDelay)
 	f.listener.stop()
+	f.nodes.stop()
 	// A connection that has just been accepted may not be known to the listener
 	// before.
 	select {
 	case <-served:
 	case <-time.After(f.opts.GracePeriod - exitMargin - time.Since(start)):
 	}
+	select {
+	case <-f.nodes.served:
+	case <-time.After(f.opts.GracePeriod - exitMargin - time.Since(start)):
+	}
 	for {
-		remaining, waited := f.listener.closeIdle(), time.Since(start)
+		remaining, waited := f.listener.closeIdle()+f.nodes.closeIdle(), time.Since(start)
 		if remaining == 0 {
 			return
 		}
@@ -281,6 +306,10 @@
 	switch e := effect.(type) {
 	case director.Dispatch:
 		f.deliver(e.ID, e)
+	case director.HandOver:
+		f.deliver(e.ID, e)
+	case director.CheckLinks:
+		go f.checkLinks(e)
 	case director.Refuse:
 		f.deliver(e.ID, e)
 	case director.Relay:
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -29,18 +29,49 @@
 type protocol struct{}
 
 func (protocol) ParseRequest(h *fasthttp.RequestHeader) (RequestMetadata, error) {
-	return RequestMetadata{AttemptID: string(h.Peek("Name")), APIKey: string(h.Peek("Key")), Deadline: 2 * longWait}, nil
+	return RequestMetadata{
+		AttemptID: string(h.Peek("Name")), APIKey: string(h.Peek("Key")), Deadline: 2 * longWait,
+		Continues: len(h.Peek("Event")) > 0, Resumes: string(h.Peek("Resumes")),
+	}, nil
 }
 
 func (protocol) RemoveReserved(h *fasthttp.RequestHeader) {
 	h.Del("Key")
 	h.Del("Account")
+	h.Del("Handover")
 }
 
 func (protocol) SetHeaders(h *fasthttp.RequestHeader, s EndpointMetadata) {
 	h.Set("Instance", s.Instance)
 	h.Set("Account", s.Account)
-	h.Set("Event", s.LastEventID)
+	if s.LastEventID != "" {
+		h.Set("Event", s.LastEventID)
+	}
+}
+
+func (protocol) ParseHandover(h *fasthttp.RequestHeader) (Handover, error) {
+	var m Handover
+	_, err := fmt.Sscanf(string(h.Peek("Handover")), "%d,%t", &m.Attempts, &m.Counted)
+
+	return m, err
+}
+
+func (protocol) SetHandover(h *fasthttp.RequestHeader, m HandoverMetadata) {
+	h.Set("Handover", fmt.Sprintf("%d,%t", m.Attempts, m.Counted))
+	h.Set("Key", m.APIKey)
+	if m.LastEventID != "" {
+		h.Set("Event", m.LastEventID)
+	}
+	if m.Resumes != "" {
+		h.Set("Resumes", m.Resumes)
+	}
+}
+
+func (protocol) SetRefused(h *fasthttp.ResponseHeader, reason string) {
+	h.Del("Refused")
+	if reason != "" {
+		h.Set("Refused", reason)
+	}
 }
 
 func (protocol) ParseResponse(h *fasthttp.ResponseHeader) ResponseMetadata {
@@ -49,10 +80,20 @@
 	declines, brittleErr := strconv.ParseFloat(string(h.Peek("Brittle")), 64)
 
 	return ResponseMetadata{
-		Limit: limit, HasLimit: err == nil, MaxDeclines: declines, Brittle: brittleErr == nil,
+		Refused: string(h.Peek("Refused")),
+		Limit:   limit, HasLimit: err == nil, MaxDeclines: declines, Brittle: brittleErr == nil,
 		AttemptID: string(h.Peek("Name")), Sealed: len(h.Peek("Seal")) > 0, Declined: len(h.Peek("Declined")) > 0, ColdRemaining: cold,
-		Leaving: len(h.Peek("Leaving")) > 0, Instance: string(h.Peek("Is")), RetryAfter: time.Duration(len(h.Peek("Busy"))) * time.Minute,
+		Leaving: len(h.Peek("Leaving")) > 0, Instance: string(h.Peek("Is")), RetryAfter: retryAfter(h),
+	}
+}
+
+// retryAfter returns the delay that an endpoint or a node states.
+func retryAfter(h *fasthttp.ResponseHeader) time.Duration {
+	if seconds, err := strconv.ParseFloat(string(h.Peek("Retry-After")), 64); err == nil {
+		return time.Duration(seconds * float64(time.Second))
 	}
+
+	return time.Duration(len(h.Peek("Busy"))) * time.Minute
 }
 
 // longWait limits the wait for an expected condition. It is half of the timeout
@@ -216,7 +257,7 @@
 		Director: director.Options{
 			Name: "n", KeyLease: time.Hour, FreshView: time.Hour, AssumedNodes: 1, RetryWindow: time.Minute, RetrySlack: 1000, ColdSlack: 1,
 		},
-		Protocol: protocol{}, Logger: discardSink{}, Meter: discardSink{}, Callers: netip.MustParseAddrPort("127.0.0.1:0"),
+		Protocol: protocol{}, Logger: discardSink{}, Meter: discardSink{}, Callers: netip.MustParseAddrPort("127.0.0.1:0"), Nodes: netip.MustParseAddrPort("127.0.0.1:0"),
 		Clock: time.Now, MaxBodyBytes: 1 << 20, MaxHeaderBytes: 8 << 10, MaxConnections: 100, MaxIdleConnections: 100, MemoryBudget: 256 << 20, GracePeriod: 30 * time.Second,
 	})
 	if err != nil {
@@ -283,8 +324,10 @@
 	br *bufio.Reader
 }
 
-func (s *system) dial(c *qt.C) *caller {
-	conn, err := net.Dial("tcp", s.Addr().String())
+func (s *system) dial(c *qt.C) *caller { return dial(c, s.Addr()) }
+
+func dial(c *qt.C, address netip.AddrPort) *caller {
+	conn, err := net.Dial("tcp", address.String())
 	c.Assert(err, qt.IsNil)
 	c.Assert(conn.SetDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
 	c.Cleanup(func() { _ = conn.Close() })
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -38,8 +38,7 @@
 	// for a request that must not run twice. The longer a connection has been
 	// idle, the more likely the endpoint is just closing it.
 	maxIdleUnrepeatable = 500 * time.Millisecond
-	// readBufferBytes is the size of the read buffer of a connection. It limits
-	// the size of a response header.
+	// readBufferBytes is the size of the read buffer of a connection to an endpoint.
 	readBufferBytes = 16 << 10
 )
 
@@ -134,6 +133,9 @@
 // pool opens connections to endpoints and holds the idle ones.
 type pool struct {
 	dialer net.Dialer
+	// bufferBytes is the size of the read buffer of a connection. It limits the size of a
+	// response header.
+	bufferBytes int
 	// maxTotal is the maximum number of idle connections to all addresses. It is
 	// positive.
 	maxTotal int
@@ -150,9 +152,9 @@
 
 func newPool(maxTotal int) *pool {
 	return &pool{
-		maxTotal: max(maxTotal, 1),
-		idle:     map[netip.AddrPort][]*endpointConn{},
-		open:     map[netip.AddrPort]map[*endpointConn]struct{}{},
+		maxTotal: max(maxTotal, 1), bufferBytes: readBufferBytes,
+		idle: map[netip.AddrPort][]*endpointConn{},
+		open: map[netip.AddrPort]map[*endpointConn]struct{}{},
 		dialer: net.Dialer{
 			Timeout: dialTimeout,
 			Control: dispatcher.SetTCPUserTimeout(unackedTimeout),
@@ -204,7 +206,7 @@
 // add adds a new connection.
 func (p *pool) add(conn net.Conn, address netip.AddrPort) *endpointConn {
 	c := &endpointConn{Conn: conn, pool: p, address: address, openedAt: time.Now()}
-	c.br = bufio.NewReaderSize(c, readBufferBytes)
+	c.br = bufio.NewReaderSize(c, p.bufferBytes)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open[address] == nil {
--- a/internal/forwarder/protocol.go
+++ b/internal/forwarder/protocol.go
@@ -19,6 +19,15 @@
 	RemoveReserved(h *fasthttp.RequestHeader)
 	// SetHeaders sets the header fields of a request to an endpoint.
 	SetHeaders(h *fasthttp.RequestHeader, s EndpointMetadata)
+	// ParseHandover parses what the header of a request that another node has handed over
+	// states about that. It returns an error if it is missing or malformed.
+	ParseHandover(h *fasthttp.RequestHeader) (Handover, error)
+	// SetHandover sets the header fields of a request that is handed over to another node.
+	// The header has no reserved fields.
+	SetHandover(h *fasthttp.RequestHeader, m HandoverMetadata)
+	// SetRefused marks a response to another node as an error of this node, with its
+	// reason, or as that of an endpoint if the reason is empty.
+	SetRefused(h *fasthttp.ResponseHeader, reason string)
 	// ParseResponse parses the header of an endpoint's response.
 	ParseResponse(h *fasthttp.ResponseHeader) ResponseMetadata
 }
@@ -59,8 +68,32 @@
 	CacheAddress netip.AddrPort
 }
 
-// ResponseMetadata is the metadata in the header of an endpoint's response.
+// Handover is what a node states about a request that it hands over. The fields are those of
+// director.Request.
+type Handover struct {
+	Attempts int
+	Counted  bool
+}
+
+// HandoverMetadata is the metadata that the node adds to a request that it hands over.
+type HandoverMetadata struct {
+	Handover
+	// APIKey is the caller's API key, or empty.
+	APIKey string
+	// TimeRemaining is the time remaining until the response is due.
+	TimeRemaining time.Duration
+	// LastEventID is the ID of the last event passed to the caller, and Resumes the ID of
+	// the attempt that brought the stream's first event. Both are empty if they are as the
+	// caller has stated them.
+	LastEventID, Resumes string
+}
+
+// ResponseMetadata is the metadata in the header of a response of an endpoint or another
+// node.
 type ResponseMetadata struct {
+	// Refused is the reason if the response is an error of the node to which the request
+	// was handed over, and otherwise empty.
+	Refused string
 	// AttemptID is the ID of the attempt that the response belongs to.
 	AttemptID string
 	// Sealed reports whether the response carries the endpoint's seal, that is,
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -30,7 +30,7 @@
 
 // relayStream begins a streamed response to the caller.
 func (c *call) relayStream(ctx *fasthttp.RequestCtx, a *attempt) {
-	copyHeader(&ctx.Response.Header, &a.resp.Header)
+	c.copyHeader(&ctx.Response.Header, &a.resp.Header)
 	c.mediaType = mediaType(&a.resp.Header)
 	body := &streamBody{call: c, attempt: a}
 	body.buffer(a.firstEvents)
@@ -112,17 +112,13 @@
 
 			return
 		case director.Dispatch:
-			a := b.call.attempt(e)
-			if a.stream == nil {
-				a.finished.Relayed = true
-				b.call.f.Post(a.finished)
-
-				continue
+			if b.resume(b.call.attempt(e)) {
+				return
+			}
+		case director.HandOver:
+			if b.resume(b.call.handOver(e)) {
+				return
 			}
-			b.attempt = a
-			b.buffer(a.firstEvents)
-
-			return
 		default:
 			b.err = errAborted
 
@@ -131,6 +127,20 @@
 	}
 }
 
+// resume continues with the stream of an attempt, and reports whether there is one.
+func (b *streamBody) resume(a *attempt) bool {
+	if a.stream == nil {
+		a.finished.Relayed = true
+		b.call.f.Post(a.finished)
+
+		return false
+	}
+	b.attempt = a
+	b.buffer(a.firstEvents)
+
+	return true
+}
+
 // Close implements io.Closer. The HTTP server calls it after the last Read, even
 // if the caller has disconnected.
 func (b *streamBody) Close() error {
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -93,6 +93,8 @@
 	AttemptCutOff      = 751
 	RequestsIsolated   = 752
 	IsolationEnded     = 753
+	NodeStranded       = 754
+	NodeReconnected    = 755
 	EndpointBrittle    = 756
 	BrittlenessEnded   = 757
 	BrittleIgnored     = 758
@@ -161,13 +163,13 @@
 	{EndpointRemoved, hclog.Info, "endpoint removed", []string{"endpoint", "service"}},
 	{EndpointSuspended, hclog.Warn, "endpoint temporarily suspended", []string{"endpoint", "service", "result", "failures", "length"}},
 	{EntryIgnored, hclog.Warn, "entry of the shared view ignored", []string{"key", "revision", "error"}},
-	{RequestRetried, hclog.Info, "request retried at another endpoint", []string{"request", "route", "endpoint", "version", "result", "cause", "took", "framing", "parts", "relayed"}},
-	{RequestFailed, hclog.Warn, "request ended without an answer of an endpoint", []string{"request", "route", "service", "status", "reason", "cause", "waited", "tried", "unreached", "parts", "relayed", "age"}},
+	{RequestRetried, hclog.Info, "request retried at another endpoint", []string{"request", "route", "endpoint", "version", "node", "result", "cause", "took", "framing", "parts", "relayed"}},
+	{RequestFailed, hclog.Warn, "request ended without an answer of an endpoint", []string{"request", "route", "service", "status", "reason", "cause", "waited", "tried", "node", "unreached", "parts", "relayed", "age"}},
 	{LinesOmitted, hclog.Warn, "log lines left out", []string{"lines"}},
 	{ForwarderStarted, hclog.Info, "forwarder started", []string{"callers", "version"}},
 	{HistoryUnavailable, hclog.Info, "history of the shared view is no longer available; reading the whole view", []string{"revision"}},
 	{SettingsReloaded, hclog.Info, "settings reloaded", []string{"changed"}},
-	{RequestAnswered, hclog.Info, "request answered", []string{"request", "route", "endpoint", "version", "status", "took", "first", "pause", "events", "framing", "attempts", "late", "engines"}},
+	{RequestAnswered, hclog.Info, "request answered", []string{"request", "route", "endpoint", "version", "node", "handed", "status", "took", "first", "pause", "events", "framing", "attempts", "late", "engines"}},
 	{NodeCountChanged, hclog.Info, "number of known nodes changed", []string{"nodes", "former"}},
 	{MessageRejected, hclog.Warn, "message from another node rejected", []string{"from", "error"}},
 	{MessageSendFailed, hclog.Warn, "message to another node could not be sent", []string{"to", "error"}},
@@ -197,6 +199,8 @@
 	{AttemptCutOff, hclog.Info, "attempt cut off by its endpoint", []string{"request", "content", "route", "service", "account", "endpoint", "took", "begun", "cause", "parts"}},
 	{RequestsIsolated, hclog.Warn, "requests under which endpoints end are refused", []string{"content", "part", "ends"}},
 	{IsolationEnded, hclog.Info, "requests are no longer refused for endpoints that ended under them", []string{"content", "part"}},
+	{NodeStranded, hclog.Warn, "node is cut off from all endpoints", []string{"endpoints", "checked", "suspected"}},
+	{NodeReconnected, hclog.Info, "node reaches endpoints again", []string{"length", "requests"}},
 	{EndpointBrittle, hclog.Info, "endpoint is brittle", []string{"request", "endpoint", "service", "declines", "nodes"}},
 	{BrittlenessEnded, hclog.Info, "endpoint is no longer brittle", []string{"request", "endpoint", "service", "length"}},
 	{BrittleIgnored, hclog.Warn, "malformed statement that an endpoint is brittle ignored", []string{"request", "endpoint", "value"}},
--- a/pkg/encoder/load.go
+++ b/pkg/encoder/load.go
@@ -209,6 +209,20 @@
 	List   ObservationList `msg:"o"`
 }
 
+// NodeQuery asks for the nodes of the receiver's data centre.
+type NodeQuery struct{}
+
+// NodeList is the reply to a NodeQuery.
+type NodeList struct {
+	// Centre is the sender's data centre, and Addresses holds at most MaxNodes of its nodes
+	// that are known to run, including the sender.
+	Centre    string   `msg:"c"`
+	Addresses []uint32 `msg:"l,limit=256"`
+}
+
+// MaxNodes is the maximum number of addresses in a NodeList.
+const MaxNodes = 256
+
 // Demands tells other nodes what client accounts ask for. It carries rates, so that
 // it replaces earlier messages.
 type Demands struct {
--- a/pkg/encoder/load_gen.go
+++ b/pkg/encoder/load_gen.go
@@ -1613,6 +1613,263 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *NodeList) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "c":
+			z.Centre, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Centre")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Addresses")
+				return
+			}
+			if zb0002 > 256 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Addresses) >= int(zb0002) {
+				z.Addresses = (z.Addresses)[:zb0002]
+			} else {
+				z.Addresses = make([]uint32, zb0002)
+			}
+			for za0001 := range z.Addresses {
+				z.Addresses[za0001], err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "Addresses", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *NodeList) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "c"
+	err = en.Append(0x82, 0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Centre)
+	if err != nil {
+		err = msgp.WrapError(err, "Centre")
+		return
+	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Addresses)))
+	if err != nil {
+		err = msgp.WrapError(err, "Addresses")
+		return
+	}
+	for za0001 := range z.Addresses {
+		err = en.WriteUint32(z.Addresses[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Addresses", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *NodeList) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	o = msgp.AppendString(o, z.Centre)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Addresses)))
+	for za0001 := range z.Addresses {
+		o = msgp.AppendUint32(o, z.Addresses[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *NodeList) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "c":
+			z.Centre, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Centre")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Addresses")
+				return
+			}
+			if zb0002 > 256 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Addresses) >= int(zb0002) {
+				z.Addresses = (z.Addresses)[:zb0002]
+			} else {
+				z.Addresses = make([]uint32, zb0002)
+			}
+			for za0001 := range z.Addresses {
+				z.Addresses[za0001], bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Addresses", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *NodeList) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Centre) + 2 + msgp.ArrayHeaderSize + (len(z.Addresses) * (msgp.Uint32Size))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *NodeQuery) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z NodeQuery) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 0
+	_ = z
+	err = en.Append(0x80)
+	if err != nil {
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z NodeQuery) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 0
+	_ = z
+	o = append(o, 0x80)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *NodeQuery) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z NodeQuery) Msgsize() (s int) {
+	s = 1
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Observations) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
--- a/pkg/encoder/message.go
+++ b/pkg/encoder/message.go
@@ -50,6 +50,8 @@
 func (*Contact) kind() byte      { return 34 }
 func (*Observations) kind() byte { return 35 }
 func (*Demands) kind() byte      { return 36 }
+func (*NodeQuery) kind() byte    { return 37 }
+func (*NodeList) kind() byte     { return 38 }
 
 // newMessage returns a new zero message of the given kind, or nil if the kind is
 // unknown.
@@ -127,6 +129,10 @@
 		return new(Observations)
 	case 36:
 		return new(Demands)
+	case 37:
+		return new(NodeQuery)
+	case 38:
+		return new(NodeList)
 	default:
 		return nil
 	}
