Do not let the watch of a second connection outlast its response

A response that ends with its connection could have kept its caller waiting until the endpoint ended the second connection: if the response was cancelled before the goroutine that watches that connection ran, the goroutine cleared the deadline that was to end the watch. It no longer sets any. Found by reading; no test triggers it.

--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -60,7 +60,7 @@
 	go func() {
 		defer close(w.done)
 		guarder.Run(a.call.f.opts.Logger, "check of an endpoint", func() {
-			if conn.endsBy(time.Time{}) {
+			if conn.ends() {
 				w.endedAt = time.Now()
 			}
 		})
@@ -178,11 +178,16 @@
 	return f.pool.disconnectedBy(ctx, address, opened, until)
 }
 
-// endsBy reports whether the peer ends an idle connection by the given time, or at all if that
-// is zero. One that sends data is alive.
+// endsBy reports whether the peer ends an idle connection by the given time. One that sends
+// data is alive.
 func (c *endpointConn) endsBy(until time.Time) bool {
+	return c.SetReadDeadline(until) == nil && c.ends()
+}
+
+// ends is like endsBy with the read deadline of the connection.
+func (c *endpointConn) ends() bool {
 	raw := dispatcher.RawConn(c.Conn)
-	if raw == nil || c.SetReadDeadline(until) != nil {
+	if raw == nil {
 		return false
 	}
 	_ = raw.Read(func(fd uintptr) bool { return dispatcher.PeekSocket(fd) != dispatcher.SocketIdle })
