--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -11,11 +11,9 @@
 	"net"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -110,20 +108,6 @@
 	limitRouteAttempts = 3
 )
 
-// node is a node of the fleet, whose process is restarted when it ends.
-type node struct {
-	index        int
-	addr         netip.Addr
-	callerAddr   netip.AddrPort
-	storeProxy   *Proxy
-	settingsFile string
-
-	mu  sync.Mutex
-	cmd *exec.Cmd
-	// stopping reports whether a signal that ends the process has been sent.
-	stopping bool
-}
-
 // Soaker is the state of a soak test.
 type Soaker struct {
 	opts    Options
@@ -247,17 +231,6 @@
 	return err
 }
 
-// nodeSettings returns the settings file of a node.
-func (s *Soaker) nodeSettings(n *node) string {
-	first := s.address(1)
-
-	return fmt.Sprintf(`{"name": "node-%d", "centre": "c%d", "regions": [{"centre": "c0", "region": "r"}, {"centre": "c1", "region": "r"}],
- "callers": "%s", "readiness": "%s:%d", "peers": "%s:%d", "seeds": ["%s:1"], "store": "%s",
- "withdrawal": "5s", "grace": "%s", %s, %s
- "memory": %d, "descriptors": 4096}`,
-		n.index, n.index%2, n.callerAddr, n.addr, peerPort+2, n.addr, peerPort, first, n.storeProxy.Addr(), shutdownGrace, limitSettings(), s.loadSettings(), nodeMemory)
-}
-
 // publishManifest writes a new version of the manifest to the store. The
 // manifest contains revokedKey if withKey is true.
 func (s *Soaker) publishManifest(withKey bool) error {
@@ -330,44 +303,6 @@
 	return s.register(server, false)
 }
 
-// startNode starts the process of a node, unless the soak test has ended, and restarts
-// it whenever it ends.
-func (s *Soaker) startNode(n *node) error {
-	cmd := exec.Command(s.opts.Binary, "serve", "--settings", n.settingsFile)
-	cmd.Stdout, cmd.Stderr = outputWriter{s}, outputWriter{s}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	// shutDown sets closed before it locks n.mu, so it kills a process that is started
-	// here.
-	if s.isClosed() {
-		return nil
-	}
-	if err := cmd.Start(); err != nil {
-		return err
-	}
-	n.cmd, n.stopping = cmd, false
-	s.history.MarkInterrupted(n.index, 0)
-	s.processes.Go(func() {
-		err := cmd.Wait()
-		n.mu.Lock()
-		stopping := n.stopping
-		n.mu.Unlock()
-		if s.isClosed() {
-			return
-		}
-		if !stopping {
-			s.history.AddViolation("node %d exited unexpectedly: %v", n.index, err)
-		}
-		s.history.MarkDisturbed(n.index, time.Now().Add(time.Second))
-		time.Sleep(300 * time.Millisecond)
-		if err := s.startNode(n); err != nil {
-			s.history.AddViolation("starting node %d failed: %v", n.index, err)
-		}
-	})
-
-	return nil
-}
-
 // isClosed reports whether the soak test has ended.
 func (s *Soaker) isClosed() bool {
 	s.mu.Lock()
@@ -376,26 +311,6 @@
 	return s.closed
 }
 
-// outputWriter serializes the output of all nodes to Options.Output.
-type outputWriter struct{ s *Soaker }
-
-func (w outputWriter) Write(p []byte) (int, error) {
-	w.s.outputMu.Lock()
-	defer w.s.outputMu.Unlock()
-
-	return w.s.opts.Output.Write(p)
-}
-
-// signal sends a signal to the process of a node. terminates reports whether the
-// signal ends the process.
-func (n *node) signal(sig syscall.Signal, terminates bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.stopping = n.stopping || terminates
-	// Sending fails if the process has just ended.
-	_ = n.cmd.Process.Signal(sig)
-}
-
 // runLoad runs the callers, first with faults and then without, and checks the
 // history.
 func (s *Soaker) runLoad() (Result, error) {
