--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -57,14 +57,17 @@
 	}
 	w := &witness{conn: conn, done: make(chan struct{})}
 	a.witness = w
-	go func() {
-		defer close(w.done)
-		guarder.Run(a.call.f.opts.Logger, "check of an endpoint", func() {
-			if conn.ends() {
-				w.endedAt = time.Now()
-			}
-		})
-	}()
+	go w.watch(a.call.f.opts.Logger)
+}
+
+// watch records when the peer ends the connection, until the read deadline of the connection.
+func (w *witness) watch(logger Logger) {
+	defer close(w.done)
+	guarder.Run(logger, "check of an endpoint", func() {
+		if w.conn.ends() {
+			w.endedAt = time.Now()
+		}
+	})
 }
 
 // closeWitness ends the watch of the witness if there is one.
--- a/internal/forwarder/check_test.go
+++ b/internal/forwarder/check_test.go
@@ -209,35 +209,99 @@
 	c.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 }
 
+// newWitnessedEndpoint returns an endpoint that sends two events without framing, and calls end
+// with its second connection once that is open. The response ends when end returns.
+func newWitnessedEndpoint(t *testing.T, end func(e *endpoint, second net.Conn)) *endpoint {
+	var e *endpoint
+	accepted := make(chan bool, 2)
+	e = listen(t, net.ListenConfig{}, func() { accepted <- true }, func(conn net.Conn, r *http.Request) bool {
+		unframed(conn, r, events(1, 2))
+		for range 2 {
+			select {
+			case <-accepted:
+			case <-time.After(longWait):
+				return false
+			}
+		}
+		e.mu.Lock()
+		second := e.conns[1]
+		e.mu.Unlock()
+		end(e, second)
+
+		return false
+	})
+
+	return e
+}
+
 // Guards against a truncated response that passes as complete because the crashed endpoint is
 // back at its address before the node looks.
 func TestEndpointThatIsBackAtItsAddressHasCrashed(t *testing.T) {
 	for _, path := range []string{"/unsafe/x", "/stream/x"} {
-		t.Run(path, func(t *testing.T) {
-			c := qt.New(t)
-			var e *endpoint
-			witnessed, back := make(chan bool, 2), make(chan net.Listener, 1)
-			e = listen(t, net.ListenConfig{}, func() { witnessed <- true }, func(conn net.Conn, r *http.Request) bool {
-				unframed(conn, r, events(1, 2))
-				for range 2 {
-					select {
-					case <-witnessed:
-					case <-time.After(longWait):
+		for _, secondFirst := range []bool{false, true} {
+			t.Run(fmt.Sprint(path, " second connection first=", secondFirst), func(t *testing.T) {
+				c := qt.New(t)
+				back := make(chan net.Listener, 1)
+				call := start(t, newWitnessedEndpoint(t, func(e *endpoint, second net.Conn) {
+					if secondFirst {
+						_ = second.Close()
 					}
+					e.crash()
+					ln, err := net.Listen("tcp", e.addr.String())
+					c.Check(err, qt.IsNil)
+					back <- ln
+				})).dial(c)
+				call.send("POST", path, "r1", "")
+				resp, _, err := call.receive()
+				c.Assert(resp, qt.IsNotNil, qt.Commentf("%v", err))
+				c.Check(resp.StatusCode != 200 || err != nil, qt.IsTrue, qt.Commentf("complete"))
+				select {
+				case ln := <-back:
+					c.Check(ln.Close(), qt.IsNil)
+				default:
+					c.Error("no second connection")
 				}
-				e.crash()
-				ln, err := net.Listen("tcp", e.addr.String())
-				c.Check(err, qt.IsNil)
-				back <- ln
-
-				return false
 			})
-			call := start(t, e).dial(c)
+		}
+	}
+}
+
+// Guards against a sound response that is withheld or cut off because its endpoint has ended a
+// connection that it did not use before.
+func TestEndpointMayEndItsOtherConnections(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			c := qt.New(t)
+			call := start(t, newWitnessedEndpoint(t, func(_ *endpoint, second net.Conn) {
+				_ = second.Close()
+				<-time.After(20 * witnessMargin)
+			})).dial(c)
 			call.send("POST", path, "r1", "")
-			resp, _, err := call.receive()
-			c.Assert(resp, qt.IsNotNil, qt.Commentf("%v", err))
-			c.Check(resp.StatusCode != 200 || err != nil, qt.IsTrue, qt.Commentf("complete"))
-			c.Check((<-back).Close(), qt.IsNil)
+			resp, body, err := call.receive()
+			c.Assert(err, qt.IsNil)
+			c.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+			c.Check(body, qt.Equals, events(1, 2))
 		})
 	}
 }
+
+// Guards against a response that waits for the end of its endpoint because the watch of its
+// second connection began after it had been told to end.
+func TestWatchThatBeginsLateEnds(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = ln.Close() }()
+	conn, err := newPool(1).connect(ln.Addr().(*net.TCPAddr).AddrPort())
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	w := &witness{conn: conn, done: make(chan struct{})}
+	c.Assert(conn.SetReadDeadline(expiredDeadline), qt.IsNil)
+	go w.watch(discardSink{})
+	select {
+	case <-w.done:
+	case <-time.After(longWait):
+		c.Fatal("the watch goes on")
+	}
+	c.Check(w.endedAt.IsZero(), qt.IsTrue)
+}
