Close the connection of a request whose body is too large to be read

checkBodyLength sets the length of such a request to 0, so the HTTP server takes what follows the head for the next request. Only readRequestBody, which answers 413, closed the connection, and serveCall returns before it if ParseRequest or ParseHandover fails. The connection is now closed where the length is dropped, whatever the response is: the HTTP server keeps what the head says of the connection and passes it on.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -132,12 +132,15 @@
 const fieldTooLarge = "Snipedyke-Body-Too-Large"
 
 // checkBodyLength marks a request whose announced body exceeds the limit, so that it
-// is refused before any of the body is awaited.
+// is refused before any of the body is awaited. Its connection is closed after the
+// response, whatever that is: the HTTP server would take the unread body for the next
+// request.
 func (f *Forwarder) checkBodyLength(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	h.Del(fieldTooLarge)
 	if h.ContentLength() > f.opts.MaxBodyBytes {
 		h.Set(fieldTooLarge, "1")
 		h.SetContentLength(0)
+		h.SetConnectionClose()
 	}
 
 	return fasthttp.RequestConfig{}
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -29,6 +30,10 @@
 type protocol struct{}
 
 func (protocol) ParseRequest(h *fasthttp.RequestHeader) (RequestMetadata, error) {
+	if len(h.Peek("Malformed")) > 0 {
+		return RequestMetadata{}, errors.New("malformed request")
+	}
+
 	return RequestMetadata{
 		AttemptID: string(h.Peek("Name")), APIKey: string(h.Peek("Key")), Deadline: 2 * longWait,
 		Continues: len(h.Peek("Event")) > 0, Resumes: string(h.Peek("Resumes")),
