Refuse requests whose length cannot be known

A caller could have a request run that stood inside another one with "Transfer-Encoding: identity". fasthttp takes that coding for "no body" and forgets it, so what follows the head became the next request: on the ports for callers and other nodes, in the project's own interface, and in the administration. Found by comparing with net/http, with two relatives: a request of HTTP/2.0 was run as one of HTTP/1.0, and one with an unknown expectation was run.

inspector.ReceiveRequest checks the head before the body is read: a transfer coding other than chunked is refused with 400, another HTTP version with 505, another expectation with 417. The body is not read, and the connection is closed. All four servers call it. A body that is too large is now refused without asking for it with "100 Continue".

--- a/internal/administrator/administrator.go
+++ b/internal/administrator/administrator.go
@@ -24,6 +24,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"snipedyke/internal/acceptor"
+	"snipedyke/internal/inspector"
 	"snipedyke/internal/logger"
 )
 
@@ -124,6 +125,7 @@
 }
 
 func (a *Administrator) routes() {
+	inspector.Guard(a.app)
 	a.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	a.app.Get("/readyz", func(c fiber.Ctx) error {
 		if !a.opts.Node.Ready() {
--- a/internal/administrator/administrator_test.go
+++ b/internal/administrator/administrator_test.go
@@ -117,6 +117,24 @@
 	c.Check(n.orders, qt.HasLen, 0)
 }
 
+// Guards against a part of a request that is served as another call.
+func TestNoPartOfARequestIsServed(t *testing.T) {
+	c := qt.New(t)
+	n := &fakeNode{}
+	a, _ := startAdministrator(c, n, "")
+	const inner = "POST /v1/leave HTTP/1.1\r\nHost: n\r\nAuthorization: Bearer right\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	for _, line := range []string{"POST /nowhere HTTP/1.1", "GET /healthz HTTP/1.1", "GET /v1/status HTTP/1.1"} {
+		conn, err := net.Dial("tcp", a.Addr().String())
+		c.Assert(err, qt.IsNil)
+		c.Assert(conn.SetDeadline(time.Now().Add(15*time.Second)), qt.IsNil)
+		_, err = conn.Write([]byte(line + "\r\nHost: n\r\nTransfer-Encoding: identity\r\n\r\n" + inner))
+		c.Assert(err, qt.IsNil)
+		_, _ = io.ReadAll(conn)
+		_ = conn.Close()
+		c.Check(n.left, qt.IsFalse, qt.Commentf("%s", line))
+	}
+}
+
 // Guards against health checks, readiness checks or metrics that need a token or
 // return the wrong result.
 func TestHealthReadinessAndMetrics(t *testing.T) {
--- a/internal/assembler/routing.go
+++ b/internal/assembler/routing.go
@@ -27,6 +27,7 @@
 	"snipedyke/internal/follower"
 	"snipedyke/internal/forwarder"
 	"snipedyke/internal/guarder"
+	"snipedyke/internal/inspector"
 	"snipedyke/internal/logger"
 	"snipedyke/internal/reducer"
 	"snipedyke/pkg/encoder"
@@ -310,16 +311,23 @@
 // serveHTTP serves requests until the listener is closed.
 func (n *RoutingNode) serveHTTP(l net.Listener, handler fasthttp.RequestHandler) {
 	server := fasthttp.Server{
-		Handler:     func(ctx *fasthttp.RequestCtx) { n.guard(ctx, handler) },
-		ReadTimeout: httpReadTimeout, NoDefaultServerHeader: true, Logger: hclog.NewNullLogger().StandardLogger(&hclog.StandardLoggerOptions{}),
+		Handler:        func(ctx *fasthttp.RequestCtx) { n.guard(ctx, handler) },
+		HeaderReceived: inspector.ReceiveRequest,
+		ReadTimeout:    httpReadTimeout, NoDefaultServerHeader: true, Logger: hclog.NewNullLogger().StandardLogger(&hclog.StandardLoggerOptions{}),
 	}
 	// Serve returns once Run has closed the listener at shutdown. Run logs the
 	// shutdown itself.
 	_ = server.Serve(l)
 }
 
-// guard calls a handler and responds with status 500 if it fails unexpectedly.
+// guard calls a handler unless the head of the request is refused, and responds with status
+// 500 if the handler fails unexpectedly.
 func (n *RoutingNode) guard(ctx *fasthttp.RequestCtx, handler fasthttp.RequestHandler) {
+	if status := inspector.RefusedStatus(&ctx.Request.Header); status != 0 {
+		ctx.SetStatusCode(status)
+
+		return
+	}
 	if !guarder.Run(n.logger, "readiness or metrics", func() { handler(ctx) }) {
 		ctx.Response.Reset()
 		ctx.SetStatusCode(http.StatusInternalServerError)
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -16,6 +16,7 @@
 	"snipedyke/internal/budgeter"
 	"snipedyke/internal/director"
 	"snipedyke/internal/guarder"
+	"snipedyke/internal/inspector"
 )
 
 // call is a request in progress.
@@ -91,6 +92,11 @@
 
 		return
 	}
+	if status := inspector.RefusedStatus(&ctx.Request.Header); status != 0 {
+		f.writeError(ctx, status, director.ReasonMalformed, 0)
+
+		return
+	}
 	metadata, err := f.opts.Protocol.ParseRequest(&ctx.Request.Header)
 	var handover Handover
 	if err == nil && c.conn.ofNode() {
@@ -131,19 +137,16 @@
 // fieldTooLarge marks a request whose body exceeds the limit. It is never forwarded.
 const fieldTooLarge = "Snipedyke-Body-Too-Large"
 
-// checkBodyLength marks a request whose announced body exceeds the limit, so that it
-// is refused before any of the body is awaited. Its connection is closed after the
-// response, whatever that is: the HTTP server would take the unread body for the next
-// request.
-func (f *Forwarder) checkBodyLength(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+// receiveHeader checks the head of a request. It marks a request whose announced body
+// exceeds the limit, so that it is refused before any of the body is awaited.
+func (f *Forwarder) receiveHeader(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	h.Del(fieldTooLarge)
 	if h.ContentLength() > f.opts.MaxBodyBytes {
 		h.Set(fieldTooLarge, "1")
-		h.SetContentLength(0)
-		h.SetConnectionClose()
+		inspector.DropBody(h)
 	}
 
-	return fasthttp.RequestConfig{}
+	return inspector.ReceiveRequest(h)
 }
 
 // readRequestBody reads the body of the caller's request.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -150,7 +150,7 @@
 		ReadBufferSize:               opts.MaxHeaderBytes,
 		MaxRequestBodySize:           opts.MaxBodyBytes,
 		StreamRequestBody:            true,
-		HeaderReceived:               f.checkBodyLength,
+		HeaderReceived:               f.receiveHeader,
 		Concurrency:                  maxConnections,
 		ReadTimeout:                  readTimeout,
 		IdleTimeout:                  idleTimeout,
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -1,6 +1,6 @@
-// Package inspector checks the heads of HTTP responses before a parser reads them.
-// Parsers repair or ignore parts of a damaged head, and then report another response
-// than the server has sent.
+// Package inspector checks the heads of HTTP messages. Parsers repair or ignore parts of
+// a damaged head, and then report another message than the peer has sent. Responses are
+// checked before a parser reads them, and requests before their bodies are read.
 package inspector
 
 import (
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -18,6 +18,7 @@
 
 	"snipedyke/internal/acceptor"
 	"snipedyke/internal/dispatcher"
+	"snipedyke/internal/inspector"
 	"snipedyke/internal/issuer"
 	"snipedyke/internal/reducer"
 	"snipedyke/pkg/cataloguer"
@@ -118,6 +119,7 @@
 		DisablePreParseMultipartForm: true,
 		ErrorHandler:                 l.handleError,
 	})
+	inspector.Guard(l.app)
 	l.app.Post(ChatPath, l.serveChat)
 	l.app.Get("/v1/models", l.listModels)
 	l.app.Post("/v1/idempotency-keys", l.issueKeys)
--- a/internal/runner/edge_test.go
+++ b/internal/runner/edge_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -71,6 +75,32 @@
 	}
 }
 
+// Guards against a part of a request that is served as another request.
+func TestNoPartOfARequestIsServed(t *testing.T) {
+	n := startNode(t, testCatalogue(unusedAddr, unusedAddr), func(_ *Options, s *scriptedReducer) {
+		s.onArrived = func(r reducer.Request) []reducer.Effect {
+			t.Errorf("the reducer received %+v", r)
+
+			return []reducer.Effect{reducer.Refuse{ID: r.ID}}
+		}
+	})
+	inner := "POST /v1/chat/completions HTTP/1.1\r\nHost: n\r\nAuthorization: Bearer " + callerKey + "\r\nContent-Length: " + strconv.Itoa(len(chatBody)) + "\r\n\r\n" + chatBody
+	for _, line := range []string{"POST /nowhere HTTP/1.1", "POST /v1/chat/completions HTTP/1.1", "GET /v1/models HTTP/1.1", "GET /v1/models HTTP/2.0"} {
+		for _, fields := range []string{"Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip\r\n", "Expect: x\r\nContent-Length: " + strconv.Itoa(len(inner)) + "\r\n"} {
+			conn, err := net.Dial("tcp", n.Addr().String())
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, conn.SetDeadline(time.Now().Add(15*time.Second)), qt.IsNil)
+			_, err = conn.Write([]byte(line + "\r\nHost: n\r\n" + fields + "\r\n" + inner))
+			qt.Assert(t, err, qt.IsNil)
+			// Closing a connection with unread bytes may reset it.
+			received, err := io.ReadAll(conn)
+			qt.Check(t, err == nil || errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+			_ = conn.Close()
+			qt.Check(t, strings.Count(string(received), "HTTP/1.1 ") <= 1, qt.IsTrue, qt.Commentf("%s, %q: %s", line, fields, received))
+		}
+	}
+}
+
 // A refusal must reach the caller as an error event if the header of the stream
 // was already sent before the first event.
 func TestRefusalAfterStreamHeader(t *testing.T) {
