Do not repeat requests that cannot be read in error messages

The answer 400 to a request that cannot be read held the whole input buffer of its connection, in the project's own interface and in the administration: the key of the request, and what had arrived behind it. Behind a proxy that shares connections, that is the key of another caller. fasthttp builds these messages, and fiber passes them on. The port for routed requests answers with a code only.

Such answers now have a fixed text.

--- a/internal/administrator/administrator.go
+++ b/internal/administrator/administrator.go
@@ -292,6 +292,10 @@
 		}
 	case errors.As(err, &f):
 		status, body.Error.Code = f.Code, KindInvalidInput
+		if status == http.StatusBadRequest {
+			// The message of fasthttp repeats its input buffer, which may hold the next request.
+			body.Error.Message = "the request is malformed"
+		}
 	}
 
 	return c.Status(status).JSON(body)
--- a/internal/administrator/administrator_test.go
+++ b/internal/administrator/administrator_test.go
@@ -135,6 +135,23 @@
 	}
 }
 
+// Guards against an error message that repeats what was received, such as the token in the
+// next call on a connection that callers share.
+func TestErrorsDoNotRepeatTheInput(t *testing.T) {
+	c := qt.New(t)
+	a, _ := startAdministrator(c, &fakeNode{}, "")
+	for _, fields := range []string{"Transfer-Encoding: gzip", "Content-Length: x", "A\x00: b"} {
+		conn, err := net.Dial("tcp", a.Addr().String())
+		c.Assert(err, qt.IsNil)
+		c.Assert(conn.SetDeadline(time.Now().Add(15*time.Second)), qt.IsNil)
+		_, err = conn.Write([]byte("GET /v1/status HTTP/1.1\r\nAuthorization: Bearer right\r\n" + fields + "\r\n\r\n"))
+		c.Assert(err, qt.IsNil)
+		received, _ := io.ReadAll(conn)
+		_ = conn.Close()
+		c.Check(bytes.Contains(received, []byte("right")), qt.IsFalse, qt.Commentf("%s: %s", fields, received))
+	}
+}
+
 // Guards against health checks, readiness checks or metrics that need a token or
 // return the wrong result.
 func TestHealthReadinessAndMetrics(t *testing.T) {
--- a/internal/inspector/request.go
+++ b/internal/inspector/request.go
@@ -38,7 +38,7 @@
 	app.Server().HeaderReceived = ReceiveRequest
 	app.Use(func(c fiber.Ctx) error {
 		if status := RefusedStatus(&c.RequestCtx().Request.Header); status != 0 {
-			return fiber.NewError(status, "the head of the request is invalid")
+			return fiber.NewError(status)
 		}
 
 		return c.Next()
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -177,6 +177,9 @@
 		p.Run = encoder.RunUnknown
 	case f.Code == http.StatusNotFound:
 		p = problemf(f.Code, CodeNotFound, "unknown path %s", truncate([]byte(c.Path())))
+	case f.Code == http.StatusBadRequest:
+		// The message of fasthttp repeats its input buffer, which may hold the next request.
+		p = problemf(f.Code, CodeInvalidRequest, "the request is malformed")
 	default:
 		p = problemf(f.Code, CodeInvalidRequest, "%s", f.Message)
 	}
--- a/internal/runner/edge_test.go
+++ b/internal/runner/edge_test.go
@@ -101,6 +101,31 @@
 	}
 }
 
+// malformedRequests are requests that fasthttp cannot read, with a secret in their head.
+var malformedRequests = []string{
+	"POST /x HTTP/1.1\r\nAuthorization: secret\r\nTransfer-Encoding: gzip\r\n\r\n", "POST /x HTTP/1.1\r\nAuthorization: secret\r\nContent-Length: x\r\n\r\n",
+	"POST /x HTTP/x\r\nAuthorization: secret\r\n\r\n", "POST x HTTP/1.1\r\nAuthorization: secret\r\n\r\n", "POST\r\nAuthorization: secret\r\n\r\n",
+	"P{}ST /x HTTP/1.1\r\nAuthorization: secret\r\n\r\n", "GET /x HTTP/1.1\r\nAuthorization: secret\x00\r\n\r\n", "GET /x HTTP/1.1\r\nAuthorization: secret\r\n: x\r\n\r\n",
+	"POST /x HTTP/1.1\r\nAuthorization: secret\r\nTransfer-Encoding: chunked\r\n\r\nsecret\r\n",
+}
+
+// Guards against an error message that repeats what was received, such as the key in the
+// next request on a connection that callers share.
+func TestErrorsDoNotRepeatTheInput(t *testing.T) {
+	n := startNode(t, testCatalogue(unusedAddr, unusedAddr), nil)
+	for _, malformed := range malformedRequests {
+		conn, err := net.Dial("tcp", n.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, conn.SetDeadline(time.Now().Add(15*time.Second)), qt.IsNil)
+		_, err = conn.Write([]byte(malformed + "GET /x HTTP/1.1\r\nAuthorization: secret\r\n\r\n"))
+		qt.Assert(t, err, qt.IsNil)
+		received, err := io.ReadAll(conn)
+		qt.Check(t, err == nil || errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+		_ = conn.Close()
+		qt.Check(t, strings.Contains(string(received), "secret"), qt.IsFalse, qt.Commentf("%q: %s", malformed, received))
+	}
+}
+
 // A refusal must reach the caller as an error event if the header of the stream
 // was already sent before the first event.
 func TestRefusalAfterStreamHeader(t *testing.T) {
