Forward the target of a request as it was sent

Endpoints got another query or path than the caller had sent: "/x?" arrived as "/x", and so did "/x#c" (UNASKED names the query). fasthttp writes the target from the parsed URI, which drops empty parts, as soon as a request's URI has been looked at. prepare did that to switch off the normalizing of the path. Now the target is set without a parsed URI, so that it is written as it is.

Targets in absolute form, which a server must accept (RFC 9112, section 3.2.2), were answered 404. They are turned into origin form before the route is looked up. CONNECT was forwarded like other methods; a success would turn the endpoint's connection into a tunnel while the node reads a response from it. It is refused with 405.

TestRequestTargetIsForwardedUnchanged sends 19 targets with 6 methods: 7 of the targets were changed or not served before, none now.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -97,6 +97,7 @@
 
 		return
 	}
+	ctx.Request.Header.SetRequestURIBytes(originForm(ctx.Request.Header.RequestURI()))
 	metadata, err := f.opts.Protocol.ParseRequest(&ctx.Request.Header)
 	var handover Handover
 	if err == nil && c.conn.ofNode() {
@@ -183,6 +184,28 @@
 	return string(path)
 }
 
+// originForm returns a request target without its scheme and authority. Endpoints need
+// not accept the absolute form; its authority is the host of the request (RFC 9112,
+// section 3.2).
+func originForm(target []byte) []byte {
+	if bytes.HasPrefix(target, []byte{'/'}) {
+		return target
+	}
+	_, rest, absolute := bytes.Cut(target, []byte("://"))
+	if !absolute {
+		return target
+	}
+	i := bytes.IndexAny(rest, "/?#")
+	switch {
+	case i < 0:
+		return []byte{'/'}
+	case rest[i] == '/':
+		return rest[i:]
+	default:
+		return append([]byte{'/'}, rest[i:]...)
+	}
+}
+
 // hopByHopHeaders are the header fields that apply to a single connection only.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
@@ -204,9 +227,8 @@
 	req.Header.ResetConnectionClose()
 	f.opts.Protocol.RemoveReserved(&req.Header)
 	req.Header.SetNoDefaultContentType(true)
-	// The request target is forwarded unchanged.
-	req.URI().DisablePathNormalizing = true
-	req.Header.SetRequestURI(target)
+	// Without a parsed URI, the target is forwarded unchanged.
+	req.SetRequestURI(target)
 }
 
 // end releases the call. For a streamed response, it runs when the body is
--- a/internal/inspector/request.go
+++ b/internal/inspector/request.go
@@ -19,7 +19,8 @@
 //   - the HTTP version is not 1.x (505). fasthttp reads others like HTTP/1.0;
 //   - it has a transfer coding other than chunked (400). The length of such a request
 //     cannot be known (RFC 9112, section 6.3), and fasthttp takes identity for no body;
-//   - it has an expectation other than 100-continue (417).
+//   - it has an expectation other than 100-continue (417);
+//   - its method is CONNECT (405). What follows it is not framed.
 //
 // The body of a refused request is not read, so its connection is closed after the response.
 func ReceiveRequest(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
@@ -67,6 +68,8 @@
 	switch {
 	case !bytes.HasPrefix(h.Protocol(), []byte("HTTP/1.")):
 		return http.StatusHTTPVersionNotSupported
+	case h.IsConnect():
+		return http.StatusMethodNotAllowed
 	case !onlyChunked(h.RawHeaders()):
 		return http.StatusBadRequest
 	case len(expectation) == 0:
