Watch the caller only once the director knows its request

The goroutine that awaits the caller's close was started before Arrived was posted, and contentHash reads the whole body in between. If the caller had closed by then, CallerDisconnected came first; the director ignores it for a request that it does not know, and nothing looked at the connection again. Large bodies make the gap long, several processors let the goroutine run in it.

Arrived is now posted first. A close that came before is seen by the first read of the watch, and so reported after it, whatever runs when. A request that is dispatched meanwhile is cancelled, as one whose caller leaves later.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -123,13 +123,14 @@
 	f.mu.Lock()
 	f.calls[c.id] = c
 	f.mu.Unlock()
-	c.conn.watch(func() { f.Post(director.CallerDisconnected{ID: c.id}) })
 	f.Post(director.Arrived{Request: director.Request{
 		ID: c.id, Name: metadata.AttemptID, Continues: metadata.Continues, Resumes: metadata.Resumes, Key: metadata.APIKey, Deadline: metadata.Deadline, Need: metadata.Need,
 		Body: len(body), Content: contentHash(&ctx.Request.Header, body),
 		Host: hostName(ctx.Request.Header.Host()), Path: rawPath(ctx.Request.Header.RequestURI()),
 		HandedOver: c.conn.ofNode(), Attempts: handover.Attempts, Counted: handover.Counted,
 	}})
+	// The director ignores the disconnect of a request that it does not know yet.
+	c.conn.watch(func() { f.Post(director.CallerDisconnected{ID: c.id}) })
 	if !c.run(ctx) {
 		c.end()
 	}
--- /dev/null
+++ b/internal/forwarder/leave_test.go
@@ -0,0 +1,66 @@
+package forwarder
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// awaitNoCallers waits until the node has closed all connections of callers, and fails if
+// it serves one for longer than longWait.
+func (s *system) awaitNoCallers(c *qt.C) {
+	open := func() int {
+		s.listener.mu.Lock()
+		defer s.listener.mu.Unlock()
+
+		return len(s.listener.conns)
+	}
+	for end := time.Now().Add(longWait); open() > 0; runtime.Gosched() {
+		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("a request goes on without its caller"))
+	}
+}
+
+// newPatientEndpoint returns an endpoint that works on a request with a body until its
+// connection ends.
+func newPatientEndpoint(t *testing.T, working chan<- bool) *endpoint {
+	return newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
+		if r.ContentLength <= 0 {
+			return respondOK(conn, r)
+		}
+		select {
+		case working <- true:
+		default:
+		}
+		_, err := conn.Read(make([]byte, 1))
+
+		return err == nil
+	})
+}
+
+// Guards against the close of a caller that leaves just after its request, and is seen
+// before the request is known to the director.
+func TestCallerLeavesWithItsRequest(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/stream/x", "/resume/x"} {
+		t.Run(path, func(t *testing.T) {
+			c := qt.New(t)
+			const size = 16 << 20
+			s := startWith(t, func(f *Forwarder) { f.opts.MaxBodyBytes = size }, newPatientEndpoint(t, nil))
+			for i := range 10 {
+				call := s.dial(c)
+				// The connection is accepted once there is a response.
+				call.send("GET", "/safe/x", "r0", "")
+				_, _, err := call.receive()
+				c.Assert(err, qt.IsNil)
+				call.send("POST", path, fmt.Sprint("r", i), strings.Repeat("x", size))
+				c.Assert(call.Close(), qt.IsNil)
+				s.awaitNoCallers(c)
+			}
+		})
+	}
+}
