Do not forward requests whose callers have left

A request that had waited to be read, as on a node that had stood still, was forwarded although its caller had left meanwhile; one that may run once was run for nobody. The close was seen, but only by the watch that begins when the request is handed to the director, so that the dispatch won the race or, on such routes, went on.

After the body has been read, the node looks whether the caller has ended the connection. If so, the request is counted as a refusal with reason caller_gone and goes no further.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -15,6 +15,7 @@
 
 	"snipedyke/internal/budgeter"
 	"snipedyke/internal/director"
+	"snipedyke/internal/dispatcher"
 	"snipedyke/internal/guarder"
 	"snipedyke/internal/inspector"
 )
@@ -110,9 +111,19 @@
 	}
 	c.attemptID, c.apiKey, c.continues, c.req = metadata.AttemptID, metadata.APIKey, metadata.Continues, fasthttp.AcquireRequest()
 	body, err := c.readRequestBody(ctx)
-	if err != nil {
+	// A request that has waited to be read may have lost its caller by then.
+	gone := err == nil && dispatcher.ConnEnded(c.conn.Conn)
+	if gone || err != nil {
 		c.requestHolding.Release()
 		fasthttp.ReleaseRequest(c.req)
+	}
+	switch {
+	case gone:
+		f.opts.Meter.Count(director.Count{Counter: director.CounterRefusals, Label: string(director.ReasonGone)})
+		ctx.Response.Header.SetConnectionClose()
+
+		return
+	case err != nil:
 		f.handleReadError(ctx, err)
 
 		return
--- a/internal/forwarder/leave_test.go
+++ b/internal/forwarder/leave_test.go
@@ -65,6 +65,30 @@
 	}
 }
 
+// Guards against running a request whose caller had left before it was read.
+func TestRequestOfGoneCallerIsNotForwarded(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			c := qt.New(t)
+			e := newEndpoint(t, respondOK)
+			// The node accepts connections only after this.
+			s := startWith(t, func(f *Forwarder) {
+				call := dial(c, f.Addr())
+				call.send("POST", path, "gone", "body")
+				c.Assert(call.Close(), qt.IsNil)
+			}, e)
+			call := s.dial(c)
+			call.send("POST", path, "here", "body")
+			_, _, _ = call.receive()
+			c.Assert(call.Close(), qt.IsNil)
+			s.awaitNoCallers(c)
+			received := e.requests()
+			c.Assert(received, qt.HasLen, 1)
+			c.Check(received[0].Header.Get("Name"), qt.Equals, "here")
+		})
+	}
+}
+
 // Guards against a caller that is no longer watched once it has sent something behind its
 // request.
 func TestCallerLeavesAfterFurtherInput(t *testing.T) {
