Wait for the endpoint in TestEndpointThatIsBackAtItsAddressHasCrashed

The endpoint of the test crashes, listens again, and then tells the test so. The node sees the crash at once, so the response may arrive before the endpoint has told, and the test looked only once. All of the failures are of this line; the response was reported as broken in each of them.

--- a/internal/forwarder/check_test.go
+++ b/internal/forwarder/check_test.go
@@ -258,7 +258,7 @@
 				select {
 				case ln := <-back:
 					c.Check(ln.Close(), qt.IsNil)
-				default:
+				case <-time.After(longWait):
 					c.Error("no second connection")
 				}
 			})
