Keep dialling the second connection beside an unframed response

A truncated response without a length could pass as complete on a busy host: the second connection, which shows whether the endpoint has crashed, was given up if it was not open within 20 ms. What remains then is a check that a restarted endpoint passes. Hosts are busy when endpoints crash.

The response still waits for the connection for at most 20 ms, but the dial goes on beside it, with the time limit and the repetition of any other dial. A connection that was opened after the response had ended may be to another process: that it stays open then proves nothing, that it ends with the response still does.

--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/netip"
+	"sync"
 	"syscall"
 	"time"
 
@@ -36,33 +38,76 @@
 // outlasts the response unless the process of the endpoint has ended, even if another
 // process has taken its address by then.
 type witness struct {
-	conn *endpointConn
+	// dialed is closed when the connection is open or could not be opened.
+	dialed chan struct{}
 	// done is closed when the connection is no longer watched. endedAt is then the time at
 	// which the peer has ended it, or zero.
 	done    chan struct{}
 	endedAt time.Time
+	// timely reports whether the connection was opened before the response ended. It is
+	// set before dialed is closed. A later one may be to another process.
+	timely bool
+
+	mu sync.Mutex
+	// conn is nil until the connection is open. closed reports whether it is no longer
+	// needed.
+	conn   *endpointConn
+	closed bool
 }
 
 // openWitness connects to the endpoint of a response that ends with its connection. There is
-// no witness if the response has arrived whole.
+// no witness if the response has arrived whole. The response waits for the connection for
+// witnessDialTimeout at most; a busy host opens it later.
 func (a *attempt) openWitness() {
 	if !a.endsWithConn() || a.leaving || dispatcher.ConnEnded(a.conn.Conn) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), witnessDialTimeout)
-	defer cancel()
-	conn, err := a.call.f.pool.connectOnce(ctx, a.dispatch.Address)
-	if err != nil {
-		return
-	}
-	w := &witness{conn: conn, done: make(chan struct{})}
+	w := &witness{dialed: make(chan struct{}), done: make(chan struct{})}
 	a.witness = w
-	go w.watch(a.call.f.opts.Logger)
+	go w.run(a.call.f, a.dispatch.Address, a.conn.Conn, time.Now().Add(witnessDialTimeout))
+	select {
+	case <-w.dialed:
+	case <-time.After(witnessDialTimeout):
+	}
+}
+
+// run opens the connection and watches it. One that is opened by the given time, or while the
+// connection of the response is open, is timely.
+func (w *witness) run(f *Forwarder, address netip.AddrPort, response net.Conn, by time.Time) {
+	defer close(w.done)
+	open := false
+	guarder.Run(f.opts.Logger, "check of an endpoint", func() {
+		defer close(w.dialed)
+		conn, err := f.pool.connect(address)
+		if err != nil {
+			return
+		}
+		w.timely = time.Now().Before(by) || !dispatcher.ConnEnded(response)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if open = !w.closed; open {
+			w.conn = conn
+		} else {
+			_ = conn.Close()
+		}
+	})
+	if open {
+		w.watch(f.opts.Logger)
+	}
+}
+
+// close ends the watch and closes the connection.
+func (w *witness) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	if w.conn != nil {
+		_ = w.conn.Close()
+	}
 }
 
 // watch records when the peer ends the connection, until the read deadline of the connection.
 func (w *witness) watch(logger Logger) {
-	defer close(w.done)
 	guarder.Run(logger, "check of an endpoint", func() {
 		if w.conn.ends() {
 			w.endedAt = time.Now()
@@ -73,7 +118,7 @@
 // closeWitness ends the watch of the witness if there is one.
 func (a *attempt) closeWitness() {
 	if a.witness != nil {
-		_ = a.witness.conn.Close()
+		a.witness.close()
 		a.witness = nil
 	}
 }
@@ -86,21 +131,33 @@
 		return false, false
 	}
 	a.witness = nil
+	wait, cancel := context.WithTimeout(ctx, endTime)
+	defer cancel()
+	select {
+	case <-w.dialed:
+	case <-wait.Done():
+	}
+	w.mu.Lock()
+	conn := w.conn
+	w.closed = conn == nil
+	w.mu.Unlock()
+	if conn == nil {
+		return false, false
+	}
 	select {
 	case <-w.done:
-	case <-ctx.Done():
-	case <-time.After(endTime):
+	case <-wait.Done():
 	}
-	_ = w.conn.SetReadDeadline(expiredDeadline)
+	_ = conn.SetReadDeadline(expiredDeadline)
 	<-w.done
 	if ctx.Err() != nil || !w.endedAt.IsZero() {
-		_ = w.conn.Close()
+		_ = conn.Close()
 
 		return false, ctx.Err() == nil && end.Sub(w.endedAt) < witnessMargin
 	}
-	a.call.f.pool.put(a.dispatch.Address, w.conn, time.Now(), &fasthttp.ResponseHeader{}, a.dispatch.MaxIdle)
+	a.call.f.pool.put(a.dispatch.Address, conn, time.Now(), &fasthttp.ResponseHeader{}, a.dispatch.MaxIdle)
 
-	return true, true
+	return true, w.timely
 }
 
 // closerFunc is a function that implements io.Closer.
--- a/internal/forwarder/check_test.go
+++ b/internal/forwarder/check_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -266,6 +267,43 @@
 	}
 }
 
+// Guards against a response that has no second connection, and passes as complete although its
+// endpoint has crashed, because the host is slow to connect.
+func TestSlowSecondConnectionShowsTheCrash(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			c := qt.New(t)
+			back := make(chan net.Listener, 1)
+			e := newWitnessedEndpoint(t, func(e *endpoint, _ net.Conn) {
+				e.crash()
+				ln, err := net.Listen("tcp", e.addr.String())
+				c.Check(err, qt.IsNil)
+				back <- ln
+			})
+			var dials atomic.Int32
+			call := startWith(t, func(f *Forwarder) {
+				f.pool.dialer.Control = func(string, string, syscall.RawConn) error {
+					if dials.Add(1) == 2 {
+						<-time.After(3 * witnessDialTimeout)
+					}
+
+					return nil
+				}
+			}, e).dial(c)
+			call.send("POST", path, "r1", "")
+			resp, _, err := call.receive()
+			c.Assert(resp, qt.IsNotNil, qt.Commentf("%v", err))
+			c.Check(resp.StatusCode != 200 || err != nil, qt.IsTrue, qt.Commentf("complete"))
+			select {
+			case ln := <-back:
+				c.Check(ln.Close(), qt.IsNil)
+			case <-time.After(longWait):
+				c.Error("no second connection")
+			}
+		})
+	}
+}
+
 // Guards against a sound response that is withheld or cut off because its endpoint has ended a
 // connection that it did not use before.
 func TestEndpointMayEndItsOtherConnections(t *testing.T) {
@@ -295,11 +333,15 @@
 	conn, err := newPool(1).connect(ln.Addr().(*net.TCPAddr).AddrPort())
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = conn.Close() }()
-	w := &witness{conn: conn, done: make(chan struct{})}
+	w := &witness{conn: conn}
 	c.Assert(conn.SetReadDeadline(expiredDeadline), qt.IsNil)
-	go w.watch(discardSink{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.watch(discardSink{})
+	}()
 	select {
-	case <-w.done:
+	case <-done:
 	case <-time.After(longWait):
 		c.Fatal("the watch goes on")
 	}
