Handle SIGHUP before the settings are read

A process that got SIGHUP soon after its start ended, with the requests that reached it: the handler was set after the settings had been read and parsed. A platform that changes settings twice in a row hits it.

main now sets the handler of a node before anything else. A signal that arrives before the settings are read reloads them once more. Nodes of the project's own interface do not reload, and keep the default.

--- a/cmd/snipedyke/main.go
+++ b/cmd/snipedyke/main.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/alexflint/go-arg"
 	"github.com/ansel1/merry/v2"
@@ -84,7 +86,16 @@
 	return exitFailed
 }
 
-func main() { os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr)) }
+// hangup receives SIGHUP, which would end the process by default.
+var hangup = make(chan os.Signal, 1)
+
+func main() {
+	// A node may be told to reload its settings before it has read them.
+	if len(os.Args) > 1 && os.Args[1] == "serve" {
+		signal.Notify(hangup, syscall.SIGHUP)
+	}
+	os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+}
 
 // run executes the command that args specify and returns the exit code.
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
--- a/cmd/snipedyke/route.go
+++ b/cmd/snipedyke/route.go
@@ -20,9 +20,6 @@
 func serveRouting(ctx context.Context, path string, settings configurer.Routing, out io.Writer) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	n, err := assembler.NewRoutingNode(assembler.RoutingNodeOptions{
 		Settings: settings, Output: out, Source: platform.NewStore(settings.Store),
 		Protocol: platform.Protocol{}, Clock: timekeeper.New(), Build: buildVersion(),
@@ -30,7 +27,7 @@
 	if err != nil {
 		return withExitCode(err, exitStart)
 	}
-	go watchSettings(ctx, path, reload, n)
+	go watchSettings(ctx, path, hangup, n)
 	if err := n.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
 		return err
 	}
--- a/cmd/snipedyke/serve.go
+++ b/cmd/snipedyke/serve.go
@@ -45,6 +45,8 @@
 
 // serveModels runs a node that routes language-model requests.
 func serveModels(ctx context.Context, settings configurer.Settings) error {
+	// It does not reload its settings.
+	signal.Reset(syscall.SIGHUP)
 	n, err := assembler.New(assembler.Options{Settings: settings, Output: os.Stderr, Build: buildVersion()})
 	if err != nil {
 		return withExitCode(err, exitStart)
