Test callers that leave during another attempt or a handover

TestCallerLeavesDuringAnotherAttempt covers requests that are tried again and streams that are resumed; TestCallerOfCutOffNodeLeaves has a case with further input.

--- a/internal/forwarder/handover_test.go
+++ b/internal/forwarder/handover_test.go
@@ -336,27 +336,33 @@
 
 // Guards against requests that use endpoints after their callers have left.
 func TestCallerOfCutOffNodeLeaves(t *testing.T) {
-	c := qt.New(t)
-	working, left := make(chan bool), make(chan bool, 1)
-	b := start(t, newEndpoint(t, func(conn net.Conn, _ *http.Request) bool {
-		working <- true
-		_, err := conn.Read(make([]byte, 1))
-		left <- err != nil
+	for _, input := range []string{"", "\r\n"} {
+		t.Run(fmt.Sprintf("%q", input), func(t *testing.T) {
+			c := qt.New(t)
+			working, left := make(chan bool), make(chan bool, 1)
+			b := start(t, newEndpoint(t, func(conn net.Conn, _ *http.Request) bool {
+				working <- true
+				_, err := conn.Read(make([]byte, 1))
+				left <- err != nil
 
-		return false
-	}))
-	a := startCutOff(t, b)
-	call := a.dial(c)
-	call.send("POST", "/safe/x", "r1", "")
-	<-working
-	c.Assert(call.Close(), qt.IsNil)
-	select {
-	case closed := <-left:
-		c.Check(closed, qt.IsTrue)
-	case <-time.After(longWait):
-		c.Fatal("the endpoint still works on the request")
+				return false
+			}))
+			a := startCutOff(t, b)
+			call := a.dial(c)
+			call.send("POST", "/safe/x", "r1", "")
+			<-working
+			_, err := call.Write([]byte(input))
+			c.Assert(err, qt.IsNil)
+			c.Assert(call.Close(), qt.IsNil)
+			select {
+			case closed := <-left:
+				c.Check(closed, qt.IsTrue)
+			case <-time.After(longWait):
+				c.Fatal("the endpoint still works on the request")
+			}
+			awaitNoMemory(c, a, b)
+		})
 	}
-	awaitNoMemory(c, a, b)
 }
 
 // Guards against streams that end when the node that has taken them does, and against events
--- a/internal/forwarder/leave_test.go
+++ b/internal/forwarder/leave_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -112,3 +113,39 @@
 		}
 	}
 }
+
+// Guards against a caller whose close is lost while its request is tried again or its stream
+// is resumed.
+func TestCallerLeavesDuringAnotherAttempt(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/resume/x"} {
+		for _, input := range []string{"", "\r\n"} {
+			t.Run(fmt.Sprintf("%s %q", path, input), func(t *testing.T) {
+				c := qt.New(t)
+				working := make(chan bool)
+				var attempts atomic.Int32
+				handle := func(conn net.Conn, r *http.Request) bool {
+					if attempts.Add(1) == 1 {
+						if path == "/resume/x" {
+							stream(conn, r, events(1, 2))
+						}
+
+						return false
+					}
+					working <- true
+					_, err := conn.Read(make([]byte, 1))
+
+					return err == nil
+				}
+				s := start(t, newEndpoint(t, handle), newEndpoint(t, handle))
+				call := s.dial(c)
+				call.send("POST", path, "r1", "body")
+				<-working
+				_, err := call.Write([]byte(input))
+				c.Assert(err, qt.IsNil)
+				c.Assert(call.Close(), qt.IsNil)
+				s.awaitNoCallers(c)
+				c.Check(attempts.Load(), qt.Equals, int32(2))
+			})
+		}
+	}
+}
