Send no response of the node's own to a caller that has ended its output

A caller that had closed its connection never saw it; one that had ended only its output did: a success without the seal of an endpoint (MIXED).

The request is now aborted like any other whose caller has left: the connection is closed. TestRequestOfGoneCallerIsNotForwarded also sends a request whose caller ends its output only; before, it got "200 OK" on each of the three routes, now the connection ends (10 runs, race detector).

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -120,7 +120,7 @@
 	switch {
 	case gone:
 		f.opts.Meter.Count(director.Count{Counter: director.CounterRefusals, Label: string(director.ReasonGone)})
-		ctx.Response.Header.SetConnectionClose()
+		c.abort(ctx)
 
 		return
 	case err != nil:
@@ -282,14 +282,19 @@
 
 			return false
 		case director.Abort:
-			_ = c.conn.Conn.Close()
-			ctx.Response.Header.SetConnectionClose()
+			c.abort(ctx)
 
 			return false
 		}
 	}
 }
 
+// abort ends the request without a response.
+func (c *call) abort(ctx *fasthttp.RequestCtx) {
+	_ = c.conn.Conn.Close()
+	ctx.Response.Header.SetConnectionClose()
+}
+
 // finishAttempt relays the stream of an attempt, or reports the end of the attempt to the
 // director if there is no stream. It reports whether there is one.
 func (c *call) finishAttempt(ctx *fasthttp.RequestCtx, a *attempt) (streams bool) {
--- a/internal/forwarder/leave_test.go
+++ b/internal/forwarder/leave_test.go
@@ -73,14 +73,22 @@
 			c := qt.New(t)
 			e := newEndpoint(t, respondOK)
 			// The node accepts connections only after this.
+			var half *caller
 			s := startWith(t, func(f *Forwarder) {
 				call := dial(c, f.Addr())
 				call.send("POST", path, "gone", "body")
 				c.Assert(call.Close(), qt.IsNil)
+				half = dial(c, f.Addr())
+				half.send("POST", path, "gone", "body")
+				c.Assert(half.Conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
 			}, e)
+			// A caller that has ended its output only gets no response of the node's own.
+			resp, _, err := half.receive()
+			c.Check(err, qt.IsNotNil, qt.Commentf("%v", resp))
 			call := s.dial(c)
 			call.send("POST", path, "here", "body")
 			_, _, _ = call.receive()
+			c.Assert(half.Close(), qt.IsNil)
 			c.Assert(call.Close(), qt.IsNil)
 			s.awaitNoCallers(c)
 			received := e.requests()
