--- a/internal/soaker/series.go
+++ b/internal/soaker/series.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -72,7 +73,7 @@
 	switch step {
 	case 'h':
 		f.logFault("settings and hup", n.index, 0)
-		if err := os.WriteFile(n.settingsFile, []byte(f.nodeSettings(n)), 0o600); err != nil {
+		if err := f.replaceSettings(n); err != nil {
 			f.history.AddViolation("writing settings failed: %v", err)
 		}
 		n.signal(syscall.SIGHUP, false)
@@ -92,6 +93,21 @@
 	}
 }
 
+// replaceSettings replaces the settings file of a node by one with the same content. A process
+// that starts meanwhile reads either.
+func (f *seriesFaults) replaceSettings(n *node) error {
+	file, err := os.CreateTemp(f.dir, "settings-")
+	if err != nil {
+		return err
+	}
+	_, err = file.WriteString(f.nodeSettings(n))
+	if err = errors.Join(err, file.Close()); err != nil {
+		return err
+	}
+
+	return os.Rename(file.Name(), n.settingsFile)
+}
+
 // leaver is a caller that leaves before it has a response.
 type leaver struct{ *caller }
 
