--- a/internal/soaker/series.go
+++ b/internal/soaker/series.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"syscall"
@@ -149,9 +150,11 @@
 	o := outcome{unsafe: strings.HasPrefix(path, "/stream/"), sent: time.Now(), account: keptKey, node: n.index}
 	l.soaker.history.setOutcome(id, o)
 	_ = conn.SetDeadline(o.sent.Add(requestTimeout))
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nSnipedyke-Attempt-Id: %s\r\nSnipedyke-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
-		path, host, id, requestTimeout.Milliseconds(), keptKey, len(body))
-	_, err = io.WriteString(conn, head+body)
+	r, err := http.NewRequest(http.MethodPost, "http://"+host+path, strings.NewReader(body))
+	if err == nil {
+		standin.SetRequestHeaders(r, id, keptKey, requestTimeout)
+		err = r.Write(conn)
+	}
 	time.Sleep(stay)
 	if err == nil && further != "" {
 		_, _ = io.WriteString(conn, further)
