Count runs that a crash of a stand-in cuts off as crashed

Traced in 1 of 84 runs of the subtest in 28 processes at once: two streams broke, both with the right error (endpoint_lost), but the run log of the stand-in had only one as crashed. A crash closed the connections first and ended the runs then, and a run that saw its connection end in between counted as one whose client had left. Nodes are not concerned.

The runs are now ended first, and a run whose connection has ended asks whether a crash was the reason. A waiting request may get a truthful refusal in that moment in place of a broken connection.

--- a/internal/assembler/faults_test.go
+++ b/internal/assembler/faults_test.go
@@ -174,7 +174,7 @@
 				c.Check(complete, qt.Equals, streams, qt.Commentf("%+v", truncated))
 				c.Check(resumed > 0, qt.IsTrue)
 			} else {
-				c.Check(complete >= streams-crashed, qt.IsTrue, qt.Commentf("%d complete, %d crashed", complete, crashed))
+				c.Check(complete >= streams-crashed, qt.IsTrue, qt.Commentf("%d complete, %d crashed: %+v", complete, crashed, truncated))
 			}
 			if !tt.resumes(0) {
 				c.Check(resumed, qt.Equals, 0)
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -340,13 +340,22 @@
 			return Crashed
 		}
 		if conn != nil && isDisconnected(conn) {
-			return Cancelled
+			return b.cutOutcome(s)
 		}
 	}
 
 	return Completed
 }
 
+// cutOutcome returns the outcome of a run whose connection has ended: a crash ends it, too.
+func (b *backend) cutOutcome(s slot) Outcome {
+	if !b.isCurrent(s) {
+		return Crashed
+	}
+
+	return Cancelled
+}
+
 // takeDrop reports whether the next answer must be cut off, and if so decrements
 // the number of answers to cut off.
 func (b *backend) takeDrop() bool {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -250,7 +250,7 @@
 		}
 		produced++
 		if send(r.tokens[i]) != nil {
-			return Cancelled
+			return r.engine.cutOutcome(r.slot)
 		}
 	}
 	if r.dropped {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -87,11 +87,12 @@
 	if s.closed || s.reopenTimer != nil {
 		return
 	}
-	s.closeConnections()
-	s.reopenTimer = time.AfterFunc(downtime, s.reopen)
+	// Runs must end as crashed before they see the end of their connections.
 	if s.onCrash != nil {
 		s.onCrash()
 	}
+	s.closeConnections()
+	s.reopenTimer = time.AfterFunc(downtime, s.reopen)
 }
 
 func (s *server) reopen() {
