Do not lose the sign of the endpoint in TestCallerLeavesAfterFurtherInput

Its endpoint says that it works without waiting for the test to listen, on a channel without room, so the sign was lost if the test was not there yet (a stack of the process shows the test at this receive for 4 minutes). The channel has room for it now. 12 processes at once with 30 runs each, race build: none hangs or fails.

--- a/internal/forwarder/leave_test.go
+++ b/internal/forwarder/leave_test.go
@@ -36,7 +36,7 @@
 }
 
 // newPatientEndpoint returns an endpoint that works on a request with a body until its
-// connection ends.
+// connection ends. working gets a value if it has room for one.
 func newPatientEndpoint(t *testing.T, working chan<- bool) *endpoint {
 	return newEndpoint(t, func(conn net.Conn, r *http.Request) bool {
 		if r.ContentLength <= 0 {
@@ -116,7 +116,7 @@
 		} {
 			t.Run(path+" "+name, func(t *testing.T) {
 				c := qt.New(t)
-				working := make(chan bool)
+				working := make(chan bool, 1)
 				s := start(t, newPatientEndpoint(t, working))
 				call := s.dial(c)
 				call.send("POST", path, "r1", "body")
