Show that a leaving server's end makes a cut-off stream look complete

Responses without a length that the end of a leaving server's process cuts off are relayed as complete.

--- /dev/null
+++ b/review/_rig3/platform.go
@@ -0,0 +1,228 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"snipedyke/platform/standin"
+)
+
+const (
+	host    = "desk.example"
+	service = "desk"
+	// keptKey stays in the manifest, and lostKey is taken away.
+	keptKey, lostKey = "kept-key", "lost-key"
+)
+
+// putManifest writes a manifest to the stores. The routes with the prefix /public/ take requests
+// without a key.
+func putManifest(version int, withLostKey bool, stores ...*standin.Store) error {
+	route := func(name, prefix, kind string) map[string]any {
+		return map[string]any{
+			"name": name, "host": host, "prefix": prefix, "type": kind, "timeoutMs": 15000, "goalMs": 1000, "priority": 0,
+			"service": service, "attempts": 2, "public": strings.HasPrefix(prefix, "/public/"), "sticky": false, "resumable": false, "gapTargetMs": 1000,
+		}
+	}
+	tenants := []any{map[string]any{"name": "stayer", "apiKeys": []string{keptKey}}}
+	if withLostKey {
+		tenants = append(tenants, map[string]any{"name": "leaver", "apiKeys": []string{lostKey}})
+	}
+	for _, s := range stores {
+		err := s.Put("op/config", map[string]any{
+			"version": version, "tenants": tenants,
+			"routes": []any{
+				route("safe", "/safe/", "safe"), route("unsafe", "/unsafe/", "unsafe"), route("stream", "/stream/", "streaming"),
+				route("public-safe", "/public/safe/", "safe"), route("public-unsafe", "/public/unsafe/", "unsafe"),
+			},
+			"services": []any{map[string]any{"name": service, "healthPath": "/healthz", "maxConns": 500, "protocol": "h1", "tls": false, "coldS": 0.0, "coldPerS": 0.0}},
+			"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		})
+		if err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+// reply is what a client got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// err is why the answer is not complete, or nil.
+	err error
+}
+
+// client sends requests to one node.
+type client struct {
+	rig  *rig
+	node *node
+	http *http.Client
+}
+
+func (r *rig) newClient(n *node) *client {
+	return &client{rig: r, node: n, http: &http.Client{Transport: &http.Transport{
+		DisableCompression: true, MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+	}}}
+}
+
+var attempts atomic.Int64
+
+// newAttempt returns the ID of a new attempt.
+func newAttempt() string {
+	const digits = "0123456789abcdef"
+	n := attempts.Add(1)
+	id := []byte("9c41d07b00000000")
+	for i := len(id) - 1; i >= 8; i-- {
+		id[i] = digits[n&15]
+		n >>= 4
+	}
+
+	return string(id)
+}
+
+// send sends a request and reads its answer.
+func (c *client) send(attempt, method, path, key string, limit time.Duration) reply {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.node.front()+path, http.NoBody)
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Host = host
+	standin.SetRequestHeaders(req, attempt, key, limit)
+	if key == "" {
+		req.Header.Del("Authorization")
+	}
+	c.rig.note("client sends %s %s %s key=%s to %s", attempt, method, path, key, c.node.name)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		c.rig.note("client: %s has no answer: %v", attempt, err)
+
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	c.rig.note("client: %s answered %d by %q, %d bytes, leaving=%q, end: %v", attempt, resp.StatusCode,
+		resp.Header.Get("Snipedyke-Server-Seal"), len(body), resp.Header.Get("Server-Leaving"), err)
+
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+// repeat calls f at an interval, each in a goroutine of its own, until stop is closed, and
+// returns when all calls have ended.
+func repeat(interval time.Duration, stop <-chan struct{}, f func()) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				f()
+			}()
+		}
+	}
+}
+
+// link is the path from one machine to an address. It can be cut: its connections are then
+// reset and new ones refused.
+type link struct {
+	address, target netip.AddrPort
+
+	mu    sync.Mutex
+	ln    net.Listener
+	conns map[net.Conn]bool
+}
+
+func newLink(target netip.AddrPort) (*link, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l := &link{address: ln.Addr().(*net.TCPAddr).AddrPort(), target: target, ln: ln, conns: map[net.Conn]bool{}}
+	go l.accept(ln)
+
+	return l, nil
+}
+
+func (l *link) accept(ln net.Listener) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go l.serve(conn)
+	}
+}
+
+func (l *link) serve(conn net.Conn) {
+	upstream, err := net.Dial("tcp", l.target.String())
+	if err != nil {
+		reset(conn)
+
+		return
+	}
+	l.mu.Lock()
+	l.conns[conn], l.conns[upstream] = true, true
+	l.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, pair := range [][2]net.Conn{{conn, upstream}, {upstream, conn}} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, _ = io.Copy(pair[0], pair[1])
+			_ = pair[0].(*net.TCPConn).CloseWrite()
+		}()
+	}
+	wg.Wait()
+	l.mu.Lock()
+	delete(l.conns, conn)
+	delete(l.conns, upstream)
+	l.mu.Unlock()
+	_ = conn.Close()
+	_ = upstream.Close()
+}
+
+func reset(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
+// cut resets all connections and refuses new ones.
+func (l *link) cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.ln.Close()
+	for conn := range l.conns {
+		reset(conn)
+	}
+}
+
+// heal ends a cut.
+func (l *link) heal() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ln, err := net.Listen("tcp", l.address.String())
+	if err != nil {
+		return err
+	}
+	l.ln = ln
+	go l.accept(ln)
+
+	return nil
+}
