--- a/review/_rig3/platform.go
+++ b/review/_rig3/platform.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -27,7 +29,7 @@
 	route := func(name, prefix, kind string) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "prefix": prefix, "type": kind, "timeoutMs": 15000, "goalMs": 1000, "priority": 0,
-			"service": service, "attempts": 2, "public": strings.HasPrefix(prefix, "/public/"), "sticky": false, "resumable": false, "gapTargetMs": 1000,
+			"service": service, "attempts": 2, "public": strings.HasPrefix(prefix, "/public/"), "sticky": false, "resumable": prefix == "/resumable/", "gapTargetMs": 1000,
 		}
 	}
 	tenants := []any{map[string]any{"name": "stayer", "apiKeys": []string{keptKey}}}
@@ -39,7 +41,7 @@
 			"version": version, "tenants": tenants,
 			"routes": []any{
 				route("safe", "/safe/", "safe"), route("unsafe", "/unsafe/", "unsafe"), route("stream", "/stream/", "streaming"),
-				route("public-safe", "/public/safe/", "safe"), route("public-unsafe", "/public/unsafe/", "unsafe"),
+				route("resumable", "/resumable/", "streaming"), route("public-safe", "/public/safe/", "safe"), route("public-unsafe", "/public/unsafe/", "unsafe"),
 			},
 			"services": []any{map[string]any{"name": service, "healthPath": "/healthz", "maxConns": 500, "protocol": "h1", "tls": false, "coldS": 0.0, "coldPerS": 0.0}},
 			"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
@@ -139,10 +141,15 @@
 	}
 }
 
+// retransmission is the time after which TCP sends a lost segment again at the earliest.
+const retransmission = 200 * time.Millisecond
+
 // link is the path from one machine to an address. It can be cut: its connections are then
-// reset and new ones refused.
+// reset and new ones refused. It can also lose segments.
 type link struct {
 	address, target netip.AddrPort
+	// loss holds the bits of the share of segments that are lost.
+	loss atomic.Uint64
 
 	mu    sync.Mutex
 	ln    net.Listener
@@ -185,7 +192,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			_, _ = io.Copy(pair[0], pair[1])
+			l.copy(pair[0], pair[1])
 			_ = pair[0].(*net.TCPConn).CloseWrite()
 		}()
 	}
@@ -198,6 +205,36 @@
 	_ = upstream.Close()
 }
 
+// copy copies data until its end. What is lost, the end too, arrives when it has been sent
+// again.
+func (l *link) copy(to, from net.Conn) {
+	buf := make([]byte, 1460)
+	for {
+		n, err := from.Read(buf)
+		if rand.Float64() < math.Float64frombits(l.loss.Load()) {
+			time.Sleep(retransmission)
+		}
+		if n > 0 {
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// setLoss sets the share of segments that are lost.
+func (l *link) setLoss(share float64) { l.loss.Store(math.Float64bits(share)) }
+
+// refuse refuses new connections, as a machine does on which nothing listens.
+func (l *link) refuse() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.ln.Close()
+}
+
 func reset(conn net.Conn) {
 	_ = conn.(*net.TCPConn).SetLinger(0)
 	_ = conn.Close()
--- a/review/_rig3/rig.go
+++ b/review/_rig3/rig.go
@@ -169,7 +169,7 @@
 	var err error
 	if separate {
 		var self string
-		if self, err = os.Executable(); err != nil {
+		if self, err = executable(); err != nil {
 			return nil, err
 		}
 		s, err = standin.StartServer(exec.Command(self, serverCommand), id, "v1", address, work, seed, r)
@@ -312,3 +312,6 @@
 
 	return nil
 }
+
+// executable returns the path of this program.
+func executable() (string, error) { return os.Executable() }
