--- a/review/_rig3/platform.go
+++ b/review/_rig3/platform.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,13 +23,12 @@
 	keptKey, lostKey = "kept-key", "lost-key"
 )
 
-// putManifest writes a manifest to the stores. The routes with the prefix /public/ take requests
-// without a key.
+// putManifest writes a manifest to the stores.
 func putManifest(version int, withLostKey bool, stores ...*standin.Store) error {
 	route := func(name, prefix, kind string) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "prefix": prefix, "type": kind, "timeoutMs": 15000, "goalMs": 1000, "priority": 0,
-			"service": service, "attempts": 2, "public": strings.HasPrefix(prefix, "/public/"), "sticky": false, "resumable": prefix == "/resumable/", "gapTargetMs": 1000,
+			"service": service, "attempts": 2, "public": false, "sticky": false, "resumable": prefix == "/resumable/", "gapTargetMs": 1000,
 		}
 	}
 	tenants := []any{map[string]any{"name": "stayer", "apiKeys": []string{keptKey}}}
@@ -41,7 +40,7 @@
 			"version": version, "tenants": tenants,
 			"routes": []any{
 				route("safe", "/safe/", "safe"), route("unsafe", "/unsafe/", "unsafe"), route("stream", "/stream/", "streaming"),
-				route("resumable", "/resumable/", "streaming"), route("public-safe", "/public/safe/", "safe"), route("public-unsafe", "/public/unsafe/", "unsafe"),
+				route("resumable", "/resumable/", "streaming"),
 			},
 			"services": []any{map[string]any{"name": service, "healthPath": "/healthz", "maxConns": 500, "protocol": "h1", "tls": false, "coldS": 0.0, "coldPerS": 0.0}},
 			"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
@@ -102,9 +101,6 @@
 	}
 	req.Host = host
 	standin.SetRequestHeaders(req, attempt, key, limit)
-	if key == "" {
-		req.Header.Del("Authorization")
-	}
 	c.rig.note("client sends %s %s %s key=%s to %s", attempt, method, path, key, c.node.name)
 	resp, err := c.http.Do(req)
 	if err != nil {
@@ -144,16 +140,14 @@
 // retransmission is the time after which TCP sends a lost segment again at the earliest.
 const retransmission = 200 * time.Millisecond
 
-// link is the path from one machine to an address. It can be cut: its connections are then
-// reset and new ones refused. It can also lose segments.
+// link is the path from one machine to an address. It can lose segments and refuse new
+// connections.
 type link struct {
 	address, target netip.AddrPort
 	// loss holds the bits of the share of segments that are lost.
 	loss atomic.Uint64
 
-	mu    sync.Mutex
-	ln    net.Listener
-	conns map[net.Conn]bool
+	ln net.Listener
 }
 
 func newLink(target netip.AddrPort) (*link, error) {
@@ -161,7 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{address: ln.Addr().(*net.TCPAddr).AddrPort(), target: target, ln: ln, conns: map[net.Conn]bool{}}
+	l := &link{address: ln.Addr().(*net.TCPAddr).AddrPort(), target: target, ln: ln}
 	go l.accept(ln)
 
 	return l, nil
@@ -184,30 +178,26 @@
 
 		return
 	}
-	l.mu.Lock()
-	l.conns[conn], l.conns[upstream] = true, true
-	l.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, pair := range [][2]net.Conn{{conn, upstream}, {upstream, conn}} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			l.copy(pair[0], pair[1])
-			_ = pair[0].(*net.TCPConn).CloseWrite()
+			if l.copy(pair[0], pair[1]) {
+				_ = pair[0].(*net.TCPConn).CloseWrite()
+			} else {
+				reset(pair[0])
+			}
 		}()
 	}
 	wg.Wait()
-	l.mu.Lock()
-	delete(l.conns, conn)
-	delete(l.conns, upstream)
-	l.mu.Unlock()
 	_ = conn.Close()
 	_ = upstream.Close()
 }
 
-// copy copies data until its end. What is lost, the end too, arrives when it has been sent
-// again.
-func (l *link) copy(to, from net.Conn) {
+// copy copies data until its end and reports whether that is a proper one, not a reset. What is
+// lost, the end too, arrives when it has been sent again.
+func (l *link) copy(to, from net.Conn) bool {
 	buf := make([]byte, 1460)
 	for {
 		n, err := from.Read(buf)
@@ -216,11 +206,11 @@
 		}
 		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
-				return
+				return false
 			}
 		}
 		if err != nil {
-			return
+			return errors.Is(err, io.EOF)
 		}
 	}
 }
@@ -229,37 +219,9 @@
 func (l *link) setLoss(share float64) { l.loss.Store(math.Float64bits(share)) }
 
 // refuse refuses new connections, as a machine does on which nothing listens.
-func (l *link) refuse() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	_ = l.ln.Close()
-}
+func (l *link) refuse() { _ = l.ln.Close() }
 
 func reset(conn net.Conn) {
 	_ = conn.(*net.TCPConn).SetLinger(0)
 	_ = conn.Close()
 }
-
-// cut resets all connections and refuses new ones.
-func (l *link) cut() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	_ = l.ln.Close()
-	for conn := range l.conns {
-		reset(conn)
-	}
-}
-
-// heal ends a cut.
-func (l *link) heal() error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	ln, err := net.Listen("tcp", l.address.String())
-	if err != nil {
-		return err
-	}
-	l.ln = ln
-	go l.accept(ln)
-
-	return nil
-}
--- a/review/_rig3/rig.go
+++ b/review/_rig3/rig.go
@@ -17,11 +17,10 @@
 	"snipedyke/platform/standin"
 )
 
-// The time between two publications of a server, and the bounds of the settings.
+// The time between two publications of a server, and the bound of the manifest's revocations.
 const (
 	publication = 1200 * time.Millisecond
 	revokeTime  = 5 * time.Second
-	drainTime   = 2 * time.Second
 )
 
 // rig runs the processes and stand-ins of a case.
@@ -44,16 +43,14 @@
 	nodes   []*node
 	servers []*standin.Server
 	stores  []*standin.Store
-	// arrivals and runs hold what servers got and ran, by the ID of the attempt.
-	arrivals map[string][]standin.Arrival
-	runs     map[string][]standin.Run
-	leaving  map[string]bool
+	// runs holds what servers ran, by the ID of the attempt.
+	runs map[string][]standin.Run
 }
 
 func newRig(binary, record string, trouble bool) (*rig, error) {
 	r := &rig{
 		binary: binary, trouble: trouble, start: time.Now(),
-		arrivals: map[string][]standin.Arrival{}, runs: map[string][]standin.Run{}, leaving: map[string]bool{},
+		runs: map[string][]standin.Run{},
 	}
 	var err error
 	if r.file, err = os.Create(record); err != nil {
@@ -131,11 +128,7 @@
 }
 
 // AddArrival implements standin.Observer.
-func (r *rig) AddArrival(a standin.Arrival) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.arrivals[a.Request] = append(r.arrivals[a.Request], a)
-}
+func (r *rig) AddArrival(standin.Arrival) {}
 
 // AddRun implements standin.Observer.
 func (r *rig) AddRun(run standin.Run) {
