--- a/review/_rig3/unframed.go
+++ b/review/_rig3/unframed.go
@@ -19,7 +19,6 @@
 		// work makes an event of a slow stream take 0.6 s, and its 12 events 7.2 s.
 		work      = 300 * time.Millisecond
 		notice    = 2 * time.Second
-		unframed  = 0.05
 		streamGap = 17 * time.Millisecond
 	)
 	store, err := r.addStore()
@@ -40,9 +39,6 @@
 		mu.Lock()
 		defer mu.Unlock()
 		serving = append(serving, s)
-		if len(serving)%2 == 1 {
-			s.SetUnframed(unframed)
-		}
 
 		return store.Register(s, service, "z1", false)
 	}
@@ -103,7 +99,14 @@
 	}
 	next := servers
 	for range 2 {
-		time.Sleep(9 * time.Second)
+		time.Sleep(9*time.Second - unframedTime)
+		mu.Lock()
+		var some []*standin.Server
+		for i := 0; i < len(serving); i += 2 {
+			some = append(some, serving[i])
+		}
+		mu.Unlock()
+		r.sendUnframed(some)
 		if r.trouble {
 			leave()
 			time.Sleep(4*time.Second - notice)
@@ -122,6 +125,25 @@
 	return nil
 }
 
+// Half of the servers send a share of their responses without a length or chunks for a time.
+const (
+	unframedShare = 0.05
+	unframedTime  = 5 * time.Second
+)
+
+// sendUnframed lets servers send such responses and returns when the time is over.
+func (r *rig) sendUnframed(servers []*standin.Server) {
+	set := func(share float64) {
+		for _, s := range servers {
+			r.note("server %s sends %v of its responses without a length or chunks", s.ID(), share)
+			s.SetUnframed(share)
+		}
+	}
+	set(unframedShare)
+	time.Sleep(unframedTime)
+	set(0)
+}
+
 // checkStream sends a request for a stream and checks that an answer which ends as complete
 // has all events.
 func (r *rig) checkStream(c *client) {
