--- a/review/_rig3/lossy.go
+++ b/review/_rig3/lossy.go
@@ -18,7 +18,6 @@
 		servers = 8
 		// work makes an event of a slow stream take 0.6 s, and its 12 events 7.2 s.
 		work      = 300 * time.Millisecond
-		unframed  = 0.05
 		loss      = 0.025
 		lossy     = 5500 * time.Millisecond
 		down      = 2 * time.Second
@@ -41,7 +40,7 @@
 		link *link
 		seq  int
 		born time.Time
-		// unframed reports whether the server sends responses without a length.
+		// unframed reports whether the server sends responses without a length at times.
 		unframed bool
 	}
 	var mu sync.Mutex
@@ -67,9 +66,6 @@
 		if err != nil {
 			return err
 		}
-		if withUnframed {
-			s.SetUnframed(unframed)
-		}
 		mu.Lock()
 		defer mu.Unlock()
 		added := &server{Server: s, link: l, born: time.Now(), unframed: withUnframed}
@@ -126,12 +122,22 @@
 		}
 	}
 	for range 4 {
-		time.Sleep(6 * time.Second)
+		time.Sleep(6*time.Second + lossy/2 - unframedTime)
+		mu.Lock()
+		var some []*standin.Server
+		for _, s := range serving {
+			if s.unframed {
+				some = append(some, s.Server)
+			}
+		}
+		mu.Unlock()
+		if r.trouble {
+			time.AfterFunc(unframedTime-lossy/2, func() { setLoss(loss) })
+		}
+		r.sendUnframed(some)
 		if !r.trouble {
 			continue
 		}
-		setLoss(loss)
-		time.Sleep(lossy / 2)
 		mu.Lock()
 		var crashed, others []*server
 		for _, s := range serving {
