--- a/review/_rig3/frozen.go
+++ b/review/_rig3/frozen.go
@@ -19,14 +19,13 @@
 func playFrozen(r *rig) error {
 	const (
 		servers = 8
-		rounds  = 8
+		rounds  = 10
 		// work makes an event of a slow stream take 0.6 s, and its 12 events 7.2 s.
 		work      = 300 * time.Millisecond
-		unframed  = 0.05
 		frozen    = 2900 * time.Millisecond
 		before    = 650 * time.Millisecond
 		down      = 2 * time.Second
-		calm      = 1600 * time.Millisecond
+		calm      = 5 * time.Second
 		streamGap = 17 * time.Millisecond
 	)
 	store, err := r.addStore()
@@ -38,7 +37,7 @@
 	}
 	var mu sync.Mutex
 	serving := map[int]*standin.Server{}
-	// add starts a server. The first half sends responses without a length.
+	// add starts a server.
 	add := func(i int, address netip.AddrPort) error {
 		self, err := executable()
 		if err != nil {
@@ -51,9 +50,6 @@
 		r.mu.Lock()
 		r.servers = append(r.servers, s)
 		r.mu.Unlock()
-		if i < servers/2 {
-			s.SetUnframed(unframed)
-		}
 		mu.Lock()
 		defer mu.Unlock()
 		serving[i] = s
@@ -95,11 +91,11 @@
 		defer wg.Done()
 		repeat(streamGap, stop, func() { r.checkStream(clients[rand.IntN(len(clients))]) })
 	}()
-	round := func(i int) error {
+	round := func(i int, sent <-chan struct{}) error {
 		n := r.nodes[i%len(r.nodes)]
 		n.signal(syscall.SIGSTOP)
 		start := time.Now()
-		time.Sleep(before)
+		<-sent
 		mu.Lock()
 		crashed := []int{2 * i % (servers / 2), 2*i%(servers/2) + 1}
 		addresses := map[int]netip.AddrPort{}
@@ -124,10 +120,22 @@
 		return nil
 	}
 	for i := range rounds {
-		time.Sleep(calm)
+		time.Sleep(calm + before - unframedTime)
+		mu.Lock()
+		var some []*standin.Server
+		for k := range servers / 2 {
+			some = append(some, serving[k])
+		}
+		mu.Unlock()
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			r.sendUnframed(some)
+		}()
+		time.Sleep(unframedTime - before)
 		if !r.trouble {
 			time.Sleep(frozen)
-		} else if err := round(i); err != nil {
+		} else if err := round(i, sent); err != nil {
 			return err
 		}
 	}
