--- a/review/_rig3/platform.go
+++ b/review/_rig3/platform.go
@@ -25,27 +25,19 @@
 
 // putManifest writes a manifest to the stores.
 func putManifest(version int, withLostKey bool, stores ...*standin.Store) error {
-	route := func(name, prefix, kind string) map[string]any {
-		return map[string]any{
-			"name": name, "host": host, "prefix": prefix, "type": kind, "timeoutMs": 15000, "goalMs": 1000, "priority": 0,
-			"service": service, "attempts": 2, "public": false, "sticky": false, "resumable": prefix == "/resumable/", "gapTargetMs": 1000,
-		}
+	var routes []standin.Route
+	for _, r := range []struct{ name, kind string }{{"safe", "safe"}, {"unsafe", "unsafe"}, {"stream", "streaming"}, {"resumable", "streaming"}} {
+		routes = append(routes, standin.Route{
+			Name: r.name, Host: host, Prefix: "/" + r.name + "/", Kind: r.kind, Service: service,
+			Timeout: 15 * time.Second, Target: time.Second, Attempts: 2, Resumable: r.name == "resumable",
+		})
 	}
-	tenants := []any{map[string]any{"name": "stayer", "apiKeys": []string{keptKey}}}
+	keys := map[string]string{keptKey: "stayer"}
 	if withLostKey {
-		tenants = append(tenants, map[string]any{"name": "leaver", "apiKeys": []string{lostKey}})
+		keys[lostKey] = "leaver"
 	}
 	for _, s := range stores {
-		err := s.Put("op/config", map[string]any{
-			"version": version, "tenants": tenants,
-			"routes": []any{
-				route("safe", "/safe/", "safe"), route("unsafe", "/unsafe/", "unsafe"), route("stream", "/stream/", "streaming"),
-				route("resumable", "/resumable/", "streaming"),
-			},
-			"services": []any{map[string]any{"name": service, "healthPath": "/healthz", "maxConns": 500, "protocol": "h1", "tls": false, "coldS": 0.0, "coldPerS": 0.0}},
-			"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		})
-		if err != nil {
+		if err := s.PutManifest(version, routes, keys); err != nil {
 			return err
 		}
 	}
@@ -110,8 +102,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	c.rig.note("client: %s answered %d by %q, %d bytes, leaving=%q, end: %v", attempt, resp.StatusCode,
-		resp.Header.Get("Snipedyke-Server-Seal"), len(body), resp.Header.Get("Server-Leaving"), err)
+	server, sealed := standin.SealedBy(resp, attempt)
+	c.rig.note("client: %s answered %d by %s (sealed: %v), %d bytes, leaving=%q, end: %v", attempt, resp.StatusCode,
+		server, sealed, len(body), resp.Header.Get("Server-Leaving"), err)
 
 	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
 }
--- a/review/_rig3/upgrade.go
+++ b/review/_rig3/upgrade.go
@@ -173,7 +173,8 @@
 			body, _ := io.ReadAll(resp.Body)
 			_ = resp.Body.Close()
 			events, _ := standin.ParseEvents(string(body))
-			r.note("client: %s answered %d by %q with %d events", attempt, resp.StatusCode, resp.Header.Get("Snipedyke-Server-Seal"), len(events))
+			server, _ := standin.SealedBy(resp, attempt)
+			r.note("client: %s answered %d by %s with %d events", attempt, resp.StatusCode, server, len(events))
 			for _, e := range events {
 				versions[e.Version] = true
 				last = e.Number
