--- a/review/_rig3/unframed.go
+++ b/review/_rig3/unframed.go
@@ -11,8 +11,8 @@
 
 func init() { cases["unframed"] = playUnframed }
 
-// playUnframed lets a quarter of the servers leave, twice. They are gone 2 s after the notice,
-// while they send streams that may have neither a length nor chunks.
+// playUnframed lets one server of eight leave, four times. It is gone 2 s after the notice, while
+// it sends streams that may have neither a length nor chunks.
 func playUnframed(r *rig) error {
 	const (
 		servers = 8
@@ -79,26 +79,22 @@
 	}()
 	leave := func() {
 		mu.Lock()
-		gone := []*standin.Server{serving[0], serving[2]}
-		for _, s := range gone {
-			draining[s] = true
-			s.Leave()
-			r.note("server %s says that it leaves, and is draining in the store", s.ID())
-			_ = store.Register(s, service, "z1", true)
-		}
+		gone := serving[0]
+		draining[gone] = true
+		gone.Leave()
+		r.note("server %s says that it leaves, and is draining in the store", gone.ID())
+		_ = store.Register(gone, service, "z1", true)
 		mu.Unlock()
 		time.Sleep(notice)
 		mu.Lock()
 		defer mu.Unlock()
-		for _, s := range gone {
-			r.note("server %s is gone", s.ID())
-			s.Crash()
-			store.DeleteServer(s.ID())
-		}
-		serving = append([]*standin.Server{serving[1]}, serving[3:]...)
+		r.note("server %s is gone", gone.ID())
+		gone.Crash()
+		store.DeleteServer(gone.ID())
+		serving = serving[1:]
 	}
 	next := servers
-	for range 2 {
+	for range 4 {
 		time.Sleep(9*time.Second - unframedTime)
 		mu.Lock()
 		var some []*standin.Server
@@ -110,12 +106,10 @@
 		if r.trouble {
 			leave()
 			time.Sleep(4*time.Second - notice)
-			for range 2 {
-				if err := add(next); err != nil {
-					return err
-				}
-				next++
+			if err := add(next); err != nil {
+				return err
 			}
+			next++
 		}
 	}
 	time.Sleep(3 * time.Second)
@@ -128,7 +122,7 @@
 // Half of the servers send a share of their responses without a length or chunks for a time.
 const (
 	unframedShare = 0.05
-	unframedTime  = 5 * time.Second
+	unframedTime  = 4900 * time.Millisecond
 )
 
 // sendUnframed lets servers send such responses and returns when the time is over.
