--- a/review/_rig3/lossy.go
+++ b/review/_rig3/lossy.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
+	"os/exec"
 	"sync"
 	"time"
 
@@ -19,8 +21,8 @@
 		// work makes an event of a slow stream take 0.6 s, and its 12 events 7.2 s.
 		work      = 300 * time.Millisecond
 		loss      = 0.025
-		lossy     = 5500 * time.Millisecond
-		down      = 2 * time.Second
+		lossy     = 5400 * time.Millisecond
+		down      = 1900 * time.Millisecond
 		streamGap = 17 * time.Millisecond
 	)
 	// The nodes of z1 reach the servers of z2 over links.
@@ -55,14 +57,24 @@
 		entry["addr"] = s.link.address.String()
 		_ = remote.Put("servers/"+s.ID(), entry)
 	}
-	count := 0
-	add := func(withUnframed bool) error {
-		s, err := r.addServer(fmt.Sprintf("i-%04d", count), work, true)
+	// add starts a server, at the address that it had if it is one that has crashed.
+	add := func(id string, address netip.AddrPort, l *link, withUnframed bool) error {
+		self, err := executable()
 		if err != nil {
 			return err
 		}
-		count++
-		l, err := newLink(s.Addr())
+		s, err := standin.StartServer(exec.Command(self, serverCommand), id, "v1", address, work, uint64(time.Now().UnixNano()), r)
+		if err != nil {
+			return err
+		}
+		r.mu.Lock()
+		r.servers = append(r.servers, s)
+		r.mu.Unlock()
+		if l == nil {
+			l, err = newLink(s.Addr())
+		} else {
+			err = l.listen()
+		}
 		if err != nil {
 			return err
 		}
@@ -75,7 +87,7 @@
 		return nil
 	}
 	for i := range servers {
-		if err := add(i < servers/2); err != nil {
+		if err := add(fmt.Sprintf("i-%04d", i), netip.MustParseAddrPort("127.0.0.1:0"), nil, i < servers/2); err != nil {
 			return err
 		}
 	}
@@ -155,19 +167,14 @@
 		}
 		mu.Unlock()
 		time.Sleep(down)
-		for range crashed {
-			if err := add(true); err != nil {
+		for _, s := range crashed {
+			if err := add(s.ID(), s.Addr(), s.link, true); err != nil {
 				return err
 			}
+			r.note("server %s is back", s.ID())
 		}
 		time.Sleep(lossy/2 - down)
 		setLoss(0)
-		time.Sleep(time.Second)
-		for _, s := range crashed {
-			// Its entry has expired.
-			direct.DeleteServer(s.ID())
-			remote.DeleteServer(s.ID())
-		}
 	}
 	time.Sleep(3 * time.Second)
 	close(stop)
--- a/review/_rig3/platform.go
+++ b/review/_rig3/platform.go
@@ -25,7 +25,7 @@
 
 // putManifest writes a manifest to the stores.
 func putManifest(version int, withLostKey bool, stores ...*standin.Store) error {
-	var routes []standin.Route
+	routes := make([]standin.Route, 0, 4)
 	for _, r := range []struct{ name, kind string }{{"safe", "safe"}, {"unsafe", "unsafe"}, {"stream", "streaming"}, {"resumable", "streaming"}} {
 		routes = append(routes, standin.Route{
 			Name: r.name, Host: host, Prefix: "/" + r.name + "/", Kind: r.kind, Service: service,
@@ -214,6 +214,18 @@
 // refuse refuses new connections, as a machine does on which nothing listens.
 func (l *link) refuse() { _ = l.ln.Close() }
 
+// listen accepts connections again.
+func (l *link) listen() error {
+	ln, err := net.Listen("tcp", l.address.String())
+	if err != nil {
+		return err
+	}
+	l.ln = ln
+	go l.accept(ln)
+
+	return nil
+}
+
 func reset(conn net.Conn) {
 	_ = conn.(*net.TCPConn).SetLinger(0)
 	_ = conn.Close()
