--- a/review/_rig3/frozen.go
+++ b/review/_rig3/frozen.go
@@ -24,7 +24,7 @@
 		work      = 300 * time.Millisecond
 		frozen    = 2900 * time.Millisecond
 		before    = 650 * time.Millisecond
-		down      = 2 * time.Second
+		down      = 1900 * time.Millisecond
 		calm      = 5 * time.Second
 		streamGap = 17 * time.Millisecond
 	)
